--- /dev/null
+++ b/src/control/operatorApi.ts
@@ -0,0 +1,176 @@
+import type { Catalogue, EntryVm, RunbookCommand, Service, UpstreamOverride } from "../catalogue/model.js";
+import type { EntryId, ServiceName, UpstreamId, VoterId } from "../core/ids.js";
+
+/** The declarations of one folder; they replace all earlier ones. */
+export interface Declarations {
+    readonly services: readonly Service[];
+    readonly entryVms: readonly EntryVm[];
+    readonly runbookCommands: readonly RunbookCommand[];
+}
+
+/** What a change does to the catalogue. */
+export type ChangeOperation =
+    | { readonly kind: "declare"; readonly declarations: Declarations; }
+    | { readonly kind: "set-upstream-override"; readonly override: UpstreamOverride; }
+    | { readonly kind: "clear-upstream-override"; readonly service: ServiceName; readonly upstreamId: UpstreamId; }
+    | { readonly kind: "set-entry-vm-state"; readonly entryId: EntryId; readonly state: "active" | "draining"; }
+    | {
+        readonly kind: "set-service-limit";
+        readonly service: ServiceName;
+        readonly limit: string;
+        readonly value: number;
+    };
+
+/** Parameters of `catalogue.apply`. The operator's name comes from the token. */
+export interface ApplyParams {
+    readonly changeId: string;
+    /** Revision that the change was made against. */
+    readonly baseRevision: number;
+    readonly operation: ChangeOperation;
+}
+
+/** How a change ended. */
+export const ApplyOutcome = {
+    /** Durable at a majority of voters and held by a majority of entries. */
+    accepted: "accepted",
+    /** Durable at a majority of voters, not yet held by a majority of entries. */
+    pending: "pending",
+    /** The base revision is not the current one; `winner` names the change that came first. */
+    conflict: "conflict",
+    /** The change is invalid. */
+    rejected: "rejected",
+    /** Whether the change was made durable is not known; the same command sent again settles it. */
+    unknown: "unknown",
+} as const;
+
+export type ApplyOutcome = typeof ApplyOutcome[keyof typeof ApplyOutcome];
+
+/** A record of the audit trail. */
+export interface AuditRecord {
+    readonly revision: number;
+    readonly changeId: string;
+    readonly operator: string;
+    /** Address the change came from. */
+    readonly from: string;
+    /** ISO 8601 time at the leader that proposed the change. */
+    readonly at: string;
+    readonly operation: ChangeOperation["kind"];
+    /** Changed fields: path, before and after as JSON. */
+    readonly difference: readonly FieldDifference[];
+    readonly outcome: ApplyOutcome;
+    readonly detail: string;
+}
+
+/** One changed field; a side is undefined when the field did not exist there. */
+export interface FieldDifference {
+    readonly path: string;
+    readonly before: string | undefined;
+    readonly after: string | undefined;
+}
+
+/** Answer of `catalogue.apply`. */
+export interface ApplyAnswer {
+    readonly outcome: ApplyOutcome;
+    readonly revision: number;
+    readonly detail: string;
+    readonly winner: AuditRecord | undefined;
+    readonly entriesHolding: number;
+    readonly entriesTotal: number;
+}
+
+/** Answer of `catalogue.show`; confirmed by a quorum. */
+export interface ShowAnswer {
+    readonly catalogue: Catalogue;
+}
+
+/** Parameters of `audit.list` and `catalogue.history`. */
+export interface AuditFilter {
+    readonly operator?: string;
+    readonly changeId?: string;
+    readonly sinceRevision?: number;
+    readonly untilRevision?: number;
+    readonly outcome?: ApplyOutcome;
+    readonly limit?: number;
+}
+
+/** State of an entry as control last heard it. */
+export interface EntryStatus {
+    readonly id: EntryId;
+    readonly availabilityZone: string;
+    readonly revision: number;
+    readonly incarnation: number;
+    readonly isDraining: boolean;
+    readonly isConfirmed: boolean;
+    readonly heardAgoMs: number;
+    /** Probe spending of the services it owns, in upstream milliseconds per second. */
+    readonly measuringSpentMsPerSecond: Readonly<Record<ServiceName, number>>;
+    readonly problems: readonly string[];
+}
+
+/** State of a control VM as the answering one sees it. */
+export interface VoterStatus {
+    readonly id: VoterId;
+    readonly role: "leader" | "follower" | "candidate" | "learner" | "unknown";
+    readonly term: number;
+    readonly revision: number;
+    readonly heardAgoMs: number;
+    readonly problems: readonly string[];
+}
+
+/** Answer of `status`. */
+export interface StatusAnswer {
+    readonly answeredBy: VoterId;
+    readonly isQuorumConfirmed: boolean;
+    readonly revision: number;
+    readonly voters: readonly VoterStatus[];
+    readonly entries: readonly EntryStatus[];
+    readonly upstreams: readonly UpstreamStatus[];
+}
+
+/** State of an upstream as the entries report it. */
+export interface UpstreamStatus {
+    readonly service: ServiceName;
+    readonly id: UpstreamId;
+    readonly address: string;
+    readonly availabilityZone: string;
+    readonly state: string;
+    readonly slots: number;
+    readonly incarnation: number;
+    readonly evidenceAgeMs: number;
+}
+
+/** Methods of `POST /v1/rpc` at a control VM; parameters and answers are the types above. */
+export const OperatorMethod = {
+    apply: "catalogue.apply",
+    show: "catalogue.show",
+    history: "catalogue.history",
+    audit: "audit.list",
+    status: "status",
+} as const;
+
+export type OperatorMethod = typeof OperatorMethod[keyof typeof OperatorMethod];
+
+/** Parameters of `config.sync`, from an entry to a control VM. */
+export interface ConfigSyncParams {
+    readonly entryId: EntryId;
+    readonly availabilityZone: string;
+    readonly region: string;
+    readonly incarnation: number;
+    readonly revision: number;
+    readonly isDraining: boolean;
+    readonly isConfirmed: boolean;
+    readonly measuringSpentMsPerSecond: Readonly<Record<ServiceName, number>>;
+    readonly upstreams: readonly UpstreamStatus[];
+    readonly problems: readonly string[];
+}
+
+/** Answer of `config.sync`. */
+export interface ConfigSyncAnswer {
+    /** True when a quorum of voters confirmed the leader after the question arrived. */
+    readonly isQuorumConfirmed: boolean;
+    readonly revision: number;
+    /** Set when the control VM holds a higher revision than the entry. */
+    readonly catalogue: Catalogue | undefined;
+    /** Peer address of the leader, when this control VM is not the leader. */
+    readonly leaderAddress: string | undefined;
+}
--- /dev/null
+++ b/src/core/errors.ts
@@ -0,0 +1,36 @@
+/** Messages of all errors, by code. Placeholders in braces are filled from the error's details. */
+export const errorMessages = {
+    "settings-invalid": "{file}:{line}: {field}: expected {expected}, got {actual}",
+    "file-missing": "{file}: the file does not exist or cannot be read",
+    "channel-closed": "the connection to {peer} closed before the answer arrived",
+    "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
+    "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
+    "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
+} as const;
+
+export type ErrorCode = keyof typeof errorMessages;
+
+/** Values that fill the placeholders of an error message. */
+export type ErrorDetails = Readonly<Record<string, string | number>>;
+
+/** Base class of all errors that figwharf throws. */
+export class FigwharfError extends Error {
+    constructor(readonly code: ErrorCode, readonly details: ErrorDetails = {}, options?: ErrorOptions) {
+        super(formatErrorMessage(code, details), options);
+        this.name = new.target.name;
+    }
+}
+
+/** Settings or declarations that cannot be used. */
+export class SettingsError extends FigwharfError {}
+
+/** A message between two processes of the system that could not be delivered or answered. */
+export class ChannelError extends FigwharfError {}
+
+/** Returns the message of an error code with its placeholders filled. */
+export function formatErrorMessage(code: ErrorCode, details: ErrorDetails): string {
+    return errorMessages[code].replace(
+        /\{(\w+)\}/g,
+        (placeholder, name: string) => String(details[name] ?? placeholder),
+    );
+}
--- /dev/null
+++ b/src/transport/channel.test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import net from "node:net";
+import { ChannelClient, ChannelServer } from "./channel.js";
+
+const secret = "test-secret";
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+    for (let attempt = 0; attempt < 500 && !isDone(); attempt++) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
+async function openPair(clientSecret: string) {
+    const received: unknown[] = [];
+    const server = new ChannelServer({ selfId: "server", secret }, (method, params, from) => {
+        received.push([method, params, from]);
+        if (method === "fail") {
+            throw new Error("refused by handler");
+        }
+        return method === "silent" ? new Promise(() => undefined) : { echoed: params };
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    const client = new ChannelClient(`127.0.0.1:${port}`, { selfId: "client", secret: clientSecret });
+    return { server, client, port, received };
+}
+
+test("a call reaches the handler with the authenticated id and its answer comes back", async t => {
+    const { server, client, received } = await openPair(secret);
+    await waitUntil(() => client.isConnected());
+    t.deepEqual(await client.call("echo", { value: 1 }, 2000), { echoed: { value: 1 } });
+    t.deepEqual(received, [["echo", { value: 1 }, "client"]]);
+    client.close();
+    await server.close();
+});
+
+test("guards against a call that never ends: a silent handler gives a timeout, a failing one an error", async t => {
+    const { server, client } = await openPair(secret);
+    await waitUntil(() => client.isConnected());
+    await t.throwsAsync(client.call("silent", {}, 50), { message: /did not answer silent within 50 ms/ });
+    await t.throwsAsync(client.call("fail", {}, 2000), { message: /refused by handler/ });
+    client.notify("note", {});
+    t.deepEqual(await client.call("echo", 1, 2000), { echoed: 1 });
+    client.close();
+    await server.close();
+});
+
+test("guards against strangers: a wrong secret is refused and counted, and no call is handled", async t => {
+    const { server, client, received } = await openPair("wrong");
+    await waitUntil(() => server.refusedCount > 0);
+    t.true(server.refusedCount > 0);
+    t.false(client.isConnected());
+    await t.throwsAsync(client.call("echo", {}, 50));
+    t.deepEqual(received, []);
+    client.close();
+    await server.close();
+});
+
+test("guards against a stranger's oversized or garbled first frame", async t => {
+    const { server, client, port } = await openPair(secret);
+    for (const bytes of [Buffer.from([0x7f, 0xff, 0xff, 0xff, 1]), Buffer.from([0, 0, 0, 2, 0xc1, 0xc1])]) {
+        const socket = net.connect(port, "127.0.0.1", () => socket.write(bytes));
+        socket.on("error", () => undefined);
+        socket.resume();
+        await new Promise(resolve => socket.on("close", resolve));
+    }
+    await waitUntil(() => client.isConnected());
+    t.deepEqual(await client.call("echo", 1, 2000), { echoed: 1 });
+    client.close();
+    await server.close();
+});
+
+test("a restarted server is reached again by the same client", async t => {
+    const { server, client, port } = await openPair(secret);
+    await waitUntil(() => client.isConnected());
+    await server.close();
+    await waitUntil(() => !client.isConnected());
+    const second = new ChannelServer({ selfId: "server", secret }, () => "second");
+    await second.listen("127.0.0.1", port);
+    await waitUntil(() => client.isConnected());
+    t.is(await client.call("echo", {}, 2000), "second");
+    client.close();
+    await second.close();
+});
