--- a/src/entry/messages.ts
+++ b/src/entry/messages.ts
@@ -38,7 +38,12 @@
         readonly retained: RetainedResponse | undefined;
     }
     | { readonly kind: "attempt-failed"; readonly attemptId: AttemptId; readonly failure: AttemptFailure; }
-    | { readonly kind: "announcement"; readonly announcement: Announcement; }
+    | {
+        readonly kind: "announcement";
+        readonly announcement: Announcement;
+        /** Upper bound of the time since the upstream sent it; 0 when absent. */
+        readonly ageMs?: number;
+    }
     | {
         readonly kind: "probe-ended";
         readonly service: ServiceName;
--- /dev/null
+++ b/src/membership/peerTable.ts
@@ -0,0 +1,140 @@
+import type { EntryId } from "../core/ids.js";
+import type { PeerRow, PeerView } from "./view.js";
+
+/** A peer without a heartbeat for this long is not live. */
+export const peerTimeoutMs = 1500;
+/** Rows without a heartbeat for this long are removed. */
+const peerRetentionMs = 600_000;
+
+/**
+ * Bounds the age of a message without relating two clocks: `echoMs` is the receiver's own time, which it sent in an
+ * earlier message, and `heldMs` is how long the sender had held that message.
+ */
+export interface Stamp {
+    readonly sentAtMs: number;
+    readonly echoMs: number | undefined;
+    /** Incarnation of the receiver that `echoMs` belongs to. */
+    readonly echoIncarnation: number | undefined;
+    readonly heldMs: number;
+}
+
+/** Parameters of `peer.heartbeat`. */
+export interface Heartbeat {
+    readonly stamp: Stamp;
+    readonly region: string;
+    readonly availabilityZone: string;
+    readonly incarnation: number;
+    readonly revision: number;
+    readonly isDraining: boolean;
+    /** Whether the configuration is confirmed and new work is accepted. */
+    readonly isServing: boolean;
+    /** `host:port` for callers. */
+    readonly address: string;
+    /** `host:port` for the system's own processes. */
+    readonly peerAddress: string;
+}
+
+/** Row of the peer table with the fields that routing does not need. */
+export interface PeerState extends PeerRow {
+    readonly address: string;
+    readonly peerAddress: string;
+    readonly isServing: boolean;
+}
+
+interface LastMessage {
+    readonly sentAtMs: number;
+    readonly receivedAtMs: number;
+    readonly incarnation: number;
+}
+
+/** Identity of this entry in the table. */
+export interface PeerIdentity {
+    readonly id: EntryId;
+    readonly region: string;
+    readonly availabilityZone: string;
+    readonly incarnation: number;
+}
+
+/** Table of the other entries of the region. */
+export class PeerTable implements PeerView {
+    private readonly rows = new Map<EntryId, PeerState>();
+    private readonly lastMessages = new Map<EntryId, LastMessage>();
+
+    constructor(private readonly identity: PeerIdentity) {}
+
+    get selfId(): EntryId {
+        return this.identity.id;
+    }
+
+    get availabilityZone(): string {
+        return this.identity.availabilityZone;
+    }
+
+    livePeers(nowMs: number): readonly PeerState[] {
+        return [...this.rows.values()].filter(row => nowMs - row.heardAtMs <= peerTimeoutMs);
+    }
+
+    findPeer(id: EntryId): PeerState | undefined {
+        return this.rows.get(id);
+    }
+
+    /** All peers that have been heard of, live or not. */
+    allPeers(): readonly PeerState[] {
+        return [...this.rows.values()];
+    }
+
+    /** Returns the stamp of a message that is sent to a peer now. */
+    stampFor(peer: EntryId, nowMs: number): Stamp {
+        const last = this.lastMessages.get(peer);
+        return {
+            sentAtMs: nowMs,
+            echoMs: last?.sentAtMs,
+            echoIncarnation: last?.incarnation,
+            heldMs: last === undefined ? 0 : nowMs - last.receivedAtMs,
+        };
+    }
+
+    /** Returns a time before which the message was not sent; undefined when the stamp gives no bound. */
+    sentAtMs(stamp: Stamp): number | undefined {
+        const isOwnEcho = stamp.echoMs !== undefined && stamp.echoIncarnation === this.identity.incarnation;
+        return isOwnEcho ? stamp.echoMs + stamp.heldMs : undefined;
+    }
+
+    /** Applies a heartbeat. Returns whether it is the first of an incarnation of a peer of this region. */
+    applyHeartbeat(from: EntryId, heartbeat: Heartbeat, nowMs: number): boolean {
+        const held = this.rows.get(from);
+        const isOutdated = held !== undefined && heartbeat.incarnation < held.incarnation;
+        if (isOutdated || heartbeat.region !== this.identity.region || from === this.selfId) {
+            return false;
+        }
+        const { sentAtMs } = heartbeat.stamp;
+        this.lastMessages.set(from, { sentAtMs, receivedAtMs: nowMs, incarnation: heartbeat.incarnation });
+        const isFirst = held?.incarnation !== heartbeat.incarnation;
+        // The first heartbeat has no bound yet. A later one counts from when it was sent, so that messages that waited
+        // in a silent connection do not make a dead peer live.
+        const heardAtMs = this.sentAtMs(heartbeat.stamp) ?? (isFirst ? nowMs : held.heardAtMs);
+        const { availabilityZone, incarnation, revision, isDraining, isServing, address, peerAddress } = heartbeat;
+        this.rows.set(from, {
+            id: from,
+            availabilityZone,
+            incarnation,
+            revision,
+            isDraining,
+            isServing,
+            address,
+            peerAddress,
+            heardAtMs: isFirst ? heardAtMs : Math.max(heardAtMs, held.heardAtMs),
+        });
+        return isFirst;
+    }
+
+    /** Removes peers that have been silent for long. */
+    tick(nowMs: number): void {
+        for (const [id, row] of this.rows) {
+            if (nowMs - row.heardAtMs > peerRetentionMs) {
+                this.rows.delete(id);
+                this.lastMessages.delete(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/upstreamTable.ts
@@ -0,0 +1,199 @@
+import type { UpstreamOverride } from "../catalogue/model.js";
+import type { ServiceName, UpstreamId } from "../core/ids.js";
+import type { LoadReport } from "../requests/model.js";
+import { type Announcement, type UpstreamRow, UpstreamState, type UpstreamView } from "./view.js";
+
+/** Largest age of the evidence that makes an upstream eligible, from when the upstream sent it. */
+export const maxEvidenceAgeMs = 2500;
+/** Longest lease that an announcement can ask for; a drained incarnation is remembered at least as long. */
+export const maxLeaseMs = 60_000;
+
+/** A row as it travels to another entry. Ages instead of times, because the clocks of entries are not related. */
+export interface UpstreamDigestRow {
+    readonly announcement: Announcement;
+    /** Undefined when no entry has seen the instance ready. */
+    readonly evidenceAgeMs: number | undefined;
+    readonly readyAgeMs: number | undefined;
+}
+
+interface MutableRow {
+    announcement: Announcement;
+    evidenceAtMs: number;
+    readySinceMs: number | undefined;
+    touchedAtMs: number;
+}
+
+const never = Number.NEGATIVE_INFINITY;
+
+/** Table of upstream instances: announcements, and the evidence that they are ready. */
+export class UpstreamTable implements UpstreamView {
+    private readonly rows = new Map<ServiceName, Map<UpstreamId, MutableRow>>();
+    private readonly renewed = new Set<MutableRow>();
+    private readonly changed = new Set<MutableRow>();
+    private overridden = new Set<string>();
+
+    setOverrides(overrides: readonly UpstreamOverride[]): void {
+        this.overridden = new Set(overrides.map(override => rowKey(override.service, override.upstreamId)));
+    }
+
+    eligibleUpstreams(service: ServiceName, nowMs: number): readonly UpstreamRow[] {
+        const eligible: UpstreamRow[] = [];
+        for (const row of this.rows.get(service)?.values() ?? []) {
+            if (this.isEligible(row, nowMs)) {
+                eligible.push(row);
+            }
+        }
+        return eligible;
+    }
+
+    findUpstream(service: ServiceName, id: UpstreamId): UpstreamRow | undefined {
+        return this.rows.get(service)?.get(id);
+    }
+
+    allUpstreams(): readonly UpstreamRow[] {
+        return [...this.rows.values()].flatMap(rows => [...rows.values()]);
+    }
+
+    /** Applies an announcement that the instance sent no earlier than `sentAtMs`. */
+    announce(announcement: Announcement, sentAtMs: number, nowMs: number): void {
+        const row = this.apply(announcement, nowMs);
+        if (row === undefined) {
+            return;
+        }
+        this.renewed.add(row);
+        if (announcement.state === UpstreamState.ready) {
+            this.addEvidence(row, sentAtMs);
+        }
+    }
+
+    /** Applies a load report of a response that the instance sent no earlier than `sentAtMs`. */
+    noteLoad(service: ServiceName, id: UpstreamId, load: LoadReport, sentAtMs: number): void {
+        const row = this.rows.get(service)?.get(id);
+        if (row === undefined || load.incarnation !== row.announcement.incarnation) {
+            return;
+        }
+        if (load.state === UpstreamState.draining && row.announcement.state !== UpstreamState.draining) {
+            row.announcement = { ...row.announcement, state: UpstreamState.draining };
+            this.changed.add(row);
+        }
+        else if (load.state === UpstreamState.ready && row.announcement.state === UpstreamState.ready) {
+            this.addEvidence(row, sentAtMs);
+        }
+    }
+
+    /** Applies a row of another entry; `sentAtMs` is undefined when the age of the message is not known. */
+    merge(digest: UpstreamDigestRow, sentAtMs: number | undefined, nowMs: number): void {
+        const row = this.apply(digest.announcement, nowMs);
+        if (row === undefined) {
+            return;
+        }
+        this.changed.delete(row);
+        if (sentAtMs === undefined || row.announcement.state !== UpstreamState.ready) {
+            return;
+        }
+        if (digest.evidenceAgeMs !== undefined) {
+            this.addEvidence(row, sentAtMs - digest.evidenceAgeMs);
+        }
+        if (digest.readyAgeMs !== undefined && row.readySinceMs !== undefined) {
+            row.readySinceMs = Math.min(row.readySinceMs, sentAtMs - digest.readyAgeMs);
+        }
+    }
+
+    /** Takes the rows whose state changed here since the last call; other entries need them at once. */
+    takeChanges(nowMs: number): readonly UpstreamDigestRow[] {
+        return takeDigest(this.changed, nowMs);
+    }
+
+    /** Takes the rows that renewed at this entry since the last call. */
+    takeRenewals(nowMs: number): readonly UpstreamDigestRow[] {
+        return takeDigest(this.renewed, nowMs);
+    }
+
+    /** Returns all rows, for an entry that has none. */
+    digestAll(nowMs: number): readonly UpstreamDigestRow[] {
+        return [...this.rows.values()].flatMap(rows => [...rows.values()].map(row => toDigest(row, nowMs)));
+    }
+
+    /** Removes rows whose lease has expired. */
+    tick(nowMs: number): void {
+        for (const [service, rows] of this.rows) {
+            for (const [id, row] of rows) {
+                if (nowMs - row.touchedAtMs > retentionMs(row.announcement)) {
+                    rows.delete(id);
+                    this.changed.delete(row);
+                    this.renewed.delete(row);
+                }
+            }
+            if (rows.size === 0) {
+                this.rows.delete(service);
+            }
+        }
+    }
+
+    private isEligible(row: MutableRow, nowMs: number): boolean {
+        const { state, service, id } = row.announcement;
+        return state === UpstreamState.ready && nowMs - row.evidenceAtMs <= maxEvidenceAgeMs &&
+            !this.overridden.has(rowKey(service, id));
+    }
+
+    /** Returns the row after the announcement, or undefined when a newer incarnation is known. */
+    private apply(announcement: Announcement, nowMs: number): MutableRow | undefined {
+        const rows = this.rows.get(announcement.service) ?? new Map<UpstreamId, MutableRow>();
+        this.rows.set(announcement.service, rows);
+        const row = rows.get(announcement.id);
+        if (row === undefined || announcement.incarnation > row.announcement.incarnation) {
+            const fresh = { announcement, evidenceAtMs: never, readySinceMs: undefined, touchedAtMs: nowMs };
+            rows.set(announcement.id, fresh);
+            this.changed.add(fresh);
+            return fresh;
+        }
+        if (announcement.incarnation < row.announcement.incarnation) {
+            return undefined;
+        }
+        row.touchedAtMs = nowMs;
+        this.applySameIncarnation(row, announcement);
+        return row;
+    }
+
+    /** Draining is final for an incarnation, whatever the order in which announcements arrive. */
+    private applySameIncarnation(row: MutableRow, announcement: Announcement): void {
+        const held = row.announcement;
+        const isDraining = held.state === UpstreamState.draining || announcement.state === UpstreamState.draining;
+        const newest = announcement.sequence >= held.sequence ? announcement : held;
+        row.announcement = isDraining ? { ...newest, state: UpstreamState.draining } : newest;
+        if (row.announcement.state !== held.state) {
+            row.readySinceMs = undefined;
+            this.changed.add(row);
+        }
+    }
+
+    private addEvidence(row: MutableRow, sentAtMs: number): void {
+        if (row.announcement.state === UpstreamState.ready) {
+            row.evidenceAtMs = Math.max(row.evidenceAtMs, sentAtMs);
+            row.readySinceMs ??= sentAtMs;
+        }
+    }
+}
+
+function rowKey(service: ServiceName, id: UpstreamId): string {
+    return JSON.stringify([service, id]);
+}
+
+/** A drained incarnation is kept for longer than any older message about it can take. */
+function retentionMs(announcement: Announcement): number {
+    return announcement.state === UpstreamState.draining ? maxLeaseMs : Math.min(announcement.leaseMs, maxLeaseMs);
+}
+
+function toDigest(row: MutableRow, nowMs: number): UpstreamDigestRow {
+    return {
+        announcement: row.announcement,
+        evidenceAgeMs: row.evidenceAtMs === never ? undefined : nowMs - row.evidenceAtMs,
+        readyAgeMs: row.readySinceMs === undefined ? undefined : nowMs - row.readySinceMs,
+    };
+}
+
+function takeDigest(rows: Set<MutableRow>, nowMs: number): readonly UpstreamDigestRow[] {
+    const digest = [...rows].map(row => toDigest(row, nowMs));
+    rows.clear();
+    return digest;
+}
