--- a/src/entry/messages.ts
+++ b/src/entry/messages.ts
@@ -19,24 +19,38 @@
     readonly correlationId?: string;
 }
 
-/** What can happen to an entry. */
+/**
+ * What can happen to an entry. For each dispatched attempt the shell reports `attempt-sent`, `attempt-head`, then one of
+ * `attempt-complete` and `attempt-failed`. Events of attempts and requests that have ended are ignored.
+ */
 export type EntryEvent =
     | { readonly kind: "request"; readonly request: RequestFacts; }
+    /** The caller closed its connection before the response ended. */
     | { readonly kind: "caller-gone"; readonly requestId: RequestId; }
-    /** A connection is ready and the head is about to be written. */
+    /**
+     * A connection is ready and the head is about to be written. The shell reports this before it writes, and writes
+     * nothing if the returned effects cancel the attempt: until then the attempt counts as `not-run`.
+     */
     | { readonly kind: "attempt-sent"; readonly attemptId: AttemptId; }
+    /** The response head arrived. The shell holds the response until a `forward` effect names the attempt. */
     | {
         readonly kind: "attempt-head";
         readonly attemptId: AttemptId;
         readonly head: ResponseHead;
         readonly load: LoadReport | undefined;
     }
-    /** The whole response arrived; `retained` is set when it was buffered. */
+    /** The response of a buffered attempt outgrew the buffer. The shell stops reading it until `forward` or cancel. */
+    | { readonly kind: "attempt-overflow"; readonly attemptId: AttemptId; }
+    /** The whole response arrived; `retained` is set when the attempt is buffered. */
     | {
         readonly kind: "attempt-complete";
         readonly attemptId: AttemptId;
         readonly retained: RetainedResponse | undefined;
     }
+    /**
+     * The attempt ended without a whole response. The verdict follows from the phase that was reported before. The shell
+     * does not report the end of an attempt that the core has cancelled.
+     */
     | { readonly kind: "attempt-failed"; readonly attemptId: AttemptId; readonly failure: AttemptFailure; }
     | { readonly kind: "announcement"; readonly announcement: Announcement; }
     | {
@@ -60,21 +74,33 @@
 
 /** What an entry wants done. */
 export type EntryEffect =
+    /** Starts an attempt. One request can have several attempts in flight. */
     | {
         readonly kind: "dispatch";
         readonly requestId: RequestId;
         readonly target: AttemptTarget;
+        /** Time left until the deadline, to be passed to the upstream. The core cancels the attempt by itself. */
         readonly timeoutMs: number;
+        /** The shell buffers the whole response, up to its limit, before it reports the end or an overflow. */
         readonly isBuffered: boolean;
     }
-    /** Sends the response of this attempt to the caller from now on. */
+    /**
+     * Sends the response of this attempt to the caller: what is held so far at once, the rest as it arrives. Comes at
+     * most once in a request, after `attempt-head`. A forwarded response is not cut off by the deadline.
+     */
     | { readonly kind: "forward"; readonly requestId: RequestId; readonly attemptId: AttemptId; }
+    /** Stops an attempt: nothing is written from now on, and a connection that carries its request is destroyed. */
     | { readonly kind: "cancel-attempt"; readonly attemptId: AttemptId; }
+    /** Ends the request with an answer of figwharf itself; no response of an attempt follows. */
     | { readonly kind: "answer"; readonly requestId: RequestId; readonly answer: GeneratedAnswer; }
+    /** Ends the request with the retained response of an earlier request with the same key. */
     | { readonly kind: "replay"; readonly requestId: RequestId; readonly response: RetainedResponse; }
     /** The response was cut off after its head had been forwarded; the caller's connection is destroyed. */
     | { readonly kind: "destroy-caller"; readonly requestId: RequestId; readonly reason: string; }
-    /** Closes the pooled connections of an upstream that has gone silent. */
+    /**
+     * Replaces the pool of an upstream that has gone silent: idle connections are closed, busy ones carry no further
+     * request and end with their current one, new requests use new connections.
+     */
     | { readonly kind: "reset-pool"; readonly address: string; }
     | { readonly kind: "send-peer"; readonly to: EntryId; readonly message: PeerMessage; }
     | { readonly kind: "sync-control"; readonly revision: number; }
--- /dev/null
+++ b/src/requests/requestTable.ts
@@ -0,0 +1,129 @@
+import type { AttemptId, RequestId, UpstreamId } from "../core/ids.js";
+import type { Verdict } from "../core/verdict.js";
+import {
+    type AttemptFailure,
+    AttemptPhase,
+    type AttemptTarget,
+    type LoadReport,
+    type RequestFacts,
+    type ResponseHead,
+} from "./model.js";
+import { verdictOfAttempts, verdictOfPhase } from "./verdicts.js";
+
+/** Row of an attempt that has not ended. */
+export interface AttemptRow {
+    readonly id: AttemptId;
+    readonly request: RequestRow;
+    readonly startedAtMs: number;
+    phase: AttemptPhase;
+    /** Undefined while the attempt waits for a routing decision. */
+    target: AttemptTarget | undefined;
+    dispatchedAtMs: number;
+    head: ResponseHead | undefined;
+    load: LoadReport | undefined;
+    isBuffered: boolean;
+    /** Whether the attempt was found silent; it then no longer counts as a reason to wait. */
+    isSilent: boolean;
+}
+
+/** Row of a caller's request that has not ended. */
+export interface RequestRow {
+    readonly facts: RequestFacts;
+    readonly isIdempotent: boolean;
+    readonly acceptedAtMs: number;
+    readonly attempts: Map<AttemptId, AttemptRow>;
+    readonly triedUpstreamIds: UpstreamId[];
+    attemptCount: number;
+    hasHedged: boolean;
+    /** Verdict of the attempts that have ended. */
+    endedVerdict: Verdict;
+    lastFailure: AttemptFailure | undefined;
+    /** Attempt whose response goes to the caller. */
+    forwardedId: AttemptId | undefined;
+    isCallerGone: boolean;
+}
+
+/** Requests and attempts in flight at this entry. */
+export class RequestTable {
+    private readonly requests = new Map<RequestId, RequestRow>();
+    private readonly attempts = new Map<AttemptId, AttemptRow>();
+
+    /** Rows of requests in flight. */
+    get size(): number {
+        return this.requests.size;
+    }
+
+    findRequest(id: RequestId): RequestRow | undefined {
+        return this.requests.get(id);
+    }
+
+    findAttempt(id: AttemptId): AttemptRow | undefined {
+        return this.attempts.get(id);
+    }
+
+    listRequests(): RequestRow[] {
+        return [...this.requests.values()];
+    }
+
+    listAttempts(): Iterable<AttemptRow> {
+        return this.attempts.values();
+    }
+
+    addRequest(facts: RequestFacts, isIdempotent: boolean, nowMs: number): RequestRow {
+        const request: RequestRow = {
+            facts,
+            isIdempotent,
+            acceptedAtMs: nowMs,
+            attempts: new Map(),
+            triedUpstreamIds: [],
+            attemptCount: 0,
+            hasHedged: false,
+            endedVerdict: verdictOfAttempts([]),
+            lastFailure: undefined,
+            forwardedId: undefined,
+            isCallerGone: false,
+        };
+        this.requests.set(facts.id, request);
+        return request;
+    }
+
+    addAttempt(request: RequestRow, nowMs: number): AttemptRow {
+        request.attemptCount++;
+        const attempt: AttemptRow = {
+            id: `${request.facts.id}/${request.attemptCount}`,
+            request,
+            startedAtMs: nowMs,
+            phase: AttemptPhase.connecting,
+            target: undefined,
+            dispatchedAtMs: nowMs,
+            head: undefined,
+            load: undefined,
+            isBuffered: false,
+            isSilent: false,
+        };
+        request.attempts.set(attempt.id, attempt);
+        this.attempts.set(attempt.id, attempt);
+        return attempt;
+    }
+
+    removeAttempt(attempt: AttemptRow): void {
+        attempt.request.attempts.delete(attempt.id);
+        this.attempts.delete(attempt.id);
+    }
+
+    removeRequest(request: RequestRow): void {
+        for (const attempt of [...request.attempts.values()]) {
+            this.removeAttempt(attempt);
+        }
+        this.requests.delete(request.facts.id);
+    }
+}
+
+/** Returns the verdict of a request from its ended attempts and the phases of the others. */
+export function verdictOfRequest(request: RequestRow): Verdict {
+    const verdicts = [request.endedVerdict];
+    for (const attempt of request.attempts.values()) {
+        verdicts.push(verdictOfPhase(attempt.phase));
+    }
+    return verdictOfAttempts(verdicts);
+}
