--- /dev/null
+++ b/src/entry/core.ts
@@ -0,0 +1,241 @@
+import { type Catalogue } from "../catalogue/model.js";
+import type { AttemptId, EntryId, ServiceName } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import { Verdict } from "../core/verdict.js";
+import { ConfigLease } from "../membership/configLease.js";
+import { PeerTable } from "../membership/peerTable.js";
+import { UpstreamTable } from "../membership/upstreamTable.js";
+import { AttemptFailure, type AttemptTarget, type GeneratedAnswer, type RequestFacts } from "../requests/model.js";
+import { RequestLifecycle } from "../requests/lifecycle.js";
+import { ServiceRouter } from "../routing/serviceRouter.js";
+import { type AddressAnswer, listEntries } from "./addressAnswer.js";
+import { ConfigSystem } from "./configSystem.js";
+import type { EntryEffect, EntryEvent, PeerMessage } from "./messages.js";
+import { PeerSystem } from "./peerSystem.js";
+
+/** Options of an entry's decision core. */
+export interface EntryCoreOptions {
+    readonly id: EntryId;
+    readonly region: string;
+    readonly availabilityZone: string;
+    /** Rises with each start of the entry. */
+    readonly incarnation: number;
+    /** `host:port` for callers and upstreams. */
+    readonly address: string;
+    /** `host:port` for other processes of the system. */
+    readonly peerAddress: string;
+    readonly random: RandomSource;
+}
+
+interface AttemptRow {
+    readonly target: AttemptTarget;
+    sentAtMs: number | undefined;
+}
+
+const unconfirmedRetryMs = 500;
+
+/** All decisions of an entry. Reads no clock and performs no I/O; effects are returned as values. */
+export class EntryCore {
+    readonly upstreams = new UpstreamTable();
+    readonly peers: PeerTable;
+    readonly config: ConfigLease;
+    private readonly router: ServiceRouter;
+    private readonly lifecycle: RequestLifecycle;
+    private readonly configSystem: ConfigSystem;
+    private readonly peerSystem: PeerSystem;
+    private readonly attempts = new Map<AttemptId, AttemptRow>();
+    private isDrainingNow = false;
+
+    constructor(private readonly options: EntryCoreOptions) {
+        const { id, region, random } = options;
+        this.peers = new PeerTable(options);
+        this.config = new ConfigLease(id, region);
+        const shared = {
+            selfId: id,
+            peers: this.peers,
+            upstreams: this.upstreams,
+            catalogue: () => this.config.catalogue,
+            random,
+        };
+        this.router = new ServiceRouter(shared);
+        this.lifecycle = new RequestLifecycle({ ...shared, incarnation: options.incarnation, router: this.router });
+        this.configSystem = new ConfigSystem(this.config, this.peers, catalogue => this.onCatalogue(catalogue));
+        this.peerSystem = new PeerSystem(options, this.peers, this.upstreams);
+    }
+
+    /** Requests in flight. */
+    get inFlight(): number {
+        return this.lifecycle.inFlight;
+    }
+
+    get isDraining(): boolean {
+        return this.isDrainingNow;
+    }
+
+    /** Whether new requests are accepted. */
+    isServing(nowMs: number): boolean {
+        return this.config.isConfirmed(nowMs);
+    }
+
+    /** Answers a caller that asks which entries to use, in the order to try. */
+    listEntries(nowMs: number): AddressAnswer {
+        const isListed = this.isServing(nowMs) && !this.isDraining;
+        return listEntries(isListed ? this.options : undefined, this.peers.livePeers(nowMs), this.options.random);
+    }
+
+    /** Upstream milliseconds per second that this entry spends on probes, by service. */
+    measuringSpentMsPerSecond(nowMs: number): Readonly<Record<ServiceName, number>> {
+        const names = Object.keys(this.config.catalogue.services);
+        return Object.fromEntries(names.map(name => [name, this.router.measuringSpentMsPerSecond(name, nowMs)]));
+    }
+
+    /** Applies an event and returns what is to be done. */
+    handle(event: EntryEvent, nowMs: number): EntryEffect[] {
+        const effects = this.apply(event, nowMs);
+        effects.forEach(effect => this.trackAttempt(effect));
+        return effects;
+    }
+
+    /** Runs timers. Called every few milliseconds. */
+    tick(nowMs: number): EntryEffect[] {
+        this.upstreams.tick(nowMs);
+        this.peers.tick(nowMs);
+        const effects = [
+            ...this.configSystem.tick(nowMs),
+            ...this.peerSystem.tick(this.state(nowMs), nowMs),
+            ...this.lifecycle.tick(nowMs),
+        ];
+        effects.forEach(effect => this.trackAttempt(effect));
+        return effects;
+    }
+
+    private apply(event: EntryEvent, nowMs: number): EntryEffect[] {
+        switch (event.kind) {
+            case "request":
+                return this.onRequest(event.request, nowMs);
+            case "attempt-sent":
+                return this.onSent(event.attemptId, nowMs);
+            case "attempt-head":
+                this.onHead(event);
+                return [...this.peerSystem.announceChanges(nowMs), ...this.lifecycle.handle(event, nowMs)];
+            case "attempt-complete":
+            case "attempt-failed":
+                this.attempts.delete(event.attemptId);
+                return this.lifecycle.handle(event, nowMs);
+            case "announcement":
+                this.upstreams.announce(event.announcement, nowMs - (event.ageMs ?? 0), nowMs);
+                return [...this.peerSystem.announceChanges(nowMs), ...this.lifecycle.applyDecisions(nowMs)];
+            case "probe-ended":
+                return this.onProbeEnded(event, nowMs);
+            case "peer-message":
+                return this.onPeerMessage(event.from, event.message, nowMs);
+            case "control-answer":
+                return this.configSystem.handleControlAnswer(event);
+            case "drain":
+                this.isDrainingNow = true;
+                return this.peerSystem.sendHeartbeats(this.state(nowMs), nowMs);
+            case "tick":
+                return this.tick(nowMs);
+            default:
+                return this.lifecycle.handle(event, nowMs);
+        }
+    }
+
+    private onRequest(request: RequestFacts, nowMs: number): EntryEffect[] {
+        if (this.isServing(nowMs)) {
+            return this.lifecycle.handle({ kind: "request", request }, nowMs);
+        }
+        const answer: GeneratedAnswer = {
+            status: 503,
+            verdict: Verdict.notRun,
+            reason: "configuration-unconfirmed",
+            detail: "This entry cannot confirm that its configuration is in force.",
+            retryAfterMs: unconfirmedRetryMs,
+        };
+        return [{ kind: "answer", requestId: request.id, answer }];
+    }
+
+    /**
+     * The upstream is checked again when the head is about to be written, because an attempt can wait for a connection
+     * for longer than the evidence of the upstream lasts.
+     */
+    private onSent(attemptId: AttemptId, nowMs: number): EntryEffect[] {
+        const attempt = this.attempts.get(attemptId);
+        if (attempt !== undefined && !this.mayStillRun(attempt.target, nowMs)) {
+            this.attempts.delete(attemptId);
+            const failure = AttemptFailure.cancelled;
+            const effects = this.lifecycle.handle({ kind: "attempt-failed", attemptId, failure }, nowMs);
+            return [{ kind: "cancel-attempt", attemptId }, ...effects];
+        }
+        if (attempt !== undefined) {
+            attempt.sentAtMs = nowMs;
+        }
+        return this.lifecycle.handle({ kind: "attempt-sent", attemptId }, nowMs);
+    }
+
+    private onHead(event: Extract<EntryEvent, { readonly kind: "attempt-head"; }>): void {
+        const attempt = this.attempts.get(event.attemptId);
+        if (event.load === undefined || attempt?.sentAtMs === undefined) {
+            return;
+        }
+        const row = this.upstreams.findByAddress(attempt.target.address);
+        if (row !== undefined && row.announcement.id === attempt.target.upstreamId) {
+            // The response was sent after the request; when exactly is not known.
+            this.upstreams.noteLoad(row.announcement.service, row.announcement.id, event.load, attempt.sentAtMs);
+        }
+    }
+
+    private mayStillRun(target: AttemptTarget, nowMs: number): boolean {
+        return this.isServing(nowMs) && this.upstreams.mayGetWork(target.upstreamId, target.address, nowMs);
+    }
+
+    private onProbeEnded(event: Extract<EntryEvent, { readonly kind: "probe-ended"; }>, nowMs: number): EntryEffect[] {
+        const { service, upstreamId, latencyMs, load } = event;
+        if (load !== undefined) {
+            this.upstreams.noteLoad(service, upstreamId, load, nowMs - latencyMs);
+        }
+        this.router.finishProbe(service, upstreamId, latencyMs, load, nowMs);
+        return [...this.peerSystem.announceChanges(nowMs), ...this.lifecycle.applyDecisions(nowMs)];
+    }
+
+    private onPeerMessage(from: EntryId, message: PeerMessage, nowMs: number): EntryEffect[] {
+        const [family] = message.method.split(".");
+        switch (family) {
+            case "peer":
+            case "upstreams":
+                return [
+                    ...this.peerSystem.handle(from, message, nowMs),
+                    ...this.lifecycle.applyDecisions(nowMs),
+                ];
+            case "config":
+                return this.configSystem.handlePeerMessage(from, message, nowMs);
+            case "slot":
+                this.router.handlePeerMessage(from, message, nowMs);
+                return this.lifecycle.applyDecisions(nowMs);
+            default:
+                return this.lifecycle.handle({ kind: "peer-message", from, message }, nowMs);
+        }
+    }
+
+    private onCatalogue(catalogue: Catalogue): void {
+        this.upstreams.setOverrides(catalogue.upstreamOverrides);
+        this.peerSystem.setRoster(this.config.regionEntryIds());
+    }
+
+    private state(nowMs: number) {
+        return {
+            revision: this.config.catalogue.revision,
+            isDraining: this.isDraining,
+            isServing: this.isServing(nowMs),
+        };
+    }
+
+    private trackAttempt(effect: EntryEffect): void {
+        if (effect.kind === "cancel-attempt") {
+            this.attempts.delete(effect.attemptId);
+        }
+        if (effect.kind === "dispatch") {
+            this.attempts.set(effect.target.attemptId, { target: effect.target, sentAtMs: undefined });
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/peerSystem.ts
@@ -0,0 +1,129 @@
+import type { EntryId } from "../core/ids.js";
+import type { Heartbeat, PeerTable, Stamp } from "../membership/peerTable.js";
+import type { UpstreamDigestRow, UpstreamTable } from "../membership/upstreamTable.js";
+import type { EntryEffect, PeerMessage } from "./messages.js";
+
+const heartbeatIntervalMs = 200;
+const renewalIntervalMs = 200;
+
+/** What heartbeats say of this entry. */
+export interface EntryState {
+    readonly revision: number;
+    readonly isDraining: boolean;
+    readonly isServing: boolean;
+}
+
+/** Identity of this entry in heartbeats. */
+export interface HeartbeatIdentity {
+    readonly region: string;
+    readonly availabilityZone: string;
+    readonly incarnation: number;
+    readonly address: string;
+    readonly peerAddress: string;
+}
+
+/** Parameters of `upstreams.update`. */
+export interface UpstreamsUpdate {
+    readonly stamp: Stamp;
+    readonly rows: readonly UpstreamDigestRow[];
+}
+
+/** Heartbeats between the entries of a region, and the upstream rows that travel between them. */
+export class PeerSystem {
+    private heartbeatAtMs = Number.NEGATIVE_INFINITY;
+    private renewalAtMs = Number.NEGATIVE_INFINITY;
+    private roster: readonly EntryId[] = [];
+
+    constructor(
+        private readonly identity: HeartbeatIdentity,
+        private readonly peers: PeerTable,
+        private readonly upstreams: UpstreamTable,
+    ) {}
+
+    /** Sets the entries of the region that the catalogue names; they get heartbeats before they have sent one. */
+    setRoster(entryIds: readonly EntryId[]): void {
+        this.roster = entryIds.filter(id => id !== this.peers.selfId);
+    }
+
+    tick(state: EntryState, nowMs: number): EntryEffect[] {
+        const effects: EntryEffect[] = [];
+        if (nowMs - this.heartbeatAtMs >= heartbeatIntervalMs) {
+            effects.push(...this.sendHeartbeats(state, nowMs));
+        }
+        if (nowMs - this.renewalAtMs >= renewalIntervalMs) {
+            this.renewalAtMs = nowMs;
+            effects.push(...this.sendRows(this.upstreams.takeRenewals(nowMs), nowMs));
+        }
+        return effects;
+    }
+
+    sendHeartbeats(state: EntryState, nowMs: number): EntryEffect[] {
+        this.heartbeatAtMs = nowMs;
+        const { region, availabilityZone, incarnation, address, peerAddress } = this.identity;
+        return this.recipients().map(to => {
+            const stamp = this.peers.stampFor(to, nowMs);
+            const heartbeat: Heartbeat = {
+                stamp,
+                region,
+                availabilityZone,
+                incarnation,
+                address,
+                peerAddress,
+                ...state,
+            };
+            return send(to, "peer.heartbeat", heartbeat);
+        });
+    }
+
+    /** Sends rows whose state changed here to all peers at once. */
+    announceChanges(nowMs: number): EntryEffect[] {
+        return this.sendRows(this.upstreams.takeChanges(nowMs), nowMs);
+    }
+
+    handle(from: EntryId, message: PeerMessage, nowMs: number): EntryEffect[] {
+        switch (message.method) {
+            case "peer.heartbeat":
+                return this.handleHeartbeat(from, message.params as Heartbeat, nowMs);
+            case "upstreams.update":
+                return this.handleUpdate(message.params as UpstreamsUpdate, nowMs);
+            default:
+                return [];
+        }
+    }
+
+    /** A peer that has just started gets all rows. */
+    private handleHeartbeat(from: EntryId, heartbeat: Heartbeat, nowMs: number): EntryEffect[] {
+        if (!this.peers.applyHeartbeat(from, heartbeat, nowMs)) {
+            return [];
+        }
+        const stamp = this.peers.stampFor(from, nowMs);
+        const update: UpstreamsUpdate = { stamp, rows: this.upstreams.digestAll(nowMs) };
+        return [send(from, "upstreams.update", update)];
+    }
+
+    private handleUpdate(update: UpstreamsUpdate, nowMs: number): EntryEffect[] {
+        const sentAtMs = this.peers.sentAtMs(update.stamp);
+        for (const row of update.rows) {
+            this.upstreams.merge(row, sentAtMs, nowMs);
+        }
+        return [];
+    }
+
+    private sendRows(rows: readonly UpstreamDigestRow[], nowMs: number): EntryEffect[] {
+        if (rows.length === 0) {
+            return [];
+        }
+        return this.recipients().map(to => {
+            const update: UpstreamsUpdate = { stamp: this.peers.stampFor(to, nowMs), rows };
+            return send(to, "upstreams.update", update);
+        });
+    }
+
+    private recipients(): readonly EntryId[] {
+        return [...new Set([...this.roster, ...this.peers.allPeers().map(peer => peer.id)])];
+    }
+}
+
+function send(to: EntryId, method: string, params: unknown): EntryEffect {
+    return { kind: "send-peer", to, message: { method, params } };
+}
--- a/src/membership/upstreamTable.ts
+++ b/src/membership/upstreamTable.ts
@@ -30,6 +30,7 @@
     private readonly rows = new Map<ServiceName, Map<UpstreamId, MutableRow>>();
     private readonly renewed = new Set<MutableRow>();
     private readonly changed = new Set<MutableRow>();
+    private readonly byAddress = new Map<string, MutableRow>();
     private overridden = new Set<string>();
 
     setOverrides(overrides: readonly UpstreamOverride[]): void {
@@ -50,6 +51,17 @@
         return this.rows.get(service)?.get(id);
     }
 
+    /** Returns the instance that announced this address last. */
+    findByAddress(address: string): UpstreamRow | undefined {
+        return this.byAddress.get(address);
+    }
+
+    /** Whether the instance at this address may get new work now. */
+    mayGetWork(id: UpstreamId, address: string, nowMs: number): boolean {
+        const row = this.byAddress.get(address);
+        return row !== undefined && row.announcement.id === id && this.isEligible(row, nowMs);
+    }
+
     allUpstreams(): readonly UpstreamRow[] {
         return [...this.rows.values()].flatMap(rows => [...rows.values()]);
     }
@@ -120,6 +132,7 @@
             for (const [id, row] of rows) {
                 if (nowMs - row.touchedAtMs > retentionMs(row.announcement)) {
                     rows.delete(id);
+                    this.removeAddress(row);
                     this.changed.delete(row);
                     this.renewed.delete(row);
                 }
@@ -143,7 +156,11 @@
         const row = rows.get(announcement.id);
         if (row === undefined || announcement.incarnation > row.announcement.incarnation) {
             const fresh = { announcement, evidenceAtMs: never, readySinceMs: undefined, touchedAtMs: nowMs };
+            if (row !== undefined) {
+                this.removeAddress(row);
+            }
             rows.set(announcement.id, fresh);
+            this.byAddress.set(announcement.address, fresh);
             this.changed.add(fresh);
             return fresh;
         }
@@ -161,12 +178,22 @@
         const isDraining = held.state === UpstreamState.draining || announcement.state === UpstreamState.draining;
         const newest = announcement.sequence >= held.sequence ? announcement : held;
         row.announcement = isDraining ? { ...newest, state: UpstreamState.draining } : newest;
+        if (newest.address !== held.address) {
+            this.removeAddress(row, held.address);
+            this.byAddress.set(newest.address, row);
+        }
         if (row.announcement.state !== held.state) {
             row.readySinceMs = undefined;
             this.changed.add(row);
         }
     }
 
+    private removeAddress(row: MutableRow, address = row.announcement.address): void {
+        if (this.byAddress.get(address) === row) {
+            this.byAddress.delete(address);
+        }
+    }
+
     private addEvidence(row: MutableRow, sentAtMs: number): void {
         if (row.announcement.state === UpstreamState.ready) {
             row.evidenceAtMs = Math.max(row.evidenceAtMs, sentAtMs);
