--- /dev/null
+++ b/bench/benchCatalogue.ts
@@ -0,0 +1,51 @@
+import type { Catalogue, EntryVm, Service } from "../src/catalogue/model.js";
+
+/** Availability zones of the benchmarks. */
+export const availabilityZones: readonly string[] = ["az-1", "az-2", "az-3"];
+export const benchRegion = "bench";
+export const benchSecret = "bench-secret";
+
+/** Returns a service with limits that do not bind. */
+export function benchService(name: string, overrides: Partial<Service> = {}): Service {
+    return {
+        name,
+        owner: "bench",
+        class: "interactive",
+        limits: {
+            maxInFlight: 10_000,
+            requestsPerSecond: 100_000,
+            maxQueuedPerEntry: 1000,
+            maxPerCallerPerEntry: 10_000,
+            maxBodyBytes: 1024 * 1024,
+            defaultDeadlineMs: 5000,
+        },
+        policy: "least-outstanding",
+        measuringBudgetMsPerSecond: 20,
+        probeCostMs: 6,
+        retryRatio: 0.1,
+        hedging: { enabled: false, afterQuantile: 0.99 },
+        idempotentMethods: ["GET", "HEAD", "OPTIONS"],
+        rampMs: 0,
+        ...overrides,
+    };
+}
+
+/** Returns a catalogue with these services and entries. */
+export function benchCatalogue(
+    revision: number,
+    services: readonly Service[],
+    entryVms: readonly EntryVm[],
+): Catalogue {
+    return {
+        revision,
+        services: Object.fromEntries(services.map(service => [service.name, service])),
+        entryVms: Object.fromEntries(entryVms.map(vm => [vm.id, vm])),
+        upstreamOverrides: [],
+        runbookCommands: {},
+        entryLists: [{
+            revision,
+            entryIds: entryVms.map(vm => vm.id),
+            availabilityZones: entryVms.map(vm => vm.availabilityZone),
+        }],
+    };
+}
--- /dev/null
+++ b/bench/entryProcess.ts
@@ -0,0 +1,43 @@
+import { StatsD } from "hot-shots";
+import { Logger } from "tslog";
+import { SystemClock } from "../src/core/clock.js";
+import { SeededRandom } from "../src/core/random.js";
+import { startEntry } from "../src/entry/daemon.js";
+import { defaultEntryLimits, type EntryLimits } from "../src/entry/options.js";
+
+/** Options of an entry process; passed as JSON in the first argument. */
+export interface EntryProcessOptions {
+    readonly id: string;
+    readonly region: string;
+    readonly availabilityZone: string;
+    readonly port: number;
+    readonly peerPort: number;
+    readonly controlAddresses: readonly string[];
+    readonly clusterSecret: string;
+    readonly seed: number;
+    readonly limits?: Partial<EntryLimits>;
+}
+
+const warnLevel = 4;
+const options = JSON.parse(process.argv[2]) as EntryProcessOptions;
+const entry = await startEntry({
+    id: options.id,
+    region: options.region,
+    availabilityZone: options.availabilityZone,
+    listen: { host: "127.0.0.1", port: options.port },
+    peerListen: { host: "127.0.0.1", port: options.peerPort },
+    controlAddresses: options.controlAddresses,
+    clusterSecret: options.clusterSecret,
+    limits: { ...defaultEntryLimits, ...options.limits },
+    // Standard output carries the ready line only.
+    logger: new Logger({
+        type: "hidden",
+        minLevel: warnLevel,
+        attachedTransports: [line => void process.stderr.write(`${JSON.stringify(line)}\n`)],
+    }),
+    metrics: new StatsD({ mock: true }),
+    clock: new SystemClock(),
+    random: new SeededRandom(options.seed),
+});
+process.on("SIGTERM", () => void entry.drain().then(() => process.exit(0)));
+console.log(`ready ${JSON.stringify({ address: entry.address, peerAddress: entry.peerAddress })}`);
--- /dev/null
+++ b/bench/processes.ts
@@ -0,0 +1,83 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const readyTimeoutMs = 10_000;
+
+/** A child process of a benchmark. */
+export interface BenchProcess {
+    readonly name: string;
+    readonly child: ChildProcess;
+    /** What the process wrote after `ready`. */
+    readonly ready: Readonly<Record<string, string>>;
+    readonly pid: number;
+}
+
+/** Starts processes and stops all that it started, by id. */
+export class Processes {
+    private readonly started = new Set<BenchProcess>();
+
+    constructor() {
+        process.on("exit", () => this.killAll());
+        for (const signal of ["SIGINT", "SIGTERM"] as const) {
+            process.on(signal, () => process.exit(1));
+        }
+    }
+
+    /** Starts a module of this folder with its options as JSON, and waits for its `ready` line on stdout. */
+    async start(module: string, name: string, options: object): Promise<BenchProcess> {
+        const path = fileURLToPath(new URL(module, import.meta.url));
+        const child = spawn(process.execPath, [path, JSON.stringify(options)], {
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        const ready = await waitForReady(child, name);
+        const started = { name, child, ready, pid: child.pid as number };
+        this.started.add(started);
+        return started;
+    }
+
+    signal(target: BenchProcess, signal: NodeJS.Signals): void {
+        if (target.child.exitCode === null && target.child.signalCode === null) {
+            target.child.kill(signal);
+        }
+    }
+
+    /** Waits for the end of a process and returns its exit code; undefined when a signal ended it. */
+    async waitForExit(target: BenchProcess): Promise<number | undefined> {
+        if (target.child.exitCode === null && target.child.signalCode === null) {
+            await once(target.child, "exit");
+        }
+        this.started.delete(target);
+        return target.child.exitCode ?? undefined;
+    }
+
+    async kill(target: BenchProcess): Promise<void> {
+        this.signal(target, "SIGKILL");
+        await this.waitForExit(target);
+    }
+
+    async stopAll(): Promise<void> {
+        await Promise.all([...this.started].map(target => this.kill(target)));
+    }
+
+    private killAll(): void {
+        this.started.forEach(target => this.signal(target, "SIGKILL"));
+    }
+}
+
+function waitForReady(child: ChildProcess, name: string): Promise<Record<string, string>> {
+    return new Promise((resolve, reject) => {
+        const timer = setTimeout(() => {
+            child.kill("SIGKILL");
+            reject(new Error(`${name} was not ready within ${readyTimeoutMs} ms`));
+        }, readyTimeoutMs);
+        child.once("exit", code => reject(new Error(`${name} exited with code ${code} before it was ready`)));
+        createInterface({ input: child.stdout as NodeJS.ReadableStream }).on("line", line => {
+            if (line.startsWith("ready ")) {
+                clearTimeout(timer);
+                resolve(JSON.parse(line.slice("ready ".length)) as Record<string, string>);
+            }
+        });
+    });
+}
--- /dev/null
+++ b/bench/serviceModel.ts
@@ -0,0 +1,100 @@
+import type { RandomSource } from "../src/core/random.js";
+
+/** A request that waits for a slot or runs. */
+export interface Ticket {
+    /** Gives up the work; its slot becomes free. */
+    cancel(): void;
+}
+
+interface Work {
+    readonly begin: () => boolean;
+    readonly finish: (workMs: number) => void;
+    readonly fixedMs: number | undefined;
+    timer: NodeJS.Timeout | undefined;
+    addedAtMs: number;
+    isOver: boolean;
+}
+
+/** Slots of an upstream with a first-come queue and random service times. */
+export class ServiceModel {
+    /** Multiplies service times. */
+    slowFactor = 1;
+    private readonly queue: Work[] = [];
+    private running = 0;
+
+    constructor(
+        private readonly slots: number,
+        private readonly meanServiceMs: number,
+        private readonly random: RandomSource,
+        private readonly maxQueued: number,
+    ) {}
+
+    get inFlight(): number {
+        return this.running + this.queue.length;
+    }
+
+    get isFull(): boolean {
+        return this.queue.length >= this.maxQueued;
+    }
+
+    /** Runs a request. `begin` returns true when it fails at once; `finish` gets the time spent here. */
+    run(begin: () => boolean, finish: (workMs: number) => void): Ticket {
+        return this.add({
+            begin,
+            finish,
+            fixedMs: undefined,
+            timer: undefined,
+            addedAtMs: performance.now(),
+            isOver: false,
+        });
+    }
+
+    /** Keeps a slot busy for a fixed time, e.g. for a probe. */
+    occupy(durationMs: number, finish: () => void): void {
+        const addedAtMs = performance.now();
+        this.add({ begin: () => false, finish, fixedMs: durationMs, timer: undefined, addedAtMs, isOver: false });
+    }
+
+    private add(work: Work): Ticket {
+        this.queue.push(work);
+        this.startNext();
+        return { cancel: () => this.cancel(work) };
+    }
+
+    private cancel(work: Work): void {
+        if (work.isOver) {
+            return;
+        }
+        work.isOver = true;
+        const index = this.queue.indexOf(work);
+        if (index >= 0) {
+            this.queue.splice(index, 1);
+            return;
+        }
+        clearTimeout(work.timer);
+        this.running--;
+        this.startNext();
+    }
+
+    private startNext(): void {
+        while (this.running < this.slots && this.queue.length > 0) {
+            const work = this.queue.shift() as Work;
+            this.running++;
+            const durationMs = work.begin() ? 0 : work.fixedMs ?? this.serviceMs();
+            work.timer = setTimeout(() => this.end(work), durationMs);
+        }
+    }
+
+    private end(work: Work): void {
+        work.isOver = true;
+        this.running--;
+        work.finish(performance.now() - work.addedAtMs);
+        this.startNext();
+    }
+
+    /** Half of the mean is fixed and the other half is distributed exponentially. */
+    private serviceMs(): number {
+        const half = this.meanServiceMs / 2;
+        return this.slowFactor * (half - half * Math.log(1 - this.random.nextUnit()));
+    }
+}
--- /dev/null
+++ b/bench/upstream.ts
@@ -0,0 +1,208 @@
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { SeededRandom } from "../src/core/random.js";
+import { AnnouncementLoop } from "./announcementLoop.js";
+import { ServiceModel } from "./serviceModel.js";
+
+/** Options of an upstream stand-in process; passed as JSON in the first argument. */
+export interface UpstreamProcessOptions {
+    readonly service: string;
+    readonly id: string;
+    readonly availabilityZone: string;
+    readonly slots: number;
+    /** Mean of the service time; it is distributed exponentially above half of the mean. */
+    readonly meanServiceMs: number;
+    readonly seed: number;
+    /** `host:port` of entries. */
+    readonly entryAddresses: readonly string[];
+    readonly incarnation: number;
+    /** 0 chooses a free port. */
+    readonly port?: number;
+    /** Time that a probe takes. */
+    readonly probeMs?: number;
+    /** Time in the state `starting` after the start. */
+    readonly startingMs?: number;
+}
+
+/** Commands of `POST /stand-in/command`. */
+export interface StandInCommand {
+    /** Multiplies service times. */
+    readonly slowFactor?: number;
+    /** Answers every request at once with status 500. */
+    readonly failsFast?: boolean;
+    /** Exits when a request with this path runs. */
+    readonly crashPath?: string;
+    /** Announces draining to one entry. */
+    readonly drain?: boolean;
+    /** Goes back to `starting` for this time, with service times multiplied by ten. */
+    readonly coldMs?: number;
+}
+
+/** Answer of `GET /stand-in/counts`. */
+export interface StandInCounts {
+    readonly service: string;
+    readonly id: string;
+    readonly incarnation: number;
+    /** Executions by the value of the header `Bench-Request`. */
+    readonly executions: Readonly<Record<string, number>>;
+    readonly probes: number;
+    readonly probeMs: number;
+    readonly connections: number;
+    readonly refused: number;
+    /** Requests whose execution began more than 3 s after an entry had acknowledged the drain. */
+    readonly lateExecutions: number;
+}
+
+const lateAfterMs = 3000;
+const coldFactor = 10;
+const maxQueued = 200;
+
+class UpstreamStandIn {
+    private readonly model: ServiceModel;
+    private readonly loop: AnnouncementLoop;
+    private readonly server: http.Server;
+    private readonly executions = new Map<string, number>();
+    private probes = 0;
+    private connections = 0;
+    private refused = 0;
+    private lateExecutions = 0;
+    private drainedAtMs = Number.POSITIVE_INFINITY;
+    private failsFast = false;
+    private crashPath: string | undefined;
+
+    constructor(private readonly options: UpstreamProcessOptions) {
+        this.model = new ServiceModel(options.slots, options.meanServiceMs, new SeededRandom(options.seed), maxQueued);
+        this.loop = new AnnouncementLoop(options);
+        this.server = http.createServer((request, response) => this.handle(request, response));
+        this.server.keepAliveTimeout = 60_000;
+        this.server.on("connection", () => this.connections++);
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(this.options.port ?? 0, "127.0.0.1", resolve));
+        const { port } = this.server.address() as AddressInfo;
+        this.loop.start(`127.0.0.1:${port}`);
+        console.log(`ready ${JSON.stringify({ address: `127.0.0.1:${port}` })}`);
+    }
+
+    private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const path = (request.url ?? "/").split("?")[0];
+        switch (path) {
+            case "/figwharf/load":
+                return this.answerProbe(response);
+            case "/stand-in/counts":
+                return this.answerCounts(response);
+            case "/stand-in/command":
+                return this.readCommand(request, response);
+            default:
+                return this.readRequest(request, response, path);
+        }
+    }
+
+    private readRequest(request: http.IncomingMessage, response: http.ServerResponse, path: string): void {
+        let bodyBytes = 0;
+        request.on("data", (chunk: Buffer) => bodyBytes += chunk.length);
+        request.on("end", () => this.serve(request, response, path, bodyBytes));
+    }
+
+    private serve(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        path: string,
+        bodyBytes: number,
+    ): void {
+        const key = String(request.headers["bench-request"] ?? "");
+        if (this.model.isFull) {
+            this.refused++;
+            response.writeHead(503, { "Figwharf-Verdict": "not-run", "Figwharf-Load": this.loadHeader() });
+            response.end();
+            return;
+        }
+        const ticket = this.model.run(
+            () => this.begin(key, path),
+            workMs => this.finish(response, key, bodyBytes, workMs),
+        );
+        response.on("close", () => response.writableFinished || ticket.cancel());
+    }
+
+    /** Called when a slot starts to work on a request. */
+    private begin(key: string, path: string): boolean {
+        this.executions.set(key, (this.executions.get(key) ?? 0) + 1);
+        if (performance.now() - this.drainedAtMs > lateAfterMs) {
+            this.lateExecutions++;
+        }
+        if (path === this.crashPath) {
+            process.exit(1);
+        }
+        return this.failsFast;
+    }
+
+    private finish(response: http.ServerResponse, key: string, bodyBytes: number, workMs: number): void {
+        const body = JSON.stringify({ key, by: this.options.id, bodyBytes, end: true });
+        response.writeHead(this.failsFast ? 500 : 200, {
+            "Content-Type": "application/json",
+            "Content-Length": Buffer.byteLength(body),
+            "Bench-Request": key,
+            "Bench-Service-Ms": workMs.toFixed(3),
+            "Figwharf-Load": this.loadHeader(),
+        });
+        response.end(body);
+    }
+
+    private loadHeader(): string {
+        const { state } = this.loop;
+        return `in-flight=${this.model.inFlight}, state=${state}, incarnation=${this.options.incarnation}`;
+    }
+
+    private answerProbe(response: http.ServerResponse): void {
+        this.probes++;
+        const answer = () => {
+            response.writeHead(200, { "Figwharf-Load": this.loadHeader(), "Content-Length": 0 });
+            response.end();
+        };
+        this.model.occupy(this.options.probeMs ?? 0, answer);
+    }
+
+    private answerCounts(response: http.ServerResponse): void {
+        const counts: StandInCounts = {
+            service: this.options.service,
+            id: this.options.id,
+            incarnation: this.options.incarnation,
+            executions: Object.fromEntries(this.executions),
+            probes: this.probes,
+            probeMs: this.probes * (this.options.probeMs ?? 0),
+            connections: this.connections,
+            refused: this.refused,
+            lateExecutions: this.lateExecutions,
+        };
+        response.end(JSON.stringify(counts));
+    }
+
+    private readCommand(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        request.on("end", () => {
+            void this.apply(JSON.parse(Buffer.concat(chunks).toString()) as StandInCommand).then(() => response.end());
+        });
+    }
+
+    private async apply(command: StandInCommand): Promise<void> {
+        this.failsFast = command.failsFast ?? this.failsFast;
+        this.crashPath = command.crashPath ?? this.crashPath;
+        this.model.slowFactor = command.slowFactor ?? this.model.slowFactor;
+        if (command.coldMs !== undefined) {
+            this.goCold(command.coldMs);
+        }
+        if (command.drain === true) {
+            await this.loop.drain();
+            this.drainedAtMs = performance.now();
+        }
+    }
+
+    private goCold(durationMs: number): void {
+        this.model.slowFactor *= coldFactor;
+        this.loop.goCold(durationMs, () => this.model.slowFactor /= coldFactor);
+    }
+}
+
+await new UpstreamStandIn(JSON.parse(process.argv[2]) as UpstreamProcessOptions).start();
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -5,6 +5,7 @@
     "channel-closed": "the connection to {peer} closed before the answer arrived",
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
+    "body-too-large": "the body of the request exceeds the limit of {limitBytes} bytes",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
 } as const;
 
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,9 +1,11 @@
 import type { Dispatcher, Pool } from "undici";
-import { AttemptFailure, type AttemptTarget, type ResponseHead, type RetainedResponse } from "../requests/model.js";
+import { AttemptFailure, type ResponseHead, type RetainedResponse } from "../requests/model.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 
-/** Response bytes that are held before the core decides whether they are forwarded. */
+/** Bytes of a response that is not retained that are held before the core decides whether they are forwarded. */
 const heldBytesLimit = 64 * 1024;
+/** A response that is not complete after this time is streamed instead of held. */
+const holdTimeMs = 100;
 
 /** Where the response of an attempt goes once it is forwarded. */
 export interface ResponseSink {
@@ -18,6 +20,8 @@
     /** The head is about to be written. */
     onSent(): void;
     onHead(head: ResponseHead): void;
+    /** More of the response has arrived than is held, or it takes long to arrive. */
+    onOverflow(): void;
     onComplete(retained: RetainedResponse | undefined): void;
     onFailed(failure: AttemptFailure): void;
 }
@@ -28,8 +32,7 @@
     readonly path: string;
     readonly headers: string[];
     readonly body: Dispatcher.DispatchOptions["body"];
-    readonly timeoutMs: number;
-    /** Bytes of the response body to retain; 0 when nothing is retained. */
+    /** Bytes of the response body to hold and retain; 0 when nothing is retained. */
     readonly retainedBytesLimit: number;
 }
 
@@ -45,10 +48,10 @@
     private trailers: HeaderField[] = [];
     private isComplete = false;
     private isOver = false;
-    private timer: NodeJS.Timeout | undefined;
+    private hasOverflowed = false;
+    private holdTimer: NodeJS.Timeout | undefined;
 
     constructor(
-        readonly target: AttemptTarget,
         private readonly request: AttemptRequest,
         private readonly listener: AttemptListener,
     ) {
@@ -56,14 +59,14 @@
     }
 
     start(pool: Pool): void {
-        const { method, path, headers, body, timeoutMs } = this.request;
-        this.timer = setTimeout(() => this.fail(AttemptFailure.timeout), timeoutMs);
+        const { method, path, headers, body } = this.request;
         pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
     }
 
     /** Sends the response to the caller from now on. */
     forwardTo(sink: ResponseSink): void {
         this.sink = sink;
+        clearTimeout(this.holdTimer);
         if (this.head !== undefined) {
             sink.writeHead(this.head);
         }
@@ -107,7 +110,9 @@
         const fields = toHeaderFields((controller.rawHeaders ?? []) as (string | Buffer)[]);
         this.head = { status, headers: selectEndToEndFields(fields) };
         this.listener.onHead(this.head);
-        this.pauseIfFull();
+        if (this.sink === undefined && !this.isOver) {
+            this.holdTimer = setTimeout(() => this.overflow(), holdTimeMs);
+        }
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -121,7 +126,7 @@
         else {
             this.held.push(chunk);
             this.heldBytes += chunk.length;
-            this.pauseIfFull();
+            this.overflowIfFull();
         }
     }
 
@@ -150,11 +155,18 @@
         return isAccepted;
     }
 
-    /** A response that is retained is held up to that limit, since its owner may wait for the end of it. */
-    private pauseIfFull(): void {
+    private overflowIfFull(): void {
         const limitBytes = Math.max(heldBytesLimit, this.request.retainedBytesLimit);
         if (this.sink === undefined && this.heldBytes > limitBytes) {
             this.controller?.pause();
+            this.overflow();
+        }
+    }
+
+    private overflow(): void {
+        if (!this.hasOverflowed && !this.isOver && this.sink === undefined) {
+            this.hasOverflowed = true;
+            this.listener.onOverflow();
         }
     }
 
@@ -195,7 +207,7 @@
 
     private end(): void {
         this.isOver = true;
-        clearTimeout(this.timer);
+        clearTimeout(this.holdTimer);
     }
 }
 
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -1,12 +1,13 @@
 import { type Catalogue } from "../catalogue/model.js";
+import type { UpstreamStatus } from "../control/operatorApi.js";
 import type { AttemptId, EntryId, ServiceName } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import { Verdict } from "../core/verdict.js";
 import { ConfigLease } from "../membership/configLease.js";
 import { PeerTable } from "../membership/peerTable.js";
 import { UpstreamTable } from "../membership/upstreamTable.js";
-import { AttemptFailure, type AttemptTarget, type GeneratedAnswer, type RequestFacts } from "../requests/model.js";
 import { RequestLifecycle } from "../requests/lifecycle.js";
+import { AttemptFailure, type AttemptTarget, type GeneratedAnswer, type RequestFacts } from "../requests/model.js";
 import { ServiceRouter } from "../routing/serviceRouter.js";
 import { type AddressAnswer, listEntries } from "./addressAnswer.js";
 import { ConfigSystem } from "./configSystem.js";
@@ -83,6 +84,35 @@
         return listEntries(isListed ? this.options : undefined, this.peers.livePeers(nowMs), this.options.random);
     }
 
+    /** Addresses at which an upstream renews: this entry and one of another availability zone where possible. */
+    listRenewalAddresses(nowMs: number): readonly string[] {
+        const peers = this.peers.livePeers(nowMs).filter(peer => !peer.isDraining);
+        const others = peers.filter(peer => peer.availabilityZone !== this.options.availabilityZone);
+        const choices = others.length > 0 ? others : peers;
+        const other = choices.length > 0 ? choices[this.options.random.nextInt(choices.length)] : undefined;
+        const own = this.isDraining ? [] : [this.options.address];
+        return other === undefined ? own : [...own, other.address];
+    }
+
+    /** Upstream rows as `figwharf status` shows them. */
+    listUpstreamStatus(nowMs: number): readonly UpstreamStatus[] {
+        return this.upstreams.allUpstreams().map(({ announcement, evidenceAtMs }) => ({
+            service: announcement.service,
+            id: announcement.id,
+            address: announcement.address,
+            availabilityZone: announcement.availabilityZone,
+            state: announcement.state,
+            slots: announcement.slots,
+            incarnation: announcement.incarnation,
+            evidenceAgeMs: Math.min(nowMs - evidenceAtMs, Number.MAX_SAFE_INTEGER),
+        }));
+    }
+
+    /** Problems of this entry as `figwharf status` shows them. */
+    listProblems(nowMs: number): readonly string[] {
+        return this.isServing(nowMs) ? [] : ["the configuration is not confirmed"];
+    }
+
     /** Upstream milliseconds per second that this entry spends on probes, by service. */
     measuringSpentMsPerSecond(nowMs: number): Readonly<Record<ServiceName, number>> {
         const names = Object.keys(this.config.catalogue.services);
@@ -98,15 +128,17 @@
 
     /** Runs timers. Called every few milliseconds. */
     tick(nowMs: number): EntryEffect[] {
+        return this.handle({ kind: "tick" }, nowMs);
+    }
+
+    private runTimers(nowMs: number): EntryEffect[] {
         this.upstreams.tick(nowMs);
         this.peers.tick(nowMs);
-        const effects = [
+        return [
             ...this.configSystem.tick(nowMs),
             ...this.peerSystem.tick(this.state(nowMs), nowMs),
             ...this.lifecycle.tick(nowMs),
         ];
-        effects.forEach(effect => this.trackAttempt(effect));
-        return effects;
     }
 
     private apply(event: EntryEvent, nowMs: number): EntryEffect[] {
@@ -135,7 +167,7 @@
                 this.isDrainingNow = true;
                 return this.peerSystem.sendHeartbeats(this.state(nowMs), nowMs);
             case "tick":
-                return this.tick(nowMs);
+                return this.runTimers(nowMs);
             default:
                 return this.lifecycle.handle(event, nowMs);
         }
--- /dev/null
+++ b/src/entry/entryShell.ts
@@ -0,0 +1,232 @@
+import { createHash, randomBytes } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RequestId, ServiceName } from "../core/ids.js";
+import type { RequestFacts } from "../requests/model.js";
+import { Attempt } from "./attempt.js";
+import type { EntryCore } from "./core.js";
+import { Exchange } from "./exchange.js";
+import { refuse } from "./frontServer.js";
+import { parseCount, parseLoadReport } from "./headers.js";
+import type { PeerLinks } from "./links.js";
+import type { EntryEffect, EntryEvent } from "./messages.js";
+import type { EntryOptions } from "./options.js";
+import { probeUpstream } from "./probe.js";
+import { readBody } from "./requestBody.js";
+import { UpstreamPools } from "./upstreamPools.js";
+
+const instanceIdBytes = 6;
+const defaultDeadlineMs = 30_000;
+
+type EffectOf<Kind extends EntryEffect["kind"]> = Extract<EntryEffect, { readonly kind: Kind; }>;
+
+/** Turns HTTP traffic into events of the core, and performs the effects that the core returns. */
+export class EntryShell {
+    /** Set while the entry drains: each response then closes its connection. */
+    closeConnections = false;
+    private readonly exchanges = new Map<RequestId, Exchange>();
+    private readonly attempts = new Map<string, Attempt>();
+    private readonly pools: UpstreamPools;
+    private readonly idPrefix = randomBytes(instanceIdBytes).toString("hex");
+    private nextRequestNumber = 1;
+
+    constructor(
+        private readonly options: EntryOptions,
+        private readonly core: EntryCore,
+        private readonly peerLinks: PeerLinks,
+        private readonly syncControl: () => void,
+    ) {
+        this.pools = new UpstreamPools(options.limits);
+    }
+
+    get exchangeCount(): number {
+        return this.exchanges.size;
+    }
+
+    /** Applies an event and performs its effects before it returns. */
+    run(event: EntryEvent): void {
+        for (const effect of this.core.handle(event, this.nowMs())) {
+            this.perform(effect);
+        }
+        if (event.kind === "tick") {
+            this.pools.tick(this.nowMs());
+        }
+    }
+
+    /** Takes a caller's request. */
+    acceptRequest(service: ServiceName, path: string, incoming: IncomingMessage, outgoing: ServerResponse): void {
+        const id = `${this.idPrefix}-${this.nextRequestNumber++}`;
+        const exchange = new Exchange(id, service, path, incoming, outgoing, ended => this.exchanges.delete(ended.id));
+        exchange.mustClose = this.closeConnections;
+        this.exchanges.set(id, exchange);
+        incoming.on("error", () => undefined);
+        outgoing.on("error", () => undefined);
+        outgoing.on("close", () => this.onCallerClosed(exchange));
+        void this.receive(exchange, this.nowMs());
+    }
+
+    async close(): Promise<void> {
+        await this.pools.destroy();
+    }
+
+    private nowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
+    private async receive(exchange: Exchange, receivedAtMs: number): Promise<void> {
+        const deadlineMs = this.deadlineMs(exchange);
+        if (deadlineMs === undefined) {
+            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
+            return;
+        }
+        const result = await readBody(exchange.incoming, this.options.limits);
+        switch (result.kind) {
+            case "body":
+                exchange.body = result.body;
+                return this.submit(exchange, receivedAtMs + deadlineMs);
+            case "too-large":
+                return exchange.answer(refuse(413, "body-too-large", "The request body is too large."));
+            case "too-slow":
+                return exchange.answer(refuse(408, "body-too-slow", "The request body took too long to arrive."));
+            case "gone":
+                return exchange.finish();
+        }
+    }
+
+    private submit(exchange: Exchange, deadlineAtMs: number): void {
+        if (exchange.isEnded) {
+            return;
+        }
+        const { incoming, body } = exchange;
+        const key = incoming.headers["idempotency-key"];
+        const request: RequestFacts = {
+            id: exchange.id,
+            service: exchange.service,
+            method: incoming.method ?? "GET",
+            path: exchange.path,
+            callerId: incoming.socket.remoteAddress ?? "",
+            idempotencyKey: Array.isArray(key) ? key[0] : key,
+            bodyHash: body.buffer === undefined ? undefined : hashBody(body.buffer),
+            isBodyReplayable: body.buffer !== undefined,
+            deadlineAtMs,
+        };
+        this.run({ kind: "request", request });
+    }
+
+    private deadlineMs(exchange: Exchange): number | undefined {
+        const { maxDeadlineMs } = this.options.limits;
+        const text = exchange.incoming.headers["figwharf-deadline-ms"];
+        if (text === undefined) {
+            const service = this.core.config.catalogue.services[exchange.service];
+            return service?.limits.defaultDeadlineMs ?? defaultDeadlineMs;
+        }
+        const stated = parseCount(String(text));
+        return stated === undefined ? undefined : Math.min(stated, maxDeadlineMs);
+    }
+
+    private onCallerClosed(exchange: Exchange): void {
+        if (!exchange.isEnded) {
+            exchange.finish();
+            this.run({ kind: "caller-gone", requestId: exchange.id });
+        }
+    }
+
+    private perform(effect: EntryEffect): void {
+        switch (effect.kind) {
+            case "dispatch":
+                return this.dispatch(effect);
+            case "forward":
+                return this.forward(effect);
+            case "cancel-attempt":
+                return this.cancelAttempt(effect.attemptId);
+            case "answer":
+                return this.answer(effect);
+            case "replay":
+                return this.exchanges.get(effect.requestId)?.replay(effect.response);
+            case "destroy-caller":
+                return this.destroyCaller(effect);
+            case "reset-pool":
+                return this.pools.reset(effect.address);
+            case "send-peer":
+                return this.peerLinks.send(effect.to, effect.message);
+            case "sync-control":
+                return this.syncControl();
+            case "probe":
+                return this.probe(effect);
+            case "count":
+                this.options.metrics.increment(effect.metric, effect.value, { ...effect.tags });
+                return;
+            case "log":
+                this.options.logger[effect.level](effect.text, effect.fields);
+                return;
+        }
+    }
+
+    private dispatch(effect: EffectOf<"dispatch">): void {
+        const { attemptId, address } = effect.target;
+        const exchange = this.exchanges.get(effect.requestId);
+        if (exchange === undefined) {
+            this.run({ kind: "caller-gone", requestId: effect.requestId });
+            return;
+        }
+        const request = {
+            method: exchange.incoming.method ?? "GET",
+            path: exchange.path,
+            headers: exchange.requestHeaders(effect.timeoutMs),
+            body: exchange.body.content,
+            retainedBytesLimit: effect.isBuffered ? this.options.limits.retainedBodyBytes : 0,
+        };
+        const attempt = new Attempt(request, {
+            onSent: () => this.run({ kind: "attempt-sent", attemptId }),
+            onHead: head => this.run({ kind: "attempt-head", attemptId, head, load: parseLoadReport(head) }),
+            onOverflow: () => this.run({ kind: "attempt-overflow", attemptId }),
+            onComplete: retained => {
+                this.run({ kind: "attempt-complete", attemptId, retained });
+                this.attempts.delete(attemptId);
+            },
+            onFailed: failure => {
+                this.attempts.delete(attemptId);
+                this.run({ kind: "attempt-failed", attemptId, failure });
+            },
+        });
+        this.attempts.set(attemptId, attempt);
+        attempt.start(this.pools.use(address, this.nowMs()));
+    }
+
+    private forward(effect: EffectOf<"forward">): void {
+        const exchange = this.exchanges.get(effect.requestId);
+        if (exchange !== undefined) {
+            this.attempts.get(effect.attemptId)?.forwardTo(exchange);
+        }
+    }
+
+    private cancelAttempt(attemptId: string): void {
+        this.attempts.get(attemptId)?.cancel();
+        this.attempts.delete(attemptId);
+    }
+
+    private answer(effect: EffectOf<"answer">): void {
+        const { requestId, answer } = effect;
+        const fields = { requestId, status: answer.status, verdict: answer.verdict, reason: answer.reason };
+        this.options.logger.debug("answered a request without an upstream's response", fields);
+        this.exchanges.get(requestId)?.answer(answer);
+    }
+
+    private destroyCaller(effect: EffectOf<"destroy-caller">): void {
+        const { requestId, reason } = effect;
+        this.options.logger.warn("cut off a response that was not complete", { requestId, reason });
+        this.exchanges.get(requestId)?.destroyCaller();
+    }
+
+    private probe(effect: EffectOf<"probe">): void {
+        const { service, upstreamId, address } = effect;
+        const startedAtMs = this.nowMs();
+        void probeUpstream(this.pools.use(address, startedAtMs)).then(load => {
+            const latencyMs = this.nowMs() - startedAtMs;
+            this.run({ kind: "probe-ended", service, upstreamId, latencyMs, load });
+        });
+    }
+}
+
+function hashBody(body: Buffer): string {
+    return createHash("sha256").update(body).digest("hex");
+}
--- /dev/null
+++ b/src/entry/exchange.ts
@@ -0,0 +1,149 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Dispatcher } from "undici";
+import type { RequestId, ServiceName } from "../core/ids.js";
+import type { GeneratedAnswer, ResponseHead, RetainedResponse } from "../requests/model.js";
+import type { Attempt, ResponseSink } from "./attempt.js";
+import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
+import { formatProblem } from "./problem.js";
+
+const notForwardedNames = new Set(["content-length", "figwharf-deadline-ms", "figwharf-request-id"]);
+
+/** The body of a caller's request. */
+export interface RequestBody {
+    /** Undefined when the body is not buffered. */
+    readonly buffer: Buffer | undefined;
+    /** Sent to the upstream. */
+    readonly content: Dispatcher.DispatchOptions["body"];
+    /** Undefined when the caller states no length. */
+    readonly lengthBytes: number | undefined;
+}
+
+/** One request of a caller and its response. */
+export class Exchange implements ResponseSink {
+    readonly attempts = new Map<string, Attempt>();
+    body: RequestBody = { buffer: undefined, content: null, lengthBytes: undefined };
+    /** Whether the connection is closed after the response. */
+    mustClose = false;
+    private isOver = false;
+    private fields: readonly HeaderField[] | undefined;
+
+    constructor(
+        readonly id: RequestId,
+        readonly service: ServiceName,
+        /** Path and query as sent to the upstream. */
+        readonly path: string,
+        readonly incoming: IncomingMessage,
+        readonly outgoing: ServerResponse,
+        private readonly onEnd: (exchange: Exchange) => void,
+    ) {}
+
+    /** Whether the response has ended or the caller is gone. */
+    get isEnded(): boolean {
+        return this.isOver;
+    }
+
+    /** Header of a request to an upstream, as a flat list of names and values. */
+    requestHeaders(timeoutMs: number): string[] {
+        this.fields ??= selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
+            .filter(([name]) => !notForwardedNames.has(name.toLowerCase()));
+        const headers: string[] = [];
+        for (const [name, value] of this.fields) {
+            headers.push(name, value);
+        }
+        headers.push("Figwharf-Request-Id", this.id, "Figwharf-Deadline-Ms", String(Math.floor(timeoutMs)));
+        if (this.body.buffer === undefined && this.body.lengthBytes !== undefined && this.body.content !== null) {
+            headers.push("Content-Length", String(this.body.lengthBytes));
+        }
+        return headers;
+    }
+
+    writeHead(head: ResponseHead): void {
+        if (this.isOver) {
+            return;
+        }
+        const headers: string[] = [];
+        for (const [name, value] of head.headers) {
+            headers.push(name, value);
+        }
+        if (this.mustClose || !this.incoming.complete) {
+            headers.push("Connection", "close");
+        }
+        this.outgoing.writeHead(head.status, headers);
+        // A response that is streamed shows its head before its first byte of content arrives.
+        if (!isWithoutContent(head.status)) {
+            this.outgoing.flushHeaders();
+        }
+    }
+
+    write(chunk: Buffer, onDrain: () => void): boolean {
+        if (this.isOver) {
+            return true;
+        }
+        const isAccepted = this.outgoing.write(chunk);
+        if (!isAccepted) {
+            this.outgoing.once("drain", onDrain);
+        }
+        return isAccepted;
+    }
+
+    end(trailers: readonly HeaderField[]): void {
+        if (this.isOver) {
+            return;
+        }
+        if (trailers.length > 0 && this.outgoing.chunkedEncoding) {
+            this.outgoing.addTrailers(trailers.map(([name, value]) => [name, value] as [string, string]));
+        }
+        this.outgoing.end();
+        this.finish();
+    }
+
+    /** Ends the request with an answer of figwharf itself. */
+    answer(answer: GeneratedAnswer): void {
+        if (this.isOver) {
+            return;
+        }
+        if (this.outgoing.headersSent) {
+            this.destroyCaller();
+            return;
+        }
+        const { headers, body } = formatProblem(answer, this.id);
+        if (this.mustClose || !this.incoming.complete) {
+            // When the rest of the body is not read, the connection cannot carry another request.
+            headers["Connection"] = "close";
+        }
+        this.outgoing.writeHead(answer.status, headers);
+        this.outgoing.end(this.incoming.method === "HEAD" ? undefined : body);
+        this.finish();
+    }
+
+    /** Ends the request with a retained response. */
+    replay(response: RetainedResponse): void {
+        this.writeHead(response);
+        if (response.body !== undefined && response.body.length > 0) {
+            this.outgoing.write(response.body);
+        }
+        this.end([]);
+    }
+
+    /** Cuts the caller's connection, so that a part of a response is not taken for a whole one. */
+    destroyCaller(): void {
+        if (!this.isOver) {
+            const { socket } = this.outgoing;
+            this.finish();
+            // A reset also tells a caller that reads up to the end of the connection.
+            socket?.resetAndDestroy();
+        }
+    }
+
+    /** Ends the exchange without an answer. */
+    finish(): void {
+        if (!this.isOver) {
+            this.isOver = true;
+            this.onEnd(this);
+        }
+    }
+}
+
+function isWithoutContent(status: number): boolean {
+    return status === 204 || status === 304;
+}
--- /dev/null
+++ b/src/entry/requestBody.ts
@@ -0,0 +1,101 @@
+import type { IncomingMessage } from "node:http";
+import { FigwharfError } from "../core/errors.js";
+import type { RequestBody } from "./exchange.js";
+import { parseCount } from "./headers.js";
+import type { EntryLimits } from "./options.js";
+
+/** How the reading of a body ended. */
+export type BodyResult =
+    | { readonly kind: "body"; readonly body: RequestBody; }
+    | { readonly kind: "too-large"; }
+    | { readonly kind: "too-slow"; }
+    | { readonly kind: "gone"; };
+
+const noBody: BodyResult = { kind: "body", body: { buffer: Buffer.alloc(0), content: null, lengthBytes: 0 } };
+
+/** Returns the stated length; undefined for a chunked body. */
+export function statedLength(incoming: IncomingMessage): number | undefined {
+    if (incoming.headers["transfer-encoding"] !== undefined) {
+        return undefined;
+    }
+    return parseCount(incoming.headers["content-length"]) ?? 0;
+}
+
+/** Reads a body into memory up to the limit; a larger one is left to be streamed. */
+export async function readBody(
+    incoming: IncomingMessage,
+    limits: EntryLimits,
+): Promise<BodyResult> {
+    const lengthBytes = statedLength(incoming);
+    if (lengthBytes === 0) {
+        return noBody;
+    }
+    if (lengthBytes !== undefined && lengthBytes > limits.bodyBytes) {
+        return { kind: "too-large" };
+    }
+    if (lengthBytes !== undefined && lengthBytes > limits.bufferedBodyBytes) {
+        return streamedBody(incoming, [], lengthBytes, limits);
+    }
+    return bufferBody(incoming, lengthBytes, limits);
+}
+
+function bufferBody(
+    incoming: IncomingMessage,
+    lengthBytes: number | undefined,
+    limits: EntryLimits,
+): Promise<BodyResult> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let sizeBytes = 0;
+        const settle = (result: BodyResult) => {
+            clearTimeout(timer);
+            incoming.off("data", onData).off("end", onEnd).off("close", onClose).off("error", onClose);
+            resolve(result);
+        };
+        const onData = (chunk: Buffer) => {
+            chunks.push(chunk);
+            sizeBytes += chunk.length;
+            if (sizeBytes > limits.bufferedBodyBytes) {
+                incoming.pause();
+                settle(streamedBody(incoming, chunks, lengthBytes, limits));
+            }
+        };
+        const onEnd = () => {
+            const buffer = Buffer.concat(chunks);
+            settle({ kind: "body", body: { buffer, content: buffer, lengthBytes: buffer.length } });
+        };
+        const onClose = () => settle({ kind: "gone" });
+        const timer = setTimeout(() => settle({ kind: "too-slow" }), limits.bodyTimeoutMs);
+        incoming.on("data", onData).on("end", onEnd).on("close", onClose).on("error", onClose);
+    });
+}
+
+function streamedBody(
+    incoming: IncomingMessage,
+    prefix: readonly Buffer[],
+    lengthBytes: number | undefined,
+    limits: EntryLimits,
+): BodyResult {
+    const content = streamChunks(incoming, prefix, limits.bodyBytes);
+    return { kind: "body", body: { buffer: undefined, content: content as never, lengthBytes } };
+}
+
+async function* streamChunks(
+    incoming: IncomingMessage,
+    prefix: readonly Buffer[],
+    limitBytes: number,
+): AsyncGenerator<Buffer> {
+    let sizeBytes = 0;
+    for (const chunk of prefix) {
+        sizeBytes += chunk.length;
+        yield chunk;
+    }
+    // The connection stays open when the attempt ends early, so that the caller gets its answer.
+    for await (const chunk of incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+        sizeBytes += chunk.length;
+        if (sizeBytes > limitBytes) {
+            throw new FigwharfError("body-too-large", { limitBytes });
+        }
+        yield chunk;
+    }
+}
