--- /dev/null
+++ b/bench/caller.ts
@@ -0,0 +1,202 @@
+import { Agent } from "undici";
+import type { RandomSource } from "../src/core/random.js";
+
+/** A request of a caller. */
+export interface Call {
+    readonly service: string;
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    /** Unique name of the request; the upstream counts executions by it. */
+    readonly name: string;
+    readonly hasIdempotencyKey: boolean;
+    readonly bodyBytes: number;
+    /** Time after which the caller gives up. */
+    readonly patienceMs: number;
+}
+
+/** How one try ended. */
+export const TryOutcome = {
+    ok: "ok",
+    notRun: "not-run",
+    mayHaveRun: "may-have-run",
+    /** Told that the request ran, without its response. */
+    ran: "ran",
+    /** The connection failed before a whole response arrived. */
+    dropped: "dropped",
+    /** The upstream's own error. */
+    failed: "failed",
+    /** A response that ended as if it were whole and is not. */
+    incomplete: "incomplete",
+    /** A whole response to another request. */
+    foreign: "foreign",
+} as const;
+
+export type TryOutcome = typeof TryOutcome[keyof typeof TryOutcome];
+
+/** One try of a call. */
+export interface CallTry {
+    /** Value of `Bench-Request` in this try. */
+    readonly name: string;
+    readonly entryAddress: string;
+    readonly outcome: TryOutcome;
+    readonly detail: string;
+}
+
+/** A call that has ended. */
+export interface CallResult {
+    readonly call: Call;
+    readonly outcome: TryOutcome;
+    readonly latencyMs: number;
+    readonly tries: readonly CallTry[];
+}
+
+interface EntriesAnswer {
+    readonly entries: readonly { readonly address: string; }[];
+    readonly expiresInMs: number;
+}
+
+const connectTimeoutMs = 500;
+const lookupTimeoutMs = 500;
+const retryDelayMs = 25;
+const maxTries = 50;
+
+/** A caller over plain HTTP: asks which entries to use, keeps the answer for its lifetime, and tries them in order. */
+export class Caller {
+    private readonly agent = new Agent({ connect: { timeout: connectTimeoutMs }, connections: 128, pipelining: 1 });
+    private readonly addresses = new Map<
+        string,
+        { readonly addresses: readonly string[]; readonly untilMs: number; }
+    >();
+
+    constructor(private readonly knownAddresses: readonly string[], private readonly random: RandomSource) {}
+
+    /** Sends a request, and sends it again while that is safe. */
+    async call(call: Call): Promise<CallResult> {
+        const startedAtMs = performance.now();
+        const tries: CallTry[] = [];
+        const addresses: string[] = [];
+        while (tries.length < maxTries) {
+            if (addresses.length === 0) {
+                addresses.push(...await this.lookUp(call.service));
+            }
+            const address = addresses.shift() as string;
+            tries.push(await this.tryOnce(call, address, `${call.name}#${tries.length}`));
+            const { outcome } = tries[tries.length - 1];
+            const isOver = performance.now() - startedAtMs > call.patienceMs;
+            if (isOver || !mayTryAgain(call, outcome)) {
+                break;
+            }
+            if (outcome === TryOutcome.dropped) {
+                this.addresses.delete(call.service);
+            }
+            await new Promise(resolve => setTimeout(resolve, retryDelayMs * this.random.nextUnit()));
+        }
+        const { outcome } = tries[tries.length - 1];
+        return { call, outcome, latencyMs: performance.now() - startedAtMs, tries };
+    }
+
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async lookUp(service: string): Promise<readonly string[]> {
+        const held = this.addresses.get(service);
+        if (held !== undefined && performance.now() < held.untilMs) {
+            return this.rotate(held.addresses);
+        }
+        for (const address of this.rotate(this.knownAddresses)) {
+            const answer = await this.ask(address, service);
+            if (answer !== undefined && answer.entries.length > 0) {
+                const addresses = answer.entries.map(entry => entry.address);
+                this.addresses.set(service, { addresses, untilMs: performance.now() + answer.expiresInMs });
+                return addresses;
+            }
+        }
+        return this.rotate(this.knownAddresses);
+    }
+
+    private rotate(addresses: readonly string[]): readonly string[] {
+        const start = this.random.nextInt(addresses.length);
+        return [...addresses.slice(start), ...addresses.slice(0, start)];
+    }
+
+    private async ask(address: string, service: string): Promise<EntriesAnswer | undefined> {
+        try {
+            const response = await this.agent.request({
+                origin: `http://${address}`,
+                method: "GET",
+                path: `/v1/entries?service=${service}`,
+                signal: AbortSignal.timeout(lookupTimeoutMs),
+            });
+            const answer = await response.body.json() as EntriesAnswer;
+            return response.statusCode === 200 ? answer : undefined;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    private async tryOnce(call: Call, entryAddress: string, name: string): Promise<CallTry> {
+        const headers: Record<string, string> = { "bench-request": name };
+        if (call.hasIdempotencyKey) {
+            headers["idempotency-key"] = call.name;
+        }
+        try {
+            const response = await this.agent.request({
+                origin: `http://${entryAddress}`,
+                method: call.method,
+                path: `/services/${call.service}${call.path}`,
+                headers,
+                body: call.bodyBytes > 0 ? Buffer.alloc(call.bodyBytes, name) : null,
+                signal: AbortSignal.timeout(call.patienceMs),
+            });
+            const text = await response.body.text();
+            const [outcome, detail] = classify(call, response.statusCode, response.headers, text);
+            return { name, entryAddress, outcome, detail };
+        }
+        catch (error) {
+            return { name, entryAddress, outcome: TryOutcome.dropped, detail: String(error) };
+        }
+    }
+}
+
+function mayTryAgain(call: Call, outcome: TryOutcome): boolean {
+    switch (outcome) {
+        case TryOutcome.notRun:
+            return true;
+        case TryOutcome.dropped:
+        case TryOutcome.mayHaveRun:
+            return call.method === "GET" || call.hasIdempotencyKey;
+        case TryOutcome.failed:
+            return call.method === "GET";
+        default:
+            return false;
+    }
+}
+
+function classify(
+    call: Call,
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    text: string,
+): readonly [TryOutcome, string] {
+    const verdict = headers["figwharf-verdict"];
+    if (verdict !== undefined) {
+        const outcome = Object.values(TryOutcome).find(it => it === verdict) ?? TryOutcome.foreign;
+        return [outcome, `${status} ${text}`];
+    }
+    let body: { readonly key?: string; readonly bodyBytes?: number; readonly end?: boolean; };
+    try {
+        body = JSON.parse(text) as typeof body;
+    }
+    catch {
+        return [TryOutcome.incomplete, `${status} ${text}`];
+    }
+    if (body.end !== true || body.bodyBytes !== call.bodyBytes) {
+        return [TryOutcome.incomplete, `${status} ${text}`];
+    }
+    if (body.key?.split("#")[0] !== call.name) {
+        return [TryOutcome.foreign, `${status} ${text}`];
+    }
+    return [status === 200 ? TryOutcome.ok : TryOutcome.failed, String(status)];
+}
--- /dev/null
+++ b/bench/system.ts
@@ -0,0 +1,99 @@
+import path from "node:path";
+import { request } from "undici";
+import type { EntryVm, Service } from "../src/catalogue/model.js";
+import { availabilityZones, benchCatalogue, benchRegion, benchSecret } from "./benchCatalogue.js";
+import { FixedControl } from "./fixedControl.js";
+import { findFreePorts } from "./ports.js";
+import type { BenchProcess, Processes } from "./processes.js";
+import type { UpstreamProcessOptions } from "./upstream.js";
+
+const servingTimeoutMs = 10_000;
+const pollIntervalMs = 50;
+
+/** Options of a system of benchmark processes. */
+export interface SystemOptions {
+    readonly seed: number;
+    readonly entries: number;
+    readonly services: readonly Service[];
+    /** Folder for execution logs. */
+    readonly folder: string;
+}
+
+/** Entries and upstream stand-ins on loopback, each in its own process. */
+export interface BenchSystem {
+    readonly entries: BenchProcess[];
+    readonly entryAddresses: readonly string[];
+    startEntry(index: number): Promise<BenchProcess>;
+    startUpstream(options: Omit<UpstreamProcessOptions, "entryAddresses" | "executionLog">): Promise<BenchProcess>;
+    executionLogs(): readonly string[];
+    /** Waits until each service answers. */
+    waitUntilServing(services: readonly string[]): Promise<void>;
+    close(): Promise<void>;
+}
+
+/** Starts control and entries. */
+export async function startSystem(processes: Processes, options: SystemOptions): Promise<BenchSystem> {
+    const ports = await findFreePorts(options.entries * 2);
+    const entryVms = Array.from({ length: options.entries }, (_unused, index): EntryVm => ({
+        id: `entry-${index + 1}`,
+        region: benchRegion,
+        availabilityZone: availabilityZones[index % availabilityZones.length],
+        address: `127.0.0.1:${ports[index * 2]}`,
+        peerAddress: `127.0.0.1:${ports[index * 2 + 1]}`,
+        state: "active",
+    }));
+    const control = new FixedControl(benchCatalogue(1, options.services, entryVms), benchSecret);
+    const controlAddress = await control.listen();
+    const entryAddresses = entryVms.map(vm => vm.address);
+    const logs = new Set<string>();
+    const startEntry = (index: number) =>
+        processes.start("entryProcess.js", entryVms[index].id, {
+            id: entryVms[index].id,
+            region: benchRegion,
+            availabilityZone: entryVms[index].availabilityZone,
+            port: ports[index * 2],
+            peerPort: ports[index * 2 + 1],
+            controlAddresses: [controlAddress],
+            clusterSecret: benchSecret,
+            seed: options.seed * 100 + index,
+        });
+    const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index)));
+    return {
+        entries,
+        entryAddresses,
+        startEntry,
+        startUpstream: upstream => {
+            const executionLog = path.join(options.folder, `${upstream.id}-${upstream.incarnation}.log`);
+            logs.add(executionLog);
+            return processes.start("upstream.js", upstream.id, { ...upstream, entryAddresses, executionLog });
+        },
+        executionLogs: () => [...logs],
+        waitUntilServing: services => waitUntilServing(entryAddresses, services),
+        close: () => control.close(),
+    };
+}
+
+async function waitUntilServing(entryAddresses: readonly string[], services: readonly string[]): Promise<void> {
+    const endAtMs = performance.now() + servingTimeoutMs;
+    for (const address of entryAddresses) {
+        for (const service of services) {
+            while (!await isServing(address, service)) {
+                if (performance.now() > endAtMs) {
+                    throw new Error(`${address} does not serve ${service} after ${servingTimeoutMs} ms`);
+                }
+                await new Promise(resolve => setTimeout(resolve, pollIntervalMs));
+            }
+        }
+    }
+}
+
+async function isServing(address: string, service: string): Promise<boolean> {
+    try {
+        const response = await request(`http://${address}/services/${service}/ready`);
+        await response.body.dump();
+        return response.statusCode === 200;
+    }
+    catch {
+        return false;
+    }
+}
--- a/bench/upstream.ts
+++ b/bench/upstream.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { SeededRandom } from "../src/core/random.js";
 import { AnnouncementLoop } from "./announcementLoop.js";
+import { ExecutionLog } from "./executionLog.js";
 import { ServiceModel } from "./serviceModel.js";
 
 /** Options of an upstream stand-in process; passed as JSON in the first argument. */
@@ -22,6 +23,8 @@
     readonly probeMs?: number;
     /** Time in the state `starting` after the start. */
     readonly startingMs?: number;
+    /** File to which executions are appended. */
+    readonly executionLog?: string;
 }
 
 /** Commands of `POST /stand-in/command`. */
@@ -61,6 +64,7 @@
     private readonly model: ServiceModel;
     private readonly loop: AnnouncementLoop;
     private readonly server: http.Server;
+    private readonly log: ExecutionLog;
     private readonly executions = new Map<string, number>();
     private probes = 0;
     private connections = 0;
@@ -73,6 +77,7 @@
     constructor(private readonly options: UpstreamProcessOptions) {
         this.model = new ServiceModel(options.slots, options.meanServiceMs, new SeededRandom(options.seed), maxQueued);
         this.loop = new AnnouncementLoop(options);
+        this.log = new ExecutionLog(options.executionLog);
         this.server = http.createServer((request, response) => this.handle(request, response));
         this.server.keepAliveTimeout = 60_000;
         this.server.on("connection", () => this.connections++);
@@ -128,9 +133,9 @@
     /** Called when a slot starts to work on a request. */
     private begin(key: string, path: string): boolean {
         this.executions.set(key, (this.executions.get(key) ?? 0) + 1);
-        if (performance.now() - this.drainedAtMs > lateAfterMs) {
-            this.lateExecutions++;
-        }
+        const isLate = performance.now() - this.drainedAtMs > lateAfterMs;
+        this.lateExecutions += isLate ? 1 : 0;
+        this.log.add(key, isLate);
         if (path === this.crashPath) {
             process.exit(1);
         }
