--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher, Pool } from "undici";
 import { AttemptFailure, type ResponseHead, type RetainedResponse } from "../requests/model.js";
+import type { BufferBudget } from "./bufferBudget.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 
 /** Bytes of a response that is not retained that are held before the core decides whether they are forwarded. */
@@ -45,6 +46,7 @@
     private heldBytes = 0;
     private retained: Buffer[] | undefined;
     private retainedBytes = 0;
+    private countedBytes = 0;
     private trailers: HeaderField[] = [];
     private isComplete = false;
     private isOver = false;
@@ -54,6 +56,7 @@
     constructor(
         private readonly request: AttemptRequest,
         private readonly listener: AttemptListener,
+        private readonly budget: BufferBudget,
     ) {
         this.retained = request.retainedBytesLimit > 0 ? [] : undefined;
     }
@@ -73,6 +76,9 @@
         const { held } = this;
         this.held = [];
         this.heldBytes = 0;
+        if (this.retained === undefined) {
+            this.releaseBytes();
+        }
         const isCaughtUp = held.map(chunk => this.pass(chunk)).every(isAccepted => isAccepted);
         if (this.isComplete) {
             sink.end(this.trailers);
@@ -126,6 +132,7 @@
         else {
             this.held.push(chunk);
             this.heldBytes += chunk.length;
+            this.countBytes(chunk);
             this.overflowIfFull();
         }
     }
@@ -157,7 +164,7 @@
 
     private overflowIfFull(): void {
         const limitBytes = Math.max(heldBytesLimit, this.request.retainedBytesLimit);
-        if (this.sink === undefined && this.heldBytes > limitBytes) {
+        if (this.sink === undefined && (this.heldBytes > limitBytes || !this.budget.canHold(0))) {
             this.controller?.pause();
             this.overflow();
         }
@@ -175,11 +182,13 @@
             return;
         }
         this.retainedBytes += chunk.length;
-        if (this.retainedBytes > this.request.retainedBytesLimit) {
+        if (this.retainedBytes > this.request.retainedBytesLimit || !this.budget.canHold(0)) {
             this.retained = undefined;
+            return;
         }
-        else {
-            this.retained.push(chunk);
+        this.retained.push(chunk);
+        if (this.sink !== undefined) {
+            this.countBytes(chunk);
         }
     }
 
@@ -208,6 +217,17 @@
     private end(): void {
         this.isOver = true;
         clearTimeout(this.holdTimer);
+        this.releaseBytes();
+    }
+
+    private countBytes(chunk: Buffer): void {
+        this.countedBytes += chunk.length;
+        this.budget.add(chunk.length);
+    }
+
+    private releaseBytes(): void {
+        this.budget.release(this.countedBytes);
+        this.countedBytes = 0;
     }
 }
 
--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -1,21 +1,25 @@
 import { createHash, randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Service } from "../catalogue/model.js";
 import type { RequestId, ServiceName } from "../core/ids.js";
 import type { RequestFacts } from "../requests/model.js";
+import { Admission, type Admitted } from "./admission.js";
+import { refuse } from "./answers.js";
 import { Attempt } from "./attempt.js";
+import { BufferBudget } from "./bufferBudget.js";
 import type { EntryCore } from "./core.js";
 import { Exchange } from "./exchange.js";
-import { refuse } from "./frontServer.js";
 import { parseCount, parseLoadReport } from "./headers.js";
 import type { PeerLinks } from "./links.js";
 import type { EntryEffect, EntryEvent } from "./messages.js";
-import type { EntryOptions } from "./options.js";
+import type { EntryLimits, EntryOptions } from "./options.js";
 import { probeUpstream } from "./probe.js";
-import { readBody } from "./requestBody.js";
+import { readBody, statedLength } from "./requestBody.js";
 import { UpstreamPools } from "./upstreamPools.js";
 
 const instanceIdBytes = 6;
 const defaultDeadlineMs = 30_000;
+const memoryRetryMs = 1000;
 
 type EffectOf<Kind extends EntryEffect["kind"]> = Extract<EntryEffect, { readonly kind: Kind; }>;
 
@@ -26,6 +30,8 @@
     private readonly exchanges = new Map<RequestId, Exchange>();
     private readonly attempts = new Map<string, Attempt>();
     private readonly pools: UpstreamPools;
+    private readonly admission: Admission;
+    private readonly budget: BufferBudget;
     private readonly idPrefix = randomBytes(instanceIdBytes).toString("hex");
     private nextRequestNumber = 1;
 
@@ -36,6 +42,8 @@
         private readonly syncControl: () => void,
     ) {
         this.pools = new UpstreamPools(options.limits);
+        this.admission = new Admission(options.limits, () => this.nowMs());
+        this.budget = new BufferBudget(options.limits.bufferedBytes);
     }
 
     get exchangeCount(): number {
@@ -49,19 +57,32 @@
         }
         if (event.kind === "tick") {
             this.pools.tick(this.nowMs());
+            this.admission.tick(this.nowMs());
         }
     }
 
     /** Takes a caller's request. */
     acceptRequest(service: ServiceName, path: string, incoming: IncomingMessage, outgoing: ServerResponse): void {
         const id = `${this.idPrefix}-${this.nextRequestNumber++}`;
-        const exchange = new Exchange(id, service, path, incoming, outgoing, ended => this.exchanges.delete(ended.id));
+        const { stallTimeoutMs } = this.options.limits;
+        const exchange = new Exchange(id, service, path, incoming, outgoing, stallTimeoutMs, it => this.onEnded(it));
         exchange.mustClose = this.closeConnections;
         this.exchanges.set(id, exchange);
         incoming.on("error", () => undefined);
         outgoing.on("error", () => undefined);
         outgoing.on("close", () => this.onCallerClosed(exchange));
-        void this.receive(exchange, this.nowMs());
+        const receivedAtMs = this.nowMs();
+        const deadlineMs = this.deadlineMs(exchange);
+        const row = this.core.config.catalogue.services[service];
+        if (deadlineMs === undefined) {
+            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
+        }
+        else if (row === undefined) {
+            exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
+        }
+        else {
+            this.admit(exchange, row, receivedAtMs + deadlineMs);
+        }
     }
 
     async close(): Promise<void> {
@@ -72,17 +93,38 @@
         return this.options.clock.monotonicMs();
     }
 
-    private async receive(exchange: Exchange, receivedAtMs: number): Promise<void> {
-        const deadlineMs = this.deadlineMs(exchange);
-        if (deadlineMs === undefined) {
-            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
+    private admit(exchange: Exchange, service: Service, deadlineAtMs: number): void {
+        const result = this.admission.admit(service, callerIdOf(exchange));
+        if ("status" in result) {
+            exchange.answer(result);
+            return;
+        }
+        exchange.admitted = result;
+        const stated = statedLength(exchange.incoming);
+        const { limits } = this.options;
+        const maxBodyBytes = Math.min(limits.bodyBytes, service.limits.maxBodyBytes);
+        const isBuffered = (stated ?? 0) <= limits.bufferedBodyBytes;
+        const reservedBytes = isBuffered ? stated ?? limits.bufferedBodyBytes : 0;
+        if (!this.budget.canHold(reservedBytes)) {
+            exchange.answer(refuse(503, "memory", "The entry holds as many request bodies as it may.", memoryRetryMs));
             return;
         }
-        const result = await readBody(exchange.incoming, this.options.limits);
+        this.budget.add(reservedBytes);
+        exchange.reservedBytes = reservedBytes;
+        void this.receive(exchange, result, { ...limits, bodyBytes: maxBodyBytes }, deadlineAtMs);
+    }
+
+    private async receive(
+        exchange: Exchange,
+        admitted: Admitted,
+        limits: EntryLimits,
+        deadlineAtMs: number,
+    ): Promise<void> {
+        const result = await readBody(exchange.incoming, limits);
         switch (result.kind) {
             case "body":
                 exchange.body = result.body;
-                return this.submit(exchange, receivedAtMs + deadlineMs);
+                return this.submitWhenPlaced(exchange, admitted, deadlineAtMs);
             case "too-large":
                 return exchange.answer(refuse(413, "body-too-large", "The request body is too large."));
             case "too-slow":
@@ -92,6 +134,21 @@
         }
     }
 
+    private async submitWhenPlaced(exchange: Exchange, admitted: Admitted, deadlineAtMs: number): Promise<void> {
+        const refusal = await admitted.waitForPlace(deadlineAtMs);
+        if (refusal !== undefined) {
+            exchange.answer(refusal);
+            return;
+        }
+        this.submit(exchange, deadlineAtMs);
+    }
+
+    private onEnded(exchange: Exchange): void {
+        this.exchanges.delete(exchange.id);
+        this.budget.release(exchange.reservedBytes);
+        exchange.admitted?.release();
+    }
+
     private submit(exchange: Exchange, deadlineAtMs: number): void {
         if (exchange.isEnded) {
             return;
@@ -103,7 +160,7 @@
             service: exchange.service,
             method: incoming.method ?? "GET",
             path: exchange.path,
-            callerId: incoming.socket.remoteAddress ?? "",
+            callerId: callerIdOf(exchange),
             idempotencyKey: Array.isArray(key) ? key[0] : key,
             bodyHash: body.buffer === undefined ? undefined : hashBody(body.buffer),
             isBodyReplayable: body.buffer !== undefined,
@@ -187,7 +244,7 @@
                 this.attempts.delete(attemptId);
                 this.run({ kind: "attempt-failed", attemptId, failure });
             },
-        });
+        }, this.budget);
         this.attempts.set(attemptId, attempt);
         attempt.start(this.pools.use(address, this.nowMs()));
     }
@@ -227,6 +284,10 @@
     }
 }
 
+function callerIdOf(exchange: Exchange): string {
+    return exchange.incoming.socket.remoteAddress ?? "";
+}
+
 function hashBody(body: Buffer): string {
     return createHash("sha256").update(body).digest("hex");
 }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from "undici";
 import type { RequestId, ServiceName } from "../core/ids.js";
 import type { GeneratedAnswer, ResponseHead, RetainedResponse } from "../requests/model.js";
+import type { Admitted } from "./admission.js";
 import type { Attempt, ResponseSink } from "./attempt.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 import { formatProblem } from "./problem.js";
@@ -22,6 +23,10 @@
 export class Exchange implements ResponseSink {
     readonly attempts = new Map<string, Attempt>();
     body: RequestBody = { buffer: undefined, content: null, lengthBytes: undefined };
+    /** Set once the request was let in. */
+    admitted: Admitted | undefined;
+    /** Bytes of the memory for bodies that this request has reserved. */
+    reservedBytes = 0;
     /** Whether the connection is closed after the response. */
     mustClose = false;
     private isOver = false;
@@ -34,6 +39,7 @@
         readonly path: string,
         readonly incoming: IncomingMessage,
         readonly outgoing: ServerResponse,
+        private readonly stallTimeoutMs: number,
         private readonly onEnd: (exchange: Exchange) => void,
     ) {}
 
@@ -81,11 +87,22 @@
         }
         const isAccepted = this.outgoing.write(chunk);
         if (!isAccepted) {
-            this.outgoing.once("drain", onDrain);
+            this.waitForDrain(onDrain);
         }
         return isAccepted;
     }
 
+    /** A caller that stops reading would hold an upstream's slot without end. */
+    private waitForDrain(onDrain: () => void): void {
+        const timer = setTimeout(() => this.outgoing.destroy(), this.stallTimeoutMs);
+        const stop = () => {
+            clearTimeout(timer);
+            this.outgoing.off("drain", stop).off("close", stop);
+            onDrain();
+        };
+        this.outgoing.once("drain", stop).once("close", stop);
+    }
+
     end(trailers: readonly HeaderField[]): void {
         if (this.isOver) {
             return;
--- a/src/entry/frontServer.ts
+++ b/src/entry/frontServer.ts
@@ -3,10 +3,10 @@
 import type { AddressInfo, Socket } from "node:net";
 import polka from "polka";
 import type { ServiceName } from "../core/ids.js";
-import { Verdict } from "../core/verdict.js";
 import type { GeneratedAnswer } from "../requests/model.js";
 import type { AddressAnswer } from "./addressAnswer.js";
 import { maxAnnouncementBytes } from "./announcements.js";
+import { refuse } from "./answers.js";
 import type { EntryLimits, ListenAddress } from "./options.js";
 import { formatProblem } from "./problem.js";
 
@@ -143,11 +143,6 @@
     }
 }
 
-/** Returns an answer to a request that was refused before anything was done for it. */
-export function refuse(status: number, reason: string, detail: string, retryAfterMs?: number): GeneratedAnswer {
-    return { status, verdict: Verdict.notRun, reason, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
-}
-
 function answerOfClientError(code: string | undefined): GeneratedAnswer {
     switch (code) {
         case "HPE_HEADER_OVERFLOW":
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -26,7 +26,9 @@
     readonly connectionsPerUpstream: number;
     /** Requests that are being read, waiting or in flight, over all services. */
     readonly requests: number;
-    /** Buffered bytes of request bodies, over all requests. */
+    /** Requests that may be in flight, over all services. */
+    readonly places: number;
+    /** Bytes of request and response bodies that are held in memory, over all requests. */
     readonly bufferedBytes: number;
     /** Time to receive a request head. */
     readonly headTimeoutMs: number;
@@ -38,6 +40,8 @@
     readonly upstreamIdleMs: number;
     /** Time to connect to an upstream. */
     readonly connectTimeoutMs: number;
+    /** Time after which a caller that does not read its response is disconnected. */
+    readonly stallTimeoutMs: number;
     /** Longest deadline that a caller can state. */
     readonly maxDeadlineMs: number;
 }
@@ -51,12 +55,14 @@
     connections: 4096,
     connectionsPerUpstream: 64,
     requests: 4096,
+    places: 2048,
     bufferedBytes: 64 * 1024 * 1024,
     headTimeoutMs: 10_000,
     bodyTimeoutMs: 10_000,
     keepAliveTimeoutMs: 15_000,
     upstreamIdleMs: 1000,
     connectTimeoutMs: 1000,
+    stallTimeoutMs: 30_000,
     maxDeadlineMs: 600_000,
 };
 
