--- a/src/entry/messages.ts
+++ b/src/entry/messages.ts
@@ -52,6 +52,8 @@
      * does not report the end of an attempt that the core has cancelled.
      */
     | { readonly kind: "attempt-failed"; readonly attemptId: AttemptId; readonly failure: AttemptFailure; }
+    /** Answers `check-connection`: whether the address accepted a connection in time. */
+    | { readonly kind: "connection-checked"; readonly checkId: string; readonly isAccepted: boolean; }
     | { readonly kind: "announcement"; readonly announcement: Announcement; }
     | {
         readonly kind: "probe-ended";
@@ -102,6 +104,13 @@
      * request and end with their current one, new requests use new connections.
      */
     | { readonly kind: "reset-pool"; readonly address: string; }
+    /** Opens a TCP connection to find out whether an upstream still runs, closes it and reports `connection-checked`. */
+    | {
+        readonly kind: "check-connection";
+        readonly checkId: string;
+        readonly address: string;
+        readonly timeoutMs: number;
+    }
     | { readonly kind: "send-peer"; readonly to: EntryId; readonly message: PeerMessage; }
     | { readonly kind: "sync-control"; readonly revision: number; }
     | {
--- /dev/null
+++ b/src/requests/answers.ts
@@ -0,0 +1,94 @@
+import { Verdict } from "../core/verdict.js";
+import type { RouteRefusal } from "./attempts.js";
+import type { ClaimResult } from "./claim.js";
+import type { ClaimOutcome } from "./claimMessages.js";
+import type { AttemptFailure, GeneratedAnswer } from "./model.js";
+import { statusOfFailure } from "./verdicts.js";
+
+const retryAfterMs = 1000;
+
+/** Answer to a request for a service that the catalogue does not have. */
+export function unknownServiceAnswer(service: string): GeneratedAnswer {
+    const detail = `The catalogue has no service ${service}.`;
+    return { status: 404, verdict: Verdict.notRun, reason: "unknown-service", detail };
+}
+
+/** Answer to a keyed request whose body is too large to be hashed. */
+export function unhashedBodyAnswer(): GeneratedAnswer {
+    const detail = "A request with an idempotency key needs a body that fits into the buffer.";
+    return { status: 413, verdict: Verdict.notRun, reason: "body-too-large", detail };
+}
+
+/** Answer to a request that the router refused. */
+export function refusalAnswer({ reason, detail, retryAfterMs }: RouteRefusal, verdict: Verdict): GeneratedAnswer {
+    return { status: 503, verdict, reason, detail, retryAfterMs };
+}
+
+/** Answer to a request whose deadline has passed. */
+export function deadlineAnswer(verdict: Verdict): GeneratedAnswer {
+    const detail = "The deadline of the request has passed.";
+    return { ...withRetry(verdict), status: verdict === Verdict.notRun ? 503 : 504, reason: "deadline", detail };
+}
+
+/** Answer to a request whose claim became too old to be dispatched. */
+export function staleClaimAnswer(verdict: Verdict): GeneratedAnswer {
+    const detail = "The claim on the idempotency key is too old to be used.";
+    return { ...withRetry(verdict), status: 503, reason: "claim-stale", detail };
+}
+
+/** Answer to a request whose last attempt failed, or was refused by the upstream if there is no failure. */
+export function failureAnswer(failure: AttemptFailure | undefined, verdict: Verdict): GeneratedAnswer {
+    if (failure === undefined) {
+        const detail = "The upstream refused the request before running it.";
+        return { ...withRetry(verdict), status: 503, reason: "upstream-refused", detail };
+    }
+    const detail = `The last attempt failed: ${failure}.`;
+    return { ...withRetry(verdict), status: statusOfFailure(failure, verdict), reason: failure, detail };
+}
+
+/** Answer to a request that has brought down instances. */
+export function crashSuspectAnswer(verdict: Verdict): GeneratedAnswer {
+    const detail = "Instances were lost while they ran this request, so it is not sent to another one.";
+    return { ...withRetry(verdict), status: 503, reason: "crash-suspect", detail };
+}
+
+/** Answer to a request that did not get a claim that it needs. */
+export function claimFailureAnswer(result: ClaimResult): GeneratedAnswer {
+    switch (result.kind) {
+        case "mismatch":
+            return {
+                status: 422,
+                verdict: Verdict.notRun,
+                reason: "key-reused",
+                detail: "The idempotency key is in use for a request with another body.",
+            };
+        case "unavailable":
+            return {
+                ...withRetry(Verdict.notRun),
+                status: 503,
+                reason: result.reason,
+                detail: "The idempotency key could not be claimed. This submission of the request did not run.",
+            };
+        default:
+            return {
+                status: 409,
+                verdict: Verdict.mayHaveRun,
+                reason: "outcome-unknown",
+                detail: "A request with this idempotency key may have run; its outcome is not known.",
+            };
+    }
+}
+
+/** Answer to a resend of a request whose response is not retained. */
+export function outcomeAnswer(outcome: ClaimOutcome): GeneratedAnswer {
+    if (outcome.kind === "verdict") {
+        const detail = "The first request with this idempotency key got no whole response.";
+        return { status: 409, verdict: outcome.verdict, reason: outcome.reason, detail };
+    }
+    const detail = `The request ran and was answered with status ${outcome.response.status}; the body is not retained.`;
+    return { status: 409, verdict: Verdict.ran, reason: "body-not-retained", detail };
+}
+
+function withRetry(verdict: Verdict): { readonly verdict: Verdict; readonly retryAfterMs?: number; } {
+    return verdict === Verdict.notRun ? { verdict, retryAfterMs } : { verdict };
+}
--- /dev/null
+++ b/src/requests/claim.ts
@@ -0,0 +1,109 @@
+import type { EntryId } from "../core/ids.js";
+import type { ClaimAnswer, ClaimId, ClaimKey, ClaimOutcome, ClaimRequest } from "./claimMessages.js";
+import { majorityOf } from "./replicaSet.js";
+
+/** What a claimant does when another entry holds the claim. */
+export const HeldPolicy = {
+    /** Ask the holder and wait for the outcome. */
+    awaitOutcome: "await-outcome",
+    /** Try again until the claim is free. */
+    retry: "retry",
+} as const;
+
+export type HeldPolicy = typeof HeldPolicy[keyof typeof HeldPolicy];
+
+/** What a request wants to claim. */
+export interface ClaimOrder {
+    /** Unique among the claims in progress at this entry. */
+    readonly ownerId: string;
+    readonly key: ClaimKey;
+    readonly bodyHash: string;
+    readonly deadlineAtMs: number;
+    /** Time for which replicas keep a granted claim whose outcome is not recorded. */
+    readonly lifetimeMs: number;
+    readonly heldPolicy: HeldPolicy;
+}
+
+/** How a claim ended for the claimant. */
+export type ClaimResult =
+    | { readonly kind: "granted"; }
+    | { readonly kind: "outcome"; readonly outcome: ClaimOutcome; }
+    | { readonly kind: "mismatch"; }
+    | { readonly kind: "unavailable"; readonly reason: "no-majority" | "claims-full"; }
+    /** Another entry dispatched the request, or may have, and cannot be asked. */
+    | { readonly kind: "unknown"; };
+
+/** Row of a claim that this entry wants or holds. */
+export interface ClaimRow {
+    readonly order: ClaimOrder;
+    round: number;
+    roundStartedAtMs: number;
+    nextSendAtMs: number;
+    /** Message of the current round; its claim id names the round. */
+    request: ClaimRequest;
+    members: readonly EntryId[];
+    answers: Map<EntryId, ClaimAnswer>;
+    state: "collecting" | "asking" | "backoff" | "granted";
+    /** End of the back-off, or time of the next question to the holder. */
+    wakeAtMs: number;
+    holder: { readonly id: EntryId; readonly claimId: ClaimId; } | undefined;
+    holderHeardAtMs: number;
+    /** Whether an earlier request with the key may have run. */
+    mayHaveRunElsewhere: boolean;
+    /** Whether the holder did not answer, so that this round decides. */
+    isLastRound: boolean;
+}
+
+/** What the answers of a round amount to. */
+export type RoundState =
+    | ClaimResult
+    | { readonly kind: "held"; readonly holder: EntryId; readonly claimId: ClaimId; }
+    | { readonly kind: "open"; };
+
+/** Returns what the answers of a claim's current round amount to. */
+export function evaluateRound(claim: ClaimRow, peerIncarnation: (id: EntryId) => number | undefined): RoundState {
+    for (const { reply } of claim.answers.values()) {
+        if (reply.kind === "mismatch" || reply.kind === "outcome") {
+            return reply;
+        }
+    }
+    for (const { reply } of claim.answers.values()) {
+        if (reply.kind === "held") {
+            return reply;
+        }
+    }
+    const sets = claim.request.replicaSets;
+    const isGranted = (id: EntryId) => isValidGrant(claim, id, peerIncarnation);
+    if (sets.every(set => countOf(set, isGranted) >= majorityOf(set.length))) {
+        return { kind: "granted" };
+    }
+    const isPossible = (id: EntryId) => !claim.answers.has(id) || isGranted(id);
+    if (sets.every(set => countOf(set, isPossible) >= majorityOf(set.length))) {
+        return { kind: "open" };
+    }
+    const isFull = [...claim.answers.values()].some(answer => answer.reply.kind === "full");
+    return { kind: "unavailable", reason: isFull ? "claims-full" : "no-majority" };
+}
+
+// A replica that restarted after its grant may have forgotten it, so a grant of an older incarnation than any other
+// source reports is void.
+function isValidGrant(
+    claim: ClaimRow,
+    id: EntryId,
+    peerIncarnation: (id: EntryId) => number | undefined,
+): boolean {
+    const answer = claim.answers.get(id);
+    if (answer?.reply.kind !== "granted" || answer.incarnation < (peerIncarnation(id) ?? answer.incarnation)) {
+        return false;
+    }
+    for (const other of claim.answers.values()) {
+        if ((other.known[id] ?? answer.incarnation) > answer.incarnation) {
+            return false;
+        }
+    }
+    return true;
+}
+
+function countOf(set: readonly EntryId[], isCounted: (id: EntryId) => boolean): number {
+    return set.filter(isCounted).length;
+}
--- /dev/null
+++ b/src/requests/claimCoordinator.ts
@@ -0,0 +1,382 @@
+import type { EntryId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import type { PeerMessage } from "../entry/messages.js";
+import { type ClaimOrder, type ClaimResult, type ClaimRow, evaluateRound, HeldPolicy } from "./claim.js";
+import {
+    type ClaimAnswer,
+    type ClaimId,
+    ClaimMethod,
+    type ClaimOutcome,
+    type ClaimReference,
+    type ClaimRequest,
+    type OutcomeAnswer,
+} from "./claimMessages.js";
+import type { ClaimRecorder } from "./claimRecorder.js";
+import type { ClaimReplica } from "./claimReplica.js";
+import type { ClaimTable } from "./claimTable.js";
+import type { CountingEntryLists } from "./entryLists.js";
+import type { Outbox } from "./outbox.js";
+import { chooseReplicas } from "./replicaSet.js";
+
+const resendIntervalMs = 100;
+const roundTimeoutMs = 400;
+const askIntervalMs = 50;
+const holderSilenceMs = 1000;
+const minBackoffMs = 5;
+const maxBackoffMs = 100;
+
+/** A claim and how it ended. */
+export interface DecidedClaim {
+    readonly order: ClaimOrder;
+    readonly result: ClaimResult;
+}
+
+/** Options of `ClaimCoordinator`. */
+export interface ClaimCoordinatorOptions {
+    readonly selfId: EntryId;
+    readonly incarnation: number;
+    /** A claim is not dispatched when it is older. */
+    readonly maxClaimAgeMs: number;
+    /** Claims that were dispatched here and are remembered. */
+    readonly maxFinished: number;
+    readonly random: RandomSource;
+    readonly lists: CountingEntryLists;
+    readonly peerIncarnation: (id: EntryId) => number | undefined;
+    readonly table: ClaimTable;
+    readonly replica: ClaimReplica;
+    readonly recorder: ClaimRecorder;
+    readonly outbox: Outbox;
+}
+
+/** Claimant side of the claim protocol: the claims that this entry's requests want or hold. */
+export class ClaimCoordinator {
+    private readonly claims = new Map<string, ClaimRow>();
+    private readonly ownersByClaim = new Map<ClaimId, string>();
+    private decided: DecidedClaim[] = [];
+
+    constructor(private readonly options: ClaimCoordinatorOptions) {}
+
+    /** Starts to claim a key. */
+    start(order: ClaimOrder, nowMs: number): void {
+        const claim: ClaimRow = {
+            order,
+            round: 0,
+            roundStartedAtMs: nowMs,
+            nextSendAtMs: nowMs,
+            request: emptyRequest,
+            members: [],
+            answers: new Map(),
+            state: "collecting",
+            wakeAtMs: nowMs,
+            holder: undefined,
+            holderHeardAtMs: nowMs,
+            mayHaveRunElsewhere: false,
+            isLastRound: false,
+        };
+        this.claims.set(order.ownerId, claim);
+        if (this.options.recorder.size >= this.options.maxFinished) {
+            return this.decide(claim, { kind: "unavailable", reason: "claims-full" });
+        }
+        this.startRound(claim, nowMs);
+    }
+
+    /** Takes the claims that were decided since the last call. */
+    takeDecided(): readonly DecidedClaim[] {
+        const decided = this.decided;
+        this.decided = [];
+        return decided;
+    }
+
+    /** Whether the request holds a claim that is recent enough to be dispatched. */
+    isDispatchable(ownerId: string, nowMs: number): boolean {
+        const claim = this.claims.get(ownerId);
+        return claim?.state === "granted" && nowMs - claim.roundStartedAtMs <= this.options.maxClaimAgeMs;
+    }
+
+    /** Whether an earlier request with the key may have run, so that a refusal is no proof that nothing ran. */
+    mayHaveRunElsewhere(ownerId: string): boolean {
+        return this.claims.get(ownerId)?.mayHaveRunElsewhere ?? false;
+    }
+
+    /** Gives up a claim, if there is one. Only for claims that were not and will not be dispatched. */
+    release(ownerId: string, nowMs: number): void {
+        const claim = this.claims.get(ownerId);
+        if (claim !== undefined) {
+            this.releaseRound(claim, nowMs);
+            this.claims.delete(ownerId);
+        }
+    }
+
+    /** Forgets a claim that was dispatched and has no outcome; replicas keep it until its lifetime ends. */
+    drop(ownerId: string): void {
+        const claim = this.claims.get(ownerId);
+        if (claim !== undefined) {
+            this.forget(claim);
+            this.claims.delete(ownerId);
+        }
+    }
+
+    /** Records the outcome of a claim that was dispatched. */
+    finish(ownerId: string, outcome: ClaimOutcome, nowMs: number): void {
+        const claim = this.claims.get(ownerId);
+        if (claim?.state !== "granted") {
+            return;
+        }
+        this.forget(claim);
+        this.claims.delete(ownerId);
+        const record = { ...claim.request, outcome };
+        if (claim.members.includes(this.options.selfId)) {
+            this.options.table.record(record, nowMs);
+        }
+        this.options.recorder.start(record, this.othersOf(claim), nowMs);
+    }
+
+    /** Handles a message of a replica, of a claimant that asks for an outcome, or of a holder; ignores other methods. */
+    handle(from: EntryId, message: PeerMessage, nowMs: number): void {
+        switch (message.method) {
+            case ClaimMethod.answer:
+                return this.onAnswer(from, message.params as ClaimAnswer, nowMs);
+            case ClaimMethod.recorded:
+                return this.options.recorder.acknowledge(from, (message.params as ClaimReference).claimId);
+            case ClaimMethod.outcome:
+                return this.options.outbox.send(
+                    from,
+                    ClaimMethod.outcomeAnswer,
+                    this.describe(message.params as ClaimReference),
+                );
+            case ClaimMethod.outcomeAnswer:
+                return this.onOutcomeAnswer(message.params as OutcomeAnswer, nowMs);
+        }
+    }
+
+    /** Runs timers: resends, back-off, questions to holders. */
+    tick(nowMs: number): void {
+        for (const claim of [...this.claims.values()]) {
+            this.runTimers(claim, nowMs);
+        }
+    }
+
+    private runTimers(claim: ClaimRow, nowMs: number): void {
+        switch (claim.state) {
+            case "collecting":
+                if (nowMs - claim.roundStartedAtMs >= roundTimeoutMs) {
+                    this.onNoMajority(claim, "no-majority", nowMs);
+                }
+                else if (nowMs >= claim.nextSendAtMs) {
+                    this.sendRound(claim, nowMs);
+                }
+                return;
+            case "backoff":
+                if (nowMs >= claim.wakeAtMs) {
+                    this.startRound(claim, nowMs);
+                }
+                return;
+            case "asking":
+                if (nowMs - claim.holderHeardAtMs >= holderSilenceMs) {
+                    this.startLastRound(claim, nowMs);
+                }
+                else if (nowMs >= claim.wakeAtMs) {
+                    this.ask(claim, nowMs);
+                }
+        }
+    }
+
+    private startRound(claim: ClaimRow, nowMs: number): void {
+        const { order } = claim;
+        const { selfId, incarnation, lists } = this.options;
+        claim.round++;
+        claim.state = "collecting";
+        claim.roundStartedAtMs = nowMs;
+        claim.answers = new Map();
+        claim.request = {
+            key: order.key,
+            claimId: `${selfId}:${incarnation}:${order.ownerId}:${claim.round}`,
+            holder: selfId,
+            bodyHash: order.bodyHash,
+            lifetimeMs: order.lifetimeMs,
+            replicaSets: lists.list(nowMs).map(list => chooseReplicas(list, order.key)),
+        };
+        claim.members = [...new Set(claim.request.replicaSets.flat())];
+        this.ownersByClaim.set(claim.request.claimId, order.ownerId);
+        if (claim.members.length === 0) {
+            return this.onNoMajority(claim, "no-majority", nowMs);
+        }
+        this.sendRound(claim, nowMs);
+        if (claim.members.includes(selfId)) {
+            this.onAnswer(selfId, this.options.replica.answer(claim.request, nowMs), nowMs);
+        }
+    }
+
+    private startLastRound(claim: ClaimRow, nowMs: number): void {
+        claim.isLastRound = true;
+        this.startRound(claim, nowMs);
+    }
+
+    private sendRound(claim: ClaimRow, nowMs: number): void {
+        claim.nextSendAtMs = nowMs + resendIntervalMs;
+        for (const id of this.othersOf(claim)) {
+            if (!claim.answers.has(id)) {
+                this.options.outbox.send(id, ClaimMethod.request, claim.request);
+            }
+        }
+    }
+
+    private onAnswer(from: EntryId, answer: ClaimAnswer, nowMs: number): void {
+        const claim = this.findClaim(answer.claimId);
+        if (claim?.state !== "collecting") {
+            return;
+        }
+        claim.answers.set(from, answer);
+        const state = evaluateRound(claim, this.options.peerIncarnation);
+        switch (state.kind) {
+            case "open":
+                return;
+            case "held":
+                return this.onHeld(claim, state.holder, state.claimId, nowMs);
+            case "unavailable":
+                return this.onNoMajority(claim, state.reason, nowMs);
+            case "granted":
+                claim.state = "granted";
+                this.decided.push({ order: claim.order, result: state });
+                return;
+            default:
+                this.releaseRound(claim, nowMs);
+                return this.decide(claim, state);
+        }
+    }
+
+    private onHeld(claim: ClaimRow, holder: EntryId, claimId: ClaimId, nowMs: number): void {
+        this.releaseRound(claim, nowMs);
+        if (claim.order.heldPolicy === HeldPolicy.retry) {
+            return this.backOff(claim, nowMs);
+        }
+        claim.mayHaveRunElsewhere = true;
+        if (claim.isLastRound) {
+            return this.decide(claim, { kind: "unknown" });
+        }
+        if (claim.holder?.claimId !== claimId) {
+            claim.holder = { id: holder, claimId };
+            claim.holderHeardAtMs = nowMs;
+        }
+        claim.state = "asking";
+        this.ask(claim, nowMs);
+    }
+
+    private ask(claim: ClaimRow, nowMs: number): void {
+        claim.wakeAtMs = nowMs + askIntervalMs;
+        const holder = claim.holder;
+        if (holder === undefined) {
+            return;
+        }
+        const question: ClaimReference = { key: claim.order.key, claimId: holder.claimId };
+        if (holder.id === this.options.selfId) {
+            this.onOutcomeAnswer(this.describe(question), nowMs);
+        }
+        else {
+            this.options.outbox.send(holder.id, ClaimMethod.outcome, question);
+        }
+    }
+
+    private describe({ key, claimId }: ClaimReference): OutcomeAnswer {
+        const outcome = this.options.recorder.findOutcome(claimId);
+        if (outcome !== undefined) {
+            return { key, claimId, state: "outcome", outcome };
+        }
+        const claim = this.findClaim(claimId);
+        if (claim !== undefined) {
+            return { key, claimId, state: claim.state === "granted" ? "running" : "undecided" };
+        }
+        if (this.options.recorder.isFinished(claimId)) {
+            return { key, claimId, state: "finished" };
+        }
+        const isOwn = claimId.startsWith(`${this.options.selfId}:${this.options.incarnation}:`);
+        return { key, claimId, state: isOwn ? "released" : "lost" };
+    }
+
+    private onOutcomeAnswer(answer: OutcomeAnswer, nowMs: number): void {
+        for (const claim of this.claims.values()) {
+            if (claim.state === "asking" && claim.holder?.claimId === answer.claimId) {
+                this.applyOutcomeAnswer(claim, answer, nowMs);
+            }
+        }
+    }
+
+    private applyOutcomeAnswer(claim: ClaimRow, answer: OutcomeAnswer, nowMs: number): void {
+        claim.holderHeardAtMs = nowMs;
+        switch (answer.state) {
+            case "running":
+                return;
+            case "outcome":
+                return this.decide(claim, { kind: "outcome", outcome: answer.outcome ?? unknownOutcome });
+            case "finished":
+                return this.backOff(claim, nowMs);
+            case "undecided":
+                return this.backOff(claim, nowMs);
+            case "released":
+                // The holder's release may have been lost or overtaken; it can be repeated by anyone.
+                this.sendRelease(claim, answer, nowMs);
+                claim.mayHaveRunElsewhere = false;
+                return this.backOff(claim, nowMs);
+            case "lost":
+                return this.startLastRound(claim, nowMs);
+        }
+    }
+
+    private backOff(claim: ClaimRow, nowMs: number): void {
+        const limitMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(claim.round, 5));
+        claim.state = "backoff";
+        claim.wakeAtMs = nowMs + minBackoffMs + this.options.random.nextInt(limitMs);
+    }
+
+    private onNoMajority(claim: ClaimRow, reason: "no-majority" | "claims-full", nowMs: number): void {
+        this.releaseRound(claim, nowMs);
+        this.decide(claim, claim.mayHaveRunElsewhere ? { kind: "unknown" } : { kind: "unavailable", reason });
+    }
+
+    private decide(claim: ClaimRow, result: ClaimResult): void {
+        this.forget(claim);
+        this.claims.delete(claim.order.ownerId);
+        this.decided.push({ order: claim.order, result });
+    }
+
+    private releaseRound(claim: ClaimRow, nowMs: number): void {
+        this.forget(claim);
+        if (claim.state === "collecting" || claim.state === "granted") {
+            this.sendRelease(claim, claim.request, nowMs);
+        }
+    }
+
+    private sendRelease(claim: ClaimRow, { key, claimId }: ClaimReference, nowMs: number): void {
+        const reference: ClaimReference = { key, claimId };
+        if (claim.members.includes(this.options.selfId)) {
+            this.options.table.release(reference, nowMs);
+        }
+        for (const id of this.othersOf(claim)) {
+            this.options.outbox.send(id, ClaimMethod.release, reference);
+        }
+    }
+
+    private findClaim(claimId: ClaimId): ClaimRow | undefined {
+        const ownerId = this.ownersByClaim.get(claimId);
+        return ownerId === undefined ? undefined : this.claims.get(ownerId);
+    }
+
+    private forget(claim: ClaimRow): void {
+        this.ownersByClaim.delete(claim.request.claimId);
+    }
+
+    private othersOf(claim: ClaimRow): EntryId[] {
+        return claim.members.filter(id => id !== this.options.selfId);
+    }
+}
+
+const emptyRequest: ClaimRequest = {
+    key: "",
+    claimId: "",
+    holder: "",
+    bodyHash: "",
+    lifetimeMs: 0,
+    replicaSets: [],
+};
+
+const unknownOutcome: ClaimOutcome = { kind: "verdict", verdict: "may-have-run", reason: "outcome-unknown" };
--- /dev/null
+++ b/src/requests/claimMessages.ts
@@ -0,0 +1,112 @@
+import type { EntryId } from "../core/ids.js";
+import type { Verdict } from "../core/verdict.js";
+import type { RetainedResponse } from "./model.js";
+
+/** Methods of the claim protocol between entries. An answer is a message of its own. */
+export const ClaimMethod = {
+    request: "claim.request",
+    answer: "claim.answer",
+    release: "claim.release",
+    record: "claim.record",
+    recorded: "claim.recorded",
+    outcome: "claim.outcome",
+    outcomeAnswer: "claim.outcome-answer",
+    sync: "claim.sync",
+    synced: "claim.synced",
+} as const;
+
+/** Service and idempotency key, or the name of a lock. */
+export type ClaimKey = string;
+/** Id of one round of one claimant: `entry:incarnation:request:round`. */
+export type ClaimId = string;
+
+/** What a claimed request came to. */
+export type ClaimOutcome =
+    | { readonly kind: "response"; readonly response: RetainedResponse; }
+    | { readonly kind: "verdict"; readonly verdict: Verdict; readonly reason: string; };
+
+/** Parameters of `claim.request`. */
+export interface ClaimRequest {
+    readonly key: ClaimKey;
+    readonly claimId: ClaimId;
+    readonly holder: EntryId;
+    readonly bodyHash: string;
+    /** Time for which the replica keeps the claim. */
+    readonly lifetimeMs: number;
+    /** Replica sets of the key, one for each entry list that counts. */
+    readonly replicaSets: readonly (readonly EntryId[])[];
+}
+
+/** What a replica says to a claim. */
+export type ClaimReply =
+    | { readonly kind: "granted"; }
+    | { readonly kind: "held"; readonly holder: EntryId; readonly claimId: ClaimId; }
+    | { readonly kind: "outcome"; readonly outcome: ClaimOutcome; }
+    /** The key is in use with another body. */
+    | { readonly kind: "mismatch"; }
+    | { readonly kind: "full"; }
+    /** The replica has restarted and does not know yet which claims it granted. */
+    | { readonly kind: "abstain"; }
+    /** The claimant has released this claim already. */
+    | { readonly kind: "released"; };
+
+/** Incarnations of entries by id. */
+export type Incarnations = Readonly<Record<EntryId, number>>;
+
+/** Parameters of `claim.answer`. */
+export interface ClaimAnswer {
+    readonly claimId: ClaimId;
+    readonly reply: ClaimReply;
+    /** Incarnation of the replica. */
+    readonly incarnation: number;
+    /** Newest incarnations of the other replicas that this replica knows of. */
+    readonly known: Incarnations;
+}
+
+/** Parameters of `claim.release` and `claim.recorded`, and of `claim.outcome`, which asks the holder. */
+export interface ClaimReference {
+    readonly key: ClaimKey;
+    readonly claimId: ClaimId;
+}
+
+/** Parameters of `claim.record`. */
+export interface ClaimRecord extends ClaimRequest {
+    readonly outcome: ClaimOutcome;
+}
+
+/** Parameters of `claim.outcome-answer`. */
+export interface OutcomeAnswer extends ClaimReference {
+    /**
+     * `undecided`: the claim may still be dispatched; `released`: it was not and never will be; `finished`: the replicas
+     * have the outcome; `lost`: the holder has restarted since.
+     */
+    readonly state: "undecided" | "running" | "released" | "finished" | "lost" | "outcome";
+    readonly outcome?: ClaimOutcome;
+}
+
+/** Parameters of `claim.sync`: a restarted replica reads the claims it may have granted. */
+export interface SyncRequest {
+    readonly incarnation: number;
+    /** Rows after this one are wanted. */
+    readonly cursor: number;
+}
+
+/** A claim as it is copied to another replica. */
+export interface SyncRow extends ClaimRequest {
+    readonly outcome: ClaimOutcome | undefined;
+}
+
+/** Parameters of `claim.synced`. */
+export interface SyncAnswer {
+    /** Incarnation of the replica that asked. */
+    readonly forIncarnation: number;
+    /** Incarnation of the replica that answers; all pages must come from the same one. */
+    readonly incarnation: number;
+    readonly cursor: number;
+    readonly isAbstaining: boolean;
+    /** Whether the replica abstains only because no entry has ever granted a claim. */
+    readonly isFirstStart: boolean;
+    readonly rows: readonly SyncRow[];
+    /** Undefined on the last page. */
+    readonly nextCursor: number | undefined;
+}
--- /dev/null
+++ b/src/requests/claimStack.ts
@@ -0,0 +1,106 @@
+import type { Catalogue } from "../catalogue/model.js";
+import type { EntryId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import type { PeerMessage } from "../entry/messages.js";
+import type { PeerView } from "../membership/view.js";
+import { ClaimCoordinator } from "./claimCoordinator.js";
+import { ClaimRecorder } from "./claimRecorder.js";
+import { ClaimReplica } from "./claimReplica.js";
+import { ClaimSync } from "./claimSync.js";
+import { ClaimTable } from "./claimTable.js";
+import { CountingEntryLists } from "./entryLists.js";
+import type { Outbox } from "./outbox.js";
+
+/** Settings of claims. */
+export interface ClaimSettings {
+    /** Time for which an outcome is kept. */
+    readonly retentionMs: number;
+    /** A claim is not dispatched when it is older. */
+    readonly maxClaimAgeMs: number;
+    /** Claims that one entry keeps as a replica, and that it remembers as a claimant. */
+    readonly maxClaims: number;
+    /** Bodies of retained outcomes together. */
+    readonly maxRetainedBytes: number;
+    /**
+     * Asserts that no entry has granted a claim within the retention time. Without it, all entries of a new cluster
+     * abstain until the retention time has passed. It must not be set when a process restarts.
+     */
+    readonly isFirstStart: boolean;
+}
+
+/** Settings of claims unless others are given. */
+export const defaultClaimSettings: ClaimSettings = {
+    retentionMs: 10 * 60_000,
+    maxClaimAgeMs: 30_000,
+    maxClaims: 100_000,
+    maxRetainedBytes: 32 * 1024 * 1024,
+    isFirstStart: false,
+};
+
+/** What claims need from their surroundings. */
+export interface ClaimStackOptions {
+    readonly selfId: EntryId;
+    readonly incarnation: number;
+    readonly catalogue: () => Catalogue;
+    readonly peers: PeerView;
+    readonly random: RandomSource;
+    readonly settings: ClaimSettings;
+    readonly outbox: Outbox;
+}
+
+/** Both sides of the claim protocol at one entry. */
+export class ClaimStack {
+    readonly settings: ClaimSettings;
+    readonly table: ClaimTable;
+    readonly coordinator: ClaimCoordinator;
+    private readonly sync: ClaimSync;
+    private readonly replica: ClaimReplica;
+    private readonly recorder: ClaimRecorder;
+
+    constructor(options: ClaimStackOptions) {
+        const { selfId, incarnation, settings, outbox } = options;
+        this.settings = settings;
+        const { retentionMs, maxClaimAgeMs, maxClaims, maxRetainedBytes, isFirstStart } = settings;
+        const lists = new CountingEntryLists(options.catalogue, retentionMs);
+        this.table = new ClaimTable({ retentionMs, maxRows: maxClaims, maxRetainedBytes });
+        this.sync = new ClaimSync(
+            {
+                selfId,
+                incarnation,
+                isFirstStart,
+                abstentionMs: retentionMs + maxClaimAgeMs,
+                entryLists: nowMs => lists.list(nowMs),
+            },
+            this.table,
+            outbox,
+        );
+        this.replica = new ClaimReplica(incarnation, this.table, this.sync, outbox);
+        this.recorder = new ClaimRecorder(retentionMs, outbox);
+        this.coordinator = new ClaimCoordinator({
+            selfId,
+            incarnation,
+            maxClaimAgeMs,
+            maxFinished: maxClaims,
+            random: options.random,
+            lists,
+            peerIncarnation: id => id === selfId ? incarnation : options.peers.findPeer(id)?.incarnation,
+            table: this.table,
+            replica: this.replica,
+            recorder: this.recorder,
+            outbox,
+        });
+    }
+
+    /** Handles a `claim.*` message of another entry. */
+    handle(from: EntryId, message: PeerMessage, nowMs: number): void {
+        this.replica.handle(from, message, nowMs);
+        this.coordinator.handle(from, message, nowMs);
+    }
+
+    tick(nowMs: number): void {
+        this.table.tick(nowMs);
+        this.sync.tick(nowMs);
+        this.recorder.tick(nowMs);
+        this.coordinator.tick(nowMs);
+    }
+}
--- /dev/null
+++ b/src/requests/claimSync.ts
@@ -0,0 +1,192 @@
+import type { EntryList } from "../catalogue/model.js";
+import type { EntryId } from "../core/ids.js";
+import { ClaimMethod, type Incarnations, type SyncAnswer, type SyncRequest } from "./claimMessages.js";
+import type { ClaimTable } from "./claimTable.js";
+import type { Outbox } from "./outbox.js";
+import { replicaSetSizeOf, syncQuorumOf } from "./replicaSet.js";
+
+const resendIntervalMs = 250;
+const pageRows = 500;
+const pageBytes = 512 * 1024;
+
+/** Options of `ClaimSync`. */
+export interface ClaimSyncOptions {
+    readonly selfId: EntryId;
+    readonly incarnation: number;
+    /** Asserts that no entry has granted a claim within the retention time. */
+    readonly isFirstStart: boolean;
+    /** Time after the start at which every claim that an earlier incarnation granted has ended. */
+    readonly abstentionMs: number;
+    /** Entry lists that count for claims. */
+    readonly entryLists: (nowMs: number) => readonly EntryList[];
+}
+
+interface SourceRow {
+    cursor: number;
+    incarnation: number | undefined;
+    nextSendAtMs: number;
+    state: "reading" | "read" | "first-start";
+}
+
+/**
+ * Abstention of a restarted replica. Until it has read the claims of enough other replicas of a set, it grants no claim
+ * of that set. Replicas that it asks learn its new incarnation, so grants of the old one are recognised as void.
+ */
+export class ClaimSync {
+    private readonly sources = new Map<EntryId, SourceRow>();
+    private readonly incarnations = new Map<EntryId, number>();
+    private startedAtMs: number | undefined;
+
+    constructor(
+        private readonly options: ClaimSyncOptions,
+        private readonly table: ClaimTable,
+        private readonly outbox: Outbox,
+    ) {
+        this.incarnations.set(options.selfId, options.incarnation);
+    }
+
+    /** Whether this replica withholds grants of claims with these replica sets. */
+    isAbstaining(replicaSets: readonly (readonly EntryId[])[], nowMs: number): boolean {
+        return !this.hasOutwaited(nowMs) && !replicaSets.every(set => this.hasRead(set));
+    }
+
+    /** Newest incarnations known here of the given entries. */
+    knownIncarnations(ids: Iterable<EntryId>): Incarnations {
+        const known: Record<EntryId, number> = {};
+        for (const id of ids) {
+            const incarnation = this.incarnations.get(id);
+            if (incarnation !== undefined) {
+                known[id] = incarnation;
+            }
+        }
+        return known;
+    }
+
+    /** Keeps the newest incarnation of an entry. */
+    noteIncarnation(id: EntryId, incarnation: number): void {
+        if (incarnation > (this.incarnations.get(id) ?? -1)) {
+            this.incarnations.set(id, incarnation);
+        }
+    }
+
+    /** Asks other replicas for their claims until this replica need not abstain. */
+    tick(nowMs: number): void {
+        this.startedAtMs ??= nowMs;
+        if (this.hasReadAll(nowMs)) {
+            return;
+        }
+        const ids = new Set(this.options.entryLists(nowMs).flatMap(list => this.othersOf(list.entryIds)));
+        for (const id of ids) {
+            const source = this.findSource(id, nowMs);
+            if (source.state !== "read" && nowMs >= source.nextSendAtMs) {
+                this.ask(id, source, nowMs);
+            }
+        }
+    }
+
+    /** Answers a replica that has restarted. */
+    onRequest(from: EntryId, request: SyncRequest, nowMs: number): void {
+        this.noteIncarnation(from, request.incarnation);
+        const isAbstaining = !this.hasReadAll(nowMs);
+        const page = isAbstaining
+            ? { rows: [], nextCursor: undefined }
+            : this.table.readPage(from, request.cursor, pageRows, pageBytes, nowMs);
+        const answer: SyncAnswer = {
+            forIncarnation: request.incarnation,
+            incarnation: this.options.incarnation,
+            cursor: request.cursor,
+            isAbstaining,
+            isFirstStart: isAbstaining && this.options.isFirstStart,
+            ...page,
+        };
+        this.outbox.send(from, ClaimMethod.synced, answer);
+    }
+
+    /** Takes in a page of another replica's claims. */
+    onAnswer(from: EntryId, answer: SyncAnswer, nowMs: number): void {
+        this.noteIncarnation(from, answer.incarnation);
+        if (answer.forIncarnation !== this.options.incarnation) {
+            return;
+        }
+        const source = this.findSource(from, nowMs);
+        if (source.state === "read") {
+            return;
+        }
+        if (answer.isAbstaining) {
+            source.state = answer.isFirstStart ? "first-start" : "reading";
+            return;
+        }
+        this.takePage(from, source, answer, nowMs);
+    }
+
+    private takePage(from: EntryId, source: SourceRow, answer: SyncAnswer, nowMs: number): void {
+        if (answer.cursor !== source.cursor) {
+            return;
+        }
+        if (answer.cursor > 0 && answer.incarnation !== source.incarnation) {
+            source.cursor = 0;
+            return this.ask(from, source, nowMs);
+        }
+        source.incarnation = answer.incarnation;
+        for (const row of answer.rows) {
+            this.table.install(row, nowMs);
+        }
+        if (answer.nextCursor === undefined) {
+            source.state = "read";
+            return;
+        }
+        source.cursor = answer.nextCursor;
+        this.ask(from, source, nowMs);
+    }
+
+    private ask(id: EntryId, source: SourceRow, nowMs: number): void {
+        source.nextSendAtMs = nowMs + resendIntervalMs;
+        const request: SyncRequest = { incarnation: this.options.incarnation, cursor: source.cursor };
+        this.outbox.send(id, ClaimMethod.sync, request);
+    }
+
+    private findSource(id: EntryId, nowMs: number): SourceRow {
+        let source = this.sources.get(id);
+        if (source === undefined) {
+            source = { cursor: 0, incarnation: undefined, nextSendAtMs: nowMs, state: "reading" };
+            this.sources.set(id, source);
+        }
+        return source;
+    }
+
+    private othersOf(ids: readonly EntryId[]): EntryId[] {
+        return ids.filter(id => id !== this.options.selfId);
+    }
+
+    private hasOutwaited(nowMs: number): boolean {
+        return this.startedAtMs !== undefined && nowMs - this.startedAtMs >= this.options.abstentionMs;
+    }
+
+    private hasRead(set: readonly EntryId[]): boolean {
+        const others = this.othersOf(set);
+        const readCount = others.filter(id => this.sources.get(id)?.state === "read").length;
+        return readCount >= syncQuorumOf(set.length) || this.isFirstStartOf(others);
+    }
+
+    // An answer to a restarted replica counts for every set that it shares with this one, so this one must have read
+    // enough replicas of any set that can be chosen from the lists.
+    private hasReadAll(nowMs: number): boolean {
+        const lists = this.options.entryLists(nowMs);
+        return this.hasOutwaited(nowMs) || (lists.length > 0 && lists.every(list => this.hasReadList(list)));
+    }
+
+    private hasReadList(list: EntryList): boolean {
+        const others = this.othersOf(list.entryIds);
+        const setSize = replicaSetSizeOf(list.entryIds.length);
+        const unreadCount = others.filter(id => this.sources.get(id)?.state !== "read").length;
+        return setSize - 1 - unreadCount >= syncQuorumOf(setSize) || this.isFirstStartOf(others);
+    }
+
+    // Replicas that restarted together after a failure must not take each other for new ones, so all others must agree.
+    private isFirstStartOf(others: readonly EntryId[]): boolean {
+        return this.options.isFirstStart && others.every(id => {
+            const state = this.sources.get(id)?.state;
+            return state === "read" || state === "first-start";
+        });
+    }
+}
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -2,23 +2,30 @@
 import type { AttemptId, EntryId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import { Verdict } from "../core/verdict.js";
-import type { EntryEffect, EntryEvent } from "../entry/messages.js";
+import type { EntryEffect, EntryEvent, PeerMessage } from "../entry/messages.js";
 import type { PeerView, UpstreamView } from "../membership/view.js";
+import * as answers from "./answers.js";
+import { AttemptRunner, type RouteRefusal } from "./attempts.js";
+import { HeldPolicy } from "./claim.js";
+import type { DecidedClaim } from "./claimCoordinator.js";
+import { type ClaimSettings, ClaimStack, defaultClaimSettings } from "./claimStack.js";
+import { CrashGuard } from "./crashGuard.js";
 import {
     AttemptFailure,
     AttemptPhase,
-    type GeneratedAnswer,
     type LoadReport,
     type RequestFacts,
     type ResponseHead,
     type RetainedResponse,
 } from "./model.js";
-import { type AttemptRow, type RequestRow, RequestTable, verdictOfRequest } from "./requestTable.js";
-import type { RouteDecision, Router } from "./router.js";
-import { isIdempotent, isRefusal, statusOfFailure, verdictOfAttempts, verdictOfPhase } from "./verdicts.js";
-
-const maxAttempts = 4;
-const retryAfterMs = 1000;
+import { Outbox } from "./outbox.js";
+import { RequestCloser } from "./requestCloser.js";
+import { type AttemptRow, type RequestRow, RequestStage, RequestTable, verdictOfRequest } from "./requestTable.js";
+import type { Router } from "./router.js";
+import { SlowAttempts } from "./slowAttempts.js";
+import { Standing } from "./suspectTable.js";
+import { Trials, type TrialStep } from "./trials.js";
+import { isIdempotent, isRefusal } from "./verdicts.js";
 
 /** Options of `RequestLifecycle`. */
 export interface RequestLifecycleOptions {
@@ -30,6 +37,7 @@
     readonly upstreams: UpstreamView;
     readonly catalogue: () => Catalogue;
     readonly random: RandomSource;
+    readonly claims?: Partial<ClaimSettings>;
 }
 
 /**
@@ -38,33 +46,57 @@
  */
 export class RequestLifecycle {
     private readonly table = new RequestTable();
-    private effects: EntryEffect[] = [];
-
-    constructor(private readonly options: RequestLifecycleOptions) {}
+    private readonly outbox = new Outbox();
+    private readonly claims: ClaimStack;
+    private readonly crashes: CrashGuard;
+    private readonly trials: Trials;
+    private readonly runner: AttemptRunner;
+    private readonly closer: RequestCloser;
+    private readonly slowAttempts: SlowAttempts;
+
+    constructor(private readonly options: RequestLifecycleOptions) {
+        const { table, outbox } = this;
+        const settings = { ...defaultClaimSettings, ...options.claims };
+        this.claims = new ClaimStack({ ...options, settings, outbox });
+        this.crashes = new CrashGuard(options.peers, options.upstreams, outbox);
+        this.trials = new Trials(this.claims.coordinator, this.crashes);
+        this.runner = new AttemptRunner(table, options.router, outbox, {
+            isDispatchable: (request, nowMs) => this.isDispatchable(request, nowMs),
+            onRefused: (request, refusal, nowMs) => this.onRefused(request, refusal, nowMs),
+            onStale: (request, nowMs) => this.onStale(request, nowMs),
+        });
+        this.closer = new RequestCloser(table, this.runner, this.claims.coordinator, this.trials, outbox);
+        this.slowAttempts = new SlowAttempts(options.router, this.runner, outbox);
+    }
 
     /** Requests in flight. */
     get inFlight(): number {
         return this.table.size;
     }
 
-    /** Handles `request`, `caller-gone`, `attempt-*` and `peer-message` (`claim.*`, `crash.*`); ignores other kinds. */
+    /**
+     * Handles `request`, `caller-gone`, `attempt-*`, `connection-checked` and `peer-message` (`claim.*`, `crash.*`);
+     * ignores other kinds.
+     */
     handle(event: EntryEvent, nowMs: number): EntryEffect[] {
         this.apply(event, nowMs);
-        return this.takeEffects(nowMs);
+        return this.settle(nowMs);
     }
 
-    /** Runs timers: deadlines, hedges, the router. */
+    /** Runs timers: deadlines, hedges, silent attempts, claims, the router. Due every few milliseconds. */
     tick(nowMs: number): EntryEffect[] {
         this.options.router.tick(nowMs);
+        this.claims.tick(nowMs);
+        this.crashes.tick(nowMs);
         for (const request of this.table.listRequests()) {
             this.runTimers(request, nowMs);
         }
-        return this.takeEffects(nowMs);
+        return this.settle(nowMs);
     }
 
     /** Applies decisions that the router has made since the last call, e.g. after a `slot.grant` message. */
     applyDecisions(nowMs: number): EntryEffect[] {
-        return this.takeEffects(nowMs);
+        return this.settle(nowMs);
     }
 
     private apply(event: EntryEvent, nowMs: number): void {
@@ -74,7 +106,7 @@
             case "caller-gone":
                 return this.onCallerGone(event.requestId, nowMs);
             case "attempt-sent":
-                return this.onSent(event.attemptId);
+                return this.onSent(event.attemptId, nowMs);
             case "attempt-head":
                 return this.withAttempt(event.attemptId, it => this.onHead(it, event.head, event.load, nowMs));
             case "attempt-overflow":
@@ -83,6 +115,10 @@
                 return this.withAttempt(event.attemptId, it => this.onComplete(it, event.retained, nowMs));
             case "attempt-failed":
                 return this.withAttempt(event.attemptId, it => this.onFailed(it, event.failure, nowMs));
+            case "connection-checked":
+                return this.crashes.onChecked(event.checkId, event.isAccepted, nowMs);
+            case "peer-message":
+                return this.onPeerMessage(event.from, event.message, nowMs);
         }
     }
 
@@ -93,20 +129,26 @@
         }
     }
 
-    private takeEffects(nowMs: number): EntryEffect[] {
-        // A decision can end an attempt, which can free a slot for the next decision.
-        for (let decisions = this.options.router.takeDecisions(); decisions.length > 0;) {
-            for (const { attemptId, decision } of decisions) {
-                const attempt = this.table.findAttempt(attemptId);
-                if (attempt !== undefined && attempt.target === undefined) {
-                    this.applyDecision(attempt, decision, nowMs);
-                }
-            }
-            decisions = this.options.router.takeDecisions();
-        }
-        const effects = [...this.effects, ...this.options.router.takeEffects()];
-        this.effects = [];
-        return effects;
+    private onPeerMessage(from: EntryId, message: PeerMessage, nowMs: number): void {
+        if (message.method.startsWith("claim.")) {
+            this.claims.handle(from, message, nowMs);
+        }
+        else if (message.method.startsWith("crash.")) {
+            this.crashes.handle(from, message, nowMs);
+        }
+    }
+
+    /** Applies what the parts have decided, until nothing is left, and returns the effects. */
+    private settle(nowMs: number): EntryEffect[] {
+        for (let hasProgress = true; hasProgress;) {
+            this.runner.applyDecisions(nowMs);
+            const decided = this.claims.coordinator.takeDecided();
+            const settled = this.crashes.takeSettled();
+            decided.forEach(it => this.onClaimDecided(it, nowMs));
+            settled.forEach(id => this.onChecked(id, nowMs));
+            hasProgress = decided.length + settled.length > 0;
+        }
+        return [...this.outbox.take(), ...this.options.router.takeEffects()];
     }
 
     private accept(facts: RequestFacts, nowMs: number): void {
@@ -116,79 +158,112 @@
         const service = this.options.catalogue().services[facts.service];
         const request = this.table.addRequest(facts, isIdempotent(facts, service?.idempotentMethods), nowMs);
         if (service === undefined) {
-            return this.answer(request, {
-                status: 404,
-                verdict: Verdict.notRun,
-                reason: "unknown-service",
-                detail: `The catalogue has no service ${facts.service}.`,
-            }, nowMs);
-        }
-        this.startAttempt(request, nowMs);
+            return this.closer.answer(request, answers.unknownServiceAnswer(facts.service), nowMs);
+        }
+        if (nowMs >= facts.deadlineAtMs) {
+            return this.onDeadline(request, nowMs);
+        }
+        if (request.isKeyed) {
+            return this.claim(request, nowMs);
+        }
+        this.run(request, nowMs);
     }
 
-    private startAttempt(request: RequestRow, nowMs: number): void {
-        const attempt = this.table.addAttempt(request, nowMs);
-        const decision = this.options.router.route(attempt.id, request.facts, request.triedUpstreamIds, nowMs);
-        this.applyDecision(attempt, decision, nowMs);
+    private claim(request: RequestRow, nowMs: number): void {
+        const { id, service, idempotencyKey, bodyHash, deadlineAtMs } = request.facts;
+        if (bodyHash === undefined || idempotencyKey === undefined) {
+            return this.closer.answer(request, answers.unhashedBodyAnswer(), nowMs);
+        }
+        request.stage = RequestStage.claiming;
+        this.claims.coordinator.start({
+            ownerId: id,
+            key: `key:${service}:${idempotencyKey}`,
+            bodyHash,
+            deadlineAtMs,
+            lifetimeMs: deadlineAtMs - nowMs + this.claims.settings.retentionMs,
+            heldPolicy: HeldPolicy.awaitOutcome,
+        }, nowMs);
     }
 
-    private applyDecision(attempt: AttemptRow, decision: RouteDecision, nowMs: number): void {
-        switch (decision.kind) {
+    private onClaimDecided({ order, result }: DecidedClaim, nowMs: number): void {
+        const trialRequestId = this.trials.requestIdOf(order.ownerId);
+        const request = this.table.findRequest(trialRequestId ?? order.ownerId);
+        if (request === undefined) {
+            return;
+        }
+        if (trialRequestId !== undefined) {
+            return this.continueTrial(request, this.trials.onDecided(request, result, nowMs), nowMs);
+        }
+        if (result.kind === "granted") {
+            return this.run(request, nowMs);
+        }
+        if (result.kind === "outcome") {
+            return this.closer.replay(request, result.outcome, nowMs);
+        }
+        this.closer.answer(request, answers.claimFailureAnswer(result), nowMs);
+    }
+
+    /** Starts an attempt, as a trial if the request is a crash suspect. */
+    private run(request: RequestRow, nowMs: number): void {
+        request.stage = RequestStage.running;
+        switch (this.crashes.standingOf(request.facts, nowMs)) {
+            case Standing.clear:
+                return this.runner.start(request, nowMs);
+            case Standing.suspect:
+                return this.trials.begin(request, nowMs);
+            case Standing.refused:
+                return this.refuseSuspect(request, nowMs);
+        }
+    }
+
+    private continueTrial(request: RequestRow, step: TrialStep, nowMs: number): void {
+        switch (step) {
             case "wait":
                 return;
             case "refuse":
-                this.table.removeAttempt(attempt);
-                return this.onRefused(attempt.request, decision, nowMs);
-            case "upstream":
-                return this.dispatch(attempt, decision, nowMs);
+                return this.refuseSuspect(request, nowMs);
+            case "start":
+            case "run-normally":
+                return this.runner.start(request, nowMs);
         }
     }
 
-    private onRefused(
-        request: RequestRow,
-        refusal: Extract<RouteDecision, { readonly kind: "refuse"; }>,
-        nowMs: number,
-    ): void {
-        if (request.attempts.size > 0) {
-            return;
+    private refuseSuspect(request: RequestRow, nowMs: number): void {
+        this.closer.answer(request, answers.crashSuspectAnswer(verdictOfRequest(request)), nowMs);
+    }
+
+    private isDispatchable(request: RequestRow, nowMs: number): boolean {
+        return nowMs < request.facts.deadlineAtMs
+            && (!request.isKeyed || this.claims.coordinator.isDispatchable(request.facts.id, nowMs))
+            && (request.stage !== RequestStage.trial || this.trials.isDispatchable(request, nowMs));
+    }
+
+    private onStale(request: RequestRow, nowMs: number): void {
+        if (nowMs >= request.facts.deadlineAtMs) {
+            return this.onDeadline(request, nowMs);
         }
-        this.answer(request, {
-            status: 503,
-            verdict: verdictOfRequest(request),
-            reason: refusal.reason,
-            detail: refusal.detail,
-            retryAfterMs: refusal.retryAfterMs,
-        }, nowMs);
+        this.closer.answer(request, answers.staleClaimAnswer(verdictOfRequest(request)), nowMs);
     }
 
-    private dispatch(
-        attempt: AttemptRow,
-        decision: Extract<RouteDecision, { readonly kind: "upstream"; }>,
-        nowMs: number,
-    ): void {
-        const { request } = attempt;
-        const { upstreamId, address, incarnation } = decision;
-        attempt.target = { attemptId: attempt.id, upstreamId, address, incarnation };
-        attempt.dispatchedAtMs = nowMs;
-        attempt.isBuffered = request.isIdempotent || request.facts.idempotencyKey !== undefined;
-        request.triedUpstreamIds.push(upstreamId);
-        this.effects.push({
-            kind: "dispatch",
-            requestId: request.facts.id,
-            target: attempt.target,
-            timeoutMs: Math.max(0, request.facts.deadlineAtMs - nowMs),
-            isBuffered: attempt.isBuffered,
-        });
+    private onRefused(request: RequestRow, refusal: RouteRefusal, nowMs: number): void {
+        if (request.attempts.size === 0) {
+            this.closer.answer(request, answers.refusalAnswer(refusal, verdictOfRequest(request)), nowMs);
+        }
     }
 
-    private onSent(attemptId: AttemptId): void {
+    private onSent(attemptId: AttemptId, nowMs: number): void {
         const attempt = this.table.findAttempt(attemptId);
         if (attempt === undefined) {
-            this.effects.push({ kind: "cancel-attempt", attemptId });
+            return this.runner.stop(attemptId);
+        }
+        if (attempt.phase !== AttemptPhase.connecting) {
+            return;
         }
-        else if (attempt.phase === AttemptPhase.connecting) {
-            attempt.phase = AttemptPhase.sent;
+        if (!this.isDispatchable(attempt.request, nowMs)) {
+            this.runner.cancel(attempt, nowMs);
+            return this.onStale(attempt.request, nowMs);
         }
+        attempt.phase = AttemptPhase.sent;
     }
 
     private onHead(attempt: AttemptRow, head: ResponseHead, load: LoadReport | undefined, nowMs: number): void {
@@ -201,130 +276,84 @@
             return this.onUpstreamRefusal(attempt, nowMs);
         }
         attempt.phase = AttemptPhase.responding;
+        this.slowAttempts.onHead(attempt, nowMs);
         if (!attempt.isBuffered) {
-            this.forward(attempt, nowMs);
+            this.closer.forward(attempt, nowMs);
         }
     }
 
     private onUpstreamRefusal(attempt: AttemptRow, nowMs: number): void {
         const { request } = attempt;
-        this.effects.push({ kind: "cancel-attempt", attemptId: attempt.id });
-        this.endAttempt(attempt, undefined, nowMs);
-        this.retryOrAnswer(request, Verdict.notRun, request.facts.isBodyReplayable, nowMs);
+        request.isBodyIntact &&= request.facts.isBodyReplayable;
+        this.runner.stop(attempt.id);
+        this.runner.end(attempt, undefined, nowMs, Verdict.notRun);
+        this.retryOrAnswer(request, nowMs);
     }
 
     private onOverflow(attempt: AttemptRow, nowMs: number): void {
+        if (attempt.request.isCallerGone) {
+            this.runner.cancel(attempt, nowMs);
+            return this.closer.complete(attempt, undefined, nowMs);
+        }
         if (attempt.request.forwardedId === undefined && attempt.head !== undefined) {
-            this.forward(attempt, nowMs);
+            this.closer.forward(attempt, nowMs);
         }
     }
 
-    private onComplete(attempt: AttemptRow, _retained: RetainedResponse | undefined, nowMs: number): void {
+    private onComplete(attempt: AttemptRow, retained: RetainedResponse | undefined, nowMs: number): void {
         const { request } = attempt;
         attempt.phase = AttemptPhase.complete;
+        this.crashes.onSurvived(request.facts, nowMs);
         if (request.forwardedId === undefined) {
-            this.forward(attempt, nowMs);
-        }
-        this.endAttempt(attempt, undefined, nowMs);
-        if (request.forwardedId === attempt.id) {
-            this.table.removeRequest(request);
+            this.closer.forward(attempt, nowMs);
         }
+        this.runner.end(attempt, undefined, nowMs);
+        this.closer.complete(attempt, retained, nowMs);
     }
 
     private onFailed(attempt: AttemptRow, failure: AttemptFailure, nowMs: number): void {
         const { request } = attempt;
-        const verdict = verdictOfPhase(attempt.phase);
-        request.endedVerdict = verdictOfAttempts([request.endedVerdict, verdict]);
+        const hadBytesWritten = attempt.phase !== AttemptPhase.connecting;
         request.lastFailure = failure;
-        this.endAttempt(attempt, failure, nowMs);
-        if (request.forwardedId === attempt.id) {
-            this.effects.push({ kind: "destroy-caller", requestId: request.facts.id, reason: failure });
-            this.table.removeRequest(request);
-            return;
-        }
-        const isBodyIntact = verdict === Verdict.notRun || request.facts.isBodyReplayable;
-        this.retryOrAnswer(request, verdict, isBodyIntact, nowMs);
-    }
-
-    private retryOrAnswer(request: RequestRow, verdict: Verdict, isBodyIntact: boolean, nowMs: number): void {
-        if (request.attempts.size > 0) {
-            return;
+        request.isBodyIntact &&= !hadBytesWritten || request.facts.isBodyReplayable;
+        this.runner.end(attempt, failure, nowMs);
+        const isForwarded = request.forwardedId === attempt.id;
+        if (hadBytesWritten && isConnectionLoss(failure) && attempt.target !== undefined) {
+            request.pendingChecks++;
+            this.crashes.onReset(request.facts, attempt.target, nowMs);
         }
-        const mayRunAgain = request.isIdempotent
-            || (verdict === Verdict.notRun && request.endedVerdict === Verdict.notRun);
-        if (mayRunAgain && isBodyIntact && this.takeRetry(request, nowMs)) {
-            return this.startAttempt(request, nowMs);
+        if (isForwarded) {
+            return this.closer.truncate(request, failure, nowMs);
         }
-        this.answerFailure(request, nowMs);
-    }
-
-    private takeRetry(request: RequestRow, nowMs: number): boolean {
-        return request.attemptCount < maxAttempts
-            && nowMs < request.facts.deadlineAtMs
-            && this.options.router.takeRetry(request.facts.service, nowMs);
-    }
-
-    private answerFailure(request: RequestRow, nowMs: number): void {
-        const verdict = verdictOfRequest(request);
-        const failure = request.lastFailure;
-        this.answer(request, {
-            status: failure === undefined ? 503 : statusOfFailure(failure, verdict),
-            verdict,
-            reason: failure ?? "upstream-refused",
-            detail: failure === undefined
-                ? "The upstream refused the request before running it."
-                : `The last attempt failed: ${failure}.`,
-            ...(verdict === Verdict.notRun ? { retryAfterMs } : {}),
-        }, nowMs);
-    }
-
-    private forward(attempt: AttemptRow, nowMs: number): void {
-        const { request } = attempt;
-        request.forwardedId = attempt.id;
-        this.effects.push({ kind: "forward", requestId: request.facts.id, attemptId: attempt.id });
-        this.cancelAttempts(request, nowMs, attempt);
+        this.retryOrAnswer(request, nowMs);
     }
 
-    private answer(request: RequestRow, answer: GeneratedAnswer, nowMs: number): void {
-        this.cancelAttempts(request, nowMs);
-        this.table.removeRequest(request);
-        this.effects.push({ kind: "answer", requestId: request.facts.id, answer });
-    }
-
-    private cancelAttempts(request: RequestRow, nowMs: number, kept?: AttemptRow): void {
-        for (const attempt of [...request.attempts.values()]) {
-            if (attempt === kept) {
-                continue;
-            }
-            if (attempt.target === undefined) {
-                this.table.removeAttempt(attempt);
-                this.options.router.abandon(attempt.id, nowMs);
-                continue;
-            }
-            this.effects.push({ kind: "cancel-attempt", attemptId: attempt.id });
-            request.endedVerdict = verdictOfAttempts([request.endedVerdict, verdictOfPhase(attempt.phase)]);
-            this.endAttempt(attempt, AttemptFailure.cancelled, nowMs);
+    private onChecked(requestId: string, nowMs: number): void {
+        const request = this.table.findRequest(requestId);
+        if (request !== undefined && request.pendingChecks > 0) {
+            request.pendingChecks--;
+            this.retryOrAnswer(request, nowMs);
         }
     }
 
-    private endAttempt(attempt: AttemptRow, failure: AttemptFailure | undefined, nowMs: number): void {
-        this.table.removeAttempt(attempt);
-        this.options.router.finish({
-            attemptId: attempt.id,
-            service: attempt.request.facts.service,
-            upstreamId: attempt.target?.upstreamId ?? "",
-            latencyMs: nowMs - attempt.dispatchedAtMs,
-            failure,
-            status: attempt.head?.status,
-            load: attempt.load,
-        }, nowMs);
+    private retryOrAnswer(request: RequestRow, nowMs: number): void {
+        if (request.attempts.size > 0 || request.pendingChecks > 0) {
+            return;
+        }
+        if (request.stage === RequestStage.trial) {
+            this.trials.end(request, nowMs);
+        }
+        const mayRunAgain = request.isIdempotent || request.endedVerdict === Verdict.notRun;
+        if (mayRunAgain && request.isBodyIntact && !request.isCallerGone && this.runner.takeRetry(request, nowMs)) {
+            return this.run(request, nowMs);
+        }
+        this.closer.answer(request, answers.failureAnswer(request.lastFailure, verdictOfRequest(request)), nowMs);
     }
 
     private onCallerGone(requestId: string, nowMs: number): void {
         const request = this.table.findRequest(requestId);
-        if (request !== undefined) {
-            this.cancelAttempts(request, nowMs);
-            this.table.removeRequest(request);
+        if (request !== undefined && !request.isCallerGone) {
+            this.closer.abandon(request, nowMs);
         }
     }
 
@@ -335,32 +364,19 @@
         if (nowMs >= request.facts.deadlineAtMs) {
             return this.onDeadline(request, nowMs);
         }
-        this.hedgeIfSlow(request, nowMs);
+        if (this.trials.isWaiting(request)) {
+            return this.continueTrial(request, this.trials.recheck(request, nowMs), nowMs);
+        }
+        this.slowAttempts.runTimers(request, nowMs);
     }
 
     private onDeadline(request: RequestRow, nowMs: number): void {
-        const verdict = verdictOfRequest(request);
-        this.answer(request, {
-            status: verdict === Verdict.notRun ? 503 : 504,
-            verdict,
-            reason: "deadline",
-            detail: "The deadline of the request has passed.",
-            ...(verdict === Verdict.notRun ? { retryAfterMs } : {}),
-        }, nowMs);
+        const isUnknown = this.claims.coordinator.mayHaveRunElsewhere(request.facts.id);
+        const verdict = isUnknown ? Verdict.mayHaveRun : verdictOfRequest(request);
+        this.closer.answer(request, answers.deadlineAnswer(verdict), nowMs);
     }
+}
 
-    private hedgeIfSlow(request: RequestRow, nowMs: number): void {
-        if (!request.isIdempotent || request.hasHedged || request.attempts.size !== 1) {
-            return;
-        }
-        const [attempt] = request.attempts.values();
-        const delayMs = this.options.router.hedgeDelayMs(request.facts, nowMs);
-        if (attempt.target === undefined || delayMs === undefined || nowMs - attempt.dispatchedAtMs < delayMs) {
-            return;
-        }
-        if (request.facts.isBodyReplayable && this.takeRetry(request, nowMs)) {
-            request.hasHedged = true;
-            this.startAttempt(request, nowMs);
-        }
-    }
+function isConnectionLoss(failure: AttemptFailure): boolean {
+    return failure === AttemptFailure.reset || failure === AttemptFailure.truncated;
 }
--- /dev/null
+++ b/src/requests/requestCloser.ts
@@ -0,0 +1,120 @@
+import { Verdict } from "../core/verdict.js";
+import { outcomeAnswer } from "./answers.js";
+import type { AttemptRunner } from "./attempts.js";
+import type { ClaimCoordinator } from "./claimCoordinator.js";
+import type { ClaimOutcome } from "./claimMessages.js";
+import { AttemptPhase, type GeneratedAnswer, type RetainedResponse } from "./model.js";
+import type { Outbox } from "./outbox.js";
+import { type AttemptRow, type RequestRow, RequestStage, type RequestTable, verdictOfRequest } from "./requestTable.js";
+import type { Trials } from "./trials.js";
+
+/** Ends requests: passes responses and answers to callers, and settles the claims. */
+export class RequestCloser {
+    constructor(
+        private readonly table: RequestTable,
+        private readonly runner: AttemptRunner,
+        private readonly claims: ClaimCoordinator,
+        private readonly trials: Trials,
+        private readonly outbox: Outbox,
+    ) {}
+
+    /** Passes the response of an attempt to the caller; other attempts are cancelled. */
+    forward(attempt: AttemptRow, nowMs: number): void {
+        const { request } = attempt;
+        request.forwardedId = attempt.id;
+        if (request.isCallerGone) {
+            this.runner.stop(attempt.id);
+        }
+        else {
+            this.outbox.push({ kind: "forward", requestId: request.facts.id, attemptId: attempt.id });
+        }
+        this.runner.cancelAll(request, nowMs, attempt);
+    }
+
+    /** Ends a request whose response is complete and forwarded. */
+    complete(attempt: AttemptRow, retained: RetainedResponse | undefined, nowMs: number): void {
+        const response = retained ?? withoutBody(attempt);
+        this.close(attempt.request, { kind: "response", response }, nowMs);
+    }
+
+    /** Ends a request whose forwarded response was cut off. */
+    truncate(request: RequestRow, reason: string, nowMs: number): void {
+        if (!request.isCallerGone) {
+            this.outbox.push({ kind: "destroy-caller", requestId: request.facts.id, reason });
+        }
+        this.close(request, { kind: "verdict", verdict: Verdict.ran, reason }, nowMs);
+    }
+
+    /** Ends a request with an answer of figwharf itself. */
+    answer(request: RequestRow, answer: GeneratedAnswer, nowMs: number): void {
+        if (!request.isCallerGone) {
+            this.outbox.push({ kind: "answer", requestId: request.facts.id, answer });
+        }
+        this.close(request, { kind: "verdict", verdict: answer.verdict, reason: answer.reason }, nowMs);
+    }
+
+    /** Ends a request with the outcome of an earlier one that has the same key. */
+    replay(request: RequestRow, outcome: ClaimOutcome, nowMs: number): void {
+        if (outcome.kind === "verdict" || outcome.response.body === undefined) {
+            return this.answer(request, outcomeAnswer(outcome), nowMs);
+        }
+        if (!request.isCallerGone) {
+            this.outbox.push({ kind: "replay", requestId: request.facts.id, response: outcome.response });
+        }
+        this.close(request, outcome, nowMs);
+    }
+
+    /**
+     * The caller has closed its connection. A keyed request that may be running goes on, so that its outcome is there
+     * when the caller sends it again; any other is cancelled.
+     */
+    abandon(request: RequestRow, nowMs: number): void {
+        request.isCallerGone = true;
+        const forwarded = request.attempts.get(request.forwardedId ?? "");
+        if (forwarded !== undefined) {
+            return this.close(request, { kind: "response", response: withoutBody(forwarded) }, nowMs);
+        }
+        if (!request.isKeyed || verdictOfRequest(request) === Verdict.notRun) {
+            this.close(request, { kind: "verdict", verdict: Verdict.mayHaveRun, reason: "caller-gone" }, nowMs);
+        }
+    }
+
+    private close(request: RequestRow, outcome: ClaimOutcome, nowMs: number): void {
+        this.endTrial(request, nowMs);
+        this.runner.cancelAll(request, nowMs);
+        if (request.isKeyed) {
+            this.settleClaim(request, outcome, nowMs);
+        }
+        this.table.removeRequest(request);
+    }
+
+    private settleClaim(request: RequestRow, outcome: ClaimOutcome, nowMs: number): void {
+        // Without an attempt that may have run, the key is free for a resend.
+        if (verdictOfRequest(request) === Verdict.notRun) {
+            this.claims.release(request.facts.id, nowMs);
+        }
+        else {
+            this.claims.finish(request.facts.id, outcome, nowMs);
+        }
+    }
+
+    private endTrial(request: RequestRow, nowMs: number): void {
+        if (this.trials.isWaiting(request)) {
+            this.trials.end(request, nowMs);
+        }
+        if (request.stage !== RequestStage.trial) {
+            return;
+        }
+        const isRunning = [...request.attempts.values()].some(it => it.phase !== AttemptPhase.connecting);
+        if (isRunning || request.pendingChecks > 0) {
+            this.trials.leave(request, nowMs);
+        }
+        else {
+            this.trials.end(request, nowMs);
+        }
+    }
+}
+
+function withoutBody({ head }: AttemptRow): RetainedResponse {
+    return { status: head?.status ?? 502, headers: head?.headers ?? [], body: undefined };
+}
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -22,15 +22,33 @@
     head: ResponseHead | undefined;
     load: LoadReport | undefined;
     isBuffered: boolean;
-    /** Whether the attempt was found silent; it then no longer counts as a reason to wait. */
+    /** Whether the attempt was found silent; it still may win. */
     isSilent: boolean;
 }
 
+/** Stages of a request before its response is forwarded. */
+export const RequestStage = {
+    /** Waits for the claim on its idempotency key. */
+    claiming: "claiming",
+    /** Waits until no other suspect of the service is tried. */
+    locking: "locking",
+    /** Waits for the claim on its fingerprint. */
+    claimingTrial: "claiming-trial",
+    /** Attempts run one at a time, and no other suspect of the service runs. */
+    trial: "trial",
+    running: "running",
+} as const;
+
+export type RequestStage = typeof RequestStage[keyof typeof RequestStage];
+
 /** Row of a caller's request that has not ended. */
 export interface RequestRow {
     readonly facts: RequestFacts;
     readonly isIdempotent: boolean;
+    /** Whether the request needs a claim on its idempotency key. */
+    readonly isKeyed: boolean;
     readonly acceptedAtMs: number;
+    stage: RequestStage;
     readonly attempts: Map<AttemptId, AttemptRow>;
     readonly triedUpstreamIds: UpstreamId[];
     attemptCount: number;
@@ -38,6 +56,10 @@
     /** Verdict of the attempts that have ended. */
     endedVerdict: Verdict;
     lastFailure: AttemptFailure | undefined;
+    /** Whether the body can be sent to another upstream. */
+    isBodyIntact: boolean;
+    /** Checks in progress of instances that were perhaps lost while they ran this request. */
+    pendingChecks: number;
     /** Attempt whose response goes to the caller. */
     forwardedId: AttemptId | undefined;
     isCallerGone: boolean;
@@ -73,13 +95,17 @@
         const request: RequestRow = {
             facts,
             isIdempotent,
+            isKeyed: !isIdempotent && facts.idempotencyKey !== undefined,
             acceptedAtMs: nowMs,
+            stage: RequestStage.running,
             attempts: new Map(),
             triedUpstreamIds: [],
             attemptCount: 0,
             hasHedged: false,
             endedVerdict: verdictOfAttempts([]),
             lastFailure: undefined,
+            isBodyIntact: true,
+            pendingChecks: 0,
             forwardedId: undefined,
             isCallerGone: false,
         };
--- /dev/null
+++ b/src/requests/slowAttempts.ts
@@ -0,0 +1,80 @@
+import type { AttemptRunner } from "./attempts.js";
+import { LatencyEstimates } from "./latencyEstimates.js";
+import type { Outbox } from "./outbox.js";
+import { type AttemptRow, type RequestRow, RequestStage } from "./requestTable.js";
+import type { Router } from "./router.js";
+
+const resetIntervalMs = 1000;
+
+/**
+ * Second attempts of idempotent requests whose first one is slow: hedges, and failovers from attempts that have gone
+ * silent. The first attempt goes on, so that a service that is slow everywhere still answers; the loser is cancelled.
+ */
+export class SlowAttempts {
+    private readonly estimates = new LatencyEstimates();
+    private readonly resetAtMs = new Map<string, number>();
+
+    constructor(
+        private readonly router: Router,
+        private readonly runner: AttemptRunner,
+        private readonly outbox: Outbox,
+    ) {}
+
+    /** A response head arrived. */
+    onHead(attempt: AttemptRow, nowMs: number): void {
+        this.estimates.add(attempt.request.facts.service, nowMs - attempt.dispatchedAtMs);
+    }
+
+    /** Starts second attempts where they are due. */
+    runTimers(request: RequestRow, nowMs: number): void {
+        if (!request.isIdempotent || !request.facts.isBodyReplayable || request.stage !== RequestStage.running) {
+            return;
+        }
+        this.hedgeIfSlow(request, nowMs);
+        for (const attempt of [...request.attempts.values()]) {
+            this.failOverIfSilent(attempt, nowMs);
+        }
+    }
+
+    private hedgeIfSlow(request: RequestRow, nowMs: number): void {
+        if (request.hasHedged || request.attempts.size !== 1) {
+            return;
+        }
+        const [attempt] = request.attempts.values();
+        const delayMs = this.router.hedgeDelayMs(request.facts, nowMs);
+        if (delayMs === undefined || !isUnanswered(attempt) || nowMs - attempt.dispatchedAtMs < delayMs) {
+            return;
+        }
+        if (this.runner.takeRetry(request, nowMs)) {
+            request.hasHedged = true;
+            this.runner.start(request, nowMs);
+        }
+    }
+
+    private failOverIfSilent(attempt: AttemptRow, nowMs: number): void {
+        const { request } = attempt;
+        const timeoutMs = this.estimates.silenceTimeoutMs(request.facts.service);
+        if (attempt.isSilent || !isUnanswered(attempt) || nowMs - attempt.dispatchedAtMs < timeoutMs) {
+            return;
+        }
+        attempt.isSilent = true;
+        this.resetPool(attempt.target?.address ?? "", nowMs);
+        const hasOtherAttempt = [...request.attempts.values()].some(it => !it.isSilent);
+        if (!hasOtherAttempt && this.runner.takeRetry(request, nowMs)) {
+            this.runner.start(request, nowMs);
+        }
+    }
+
+    private resetPool(address: string, nowMs: number): void {
+        const lastAtMs = this.resetAtMs.get(address);
+        if (lastAtMs !== undefined && nowMs - lastAtMs < resetIntervalMs) {
+            return;
+        }
+        this.resetAtMs.set(address, nowMs);
+        this.outbox.push({ kind: "reset-pool", address });
+    }
+}
+
+function isUnanswered(attempt: AttemptRow): boolean {
+    return attempt.target !== undefined && attempt.head === undefined;
+}
--- /dev/null
+++ b/src/requests/suspectTable.ts
@@ -0,0 +1,90 @@
+import { createHash } from "node:crypto";
+import type { ServiceName, UpstreamId } from "../core/ids.js";
+import type { RequestFacts } from "./model.js";
+
+const windowMs = 10 * 60_000;
+const maxSuspects = 10_000;
+const maxLosses = 2;
+const expiryIntervalMs = 1000;
+
+/** Identifies requests that do the same: hash of service, method, path and body hash. */
+export type Fingerprint = string;
+
+/** Loss of an instance while a request was in flight on it. */
+export interface Loss {
+    readonly fingerprint: Fingerprint;
+    readonly service: ServiceName;
+    readonly upstreamId: UpstreamId;
+    readonly incarnation: number;
+}
+
+/** What the losses of a fingerprint allow. */
+export const Standing = {
+    clear: "clear",
+    /** The next attempt needs a claim on the fingerprint. */
+    suspect: "suspect",
+    /** No further attempt until the losses are old. */
+    refused: "refused",
+} as const;
+
+export type Standing = typeof Standing[keyof typeof Standing];
+
+interface TimedLoss {
+    readonly loss: Loss;
+    readonly atMs: number;
+}
+
+/** Losses of the last ten minutes by fingerprint. */
+export class SuspectTable {
+    private readonly losses = new Map<Fingerprint, TimedLoss[]>();
+    private nextExpiryAtMs = 0;
+
+    get size(): number {
+        return this.losses.size;
+    }
+
+    /** Adds a loss; false when it was known. Several reports of one lost instance are one loss. */
+    add(loss: Loss, atMs: number): boolean {
+        const known = this.losses.get(loss.fingerprint) ?? [];
+        if (known.some(it => it.loss.upstreamId === loss.upstreamId && it.loss.incarnation === loss.incarnation)) {
+            return false;
+        }
+        this.losses.set(loss.fingerprint, [...known, { loss, atMs }]);
+        if (this.losses.size > maxSuspects) {
+            const [oldest] = this.losses.keys();
+            this.losses.delete(oldest);
+        }
+        return true;
+    }
+
+    /** Forgets the losses of a fingerprint, since an instance has survived it; false when there were none. */
+    clear(fingerprint: Fingerprint): boolean {
+        return this.losses.delete(fingerprint);
+    }
+
+    standingOf(fingerprint: Fingerprint, nowMs: number): Standing {
+        const recent = (this.losses.get(fingerprint) ?? []).filter(it => nowMs - it.atMs < windowMs);
+        if (recent.length === 0) {
+            return Standing.clear;
+        }
+        return recent.length < maxLosses ? Standing.suspect : Standing.refused;
+    }
+
+    tick(nowMs: number): void {
+        if (nowMs < this.nextExpiryAtMs) {
+            return;
+        }
+        this.nextExpiryAtMs = nowMs + expiryIntervalMs;
+        for (const fingerprint of this.losses.keys()) {
+            if (this.standingOf(fingerprint, nowMs) === Standing.clear) {
+                this.losses.delete(fingerprint);
+            }
+        }
+    }
+}
+
+/** Returns the fingerprint of a request. */
+export function fingerprintOf(request: RequestFacts): Fingerprint {
+    const { service, method, path, bodyHash } = request;
+    return createHash("sha256").update(JSON.stringify([service, method, path, bodyHash ?? ""])).digest("base64");
+}
--- /dev/null
+++ b/src/requests/trials.ts
@@ -0,0 +1,115 @@
+import { Verdict } from "../core/verdict.js";
+import { type ClaimOrder, type ClaimResult, HeldPolicy } from "./claim.js";
+import type { ClaimCoordinator } from "./claimCoordinator.js";
+import type { CrashGuard } from "./crashGuard.js";
+import { type RequestRow, RequestStage } from "./requestTable.js";
+import { fingerprintOf, Standing } from "./suspectTable.js";
+
+// Replicas drop the claims of an entry that dies during a trial after this time beyond the request's deadline.
+const claimMarginMs = 10_000;
+const lockSuffix = "#lock";
+const trialSuffix = "#trial";
+
+/** What a trial may do next. */
+export type TrialStep = "start" | "run-normally" | "refuse" | "wait";
+
+/**
+ * Second attempts of crash suspects. They run one at a time in a service, over all entries: if two suspects ran on the
+ * same instance and it was lost, the innocent one would be refused together with the other.
+ */
+export class Trials {
+    constructor(private readonly claims: ClaimCoordinator, private readonly crashes: CrashGuard) {}
+
+    /** Starts to acquire the lock and the claim of a trial. */
+    begin(request: RequestRow, nowMs: number): void {
+        request.stage = RequestStage.locking;
+        this.claims.start(this.lockOrder(request, nowMs), nowMs);
+    }
+
+    /** Returns the id of the request that a lock or claim of a trial belongs to; undefined for other claims. */
+    requestIdOf(ownerId: string): string | undefined {
+        const suffix = [lockSuffix, trialSuffix].find(it => ownerId.endsWith(it));
+        return suffix === undefined ? undefined : ownerId.slice(0, -suffix.length);
+    }
+
+    /** Handles the decision on the lock or the claim of a trial. */
+    onDecided(request: RequestRow, result: ClaimResult, nowMs: number): TrialStep {
+        if (result.kind !== "granted") {
+            this.abandon(request, nowMs);
+            return "refuse";
+        }
+        if (request.stage === RequestStage.claimingTrial) {
+            request.stage = RequestStage.trial;
+            return "start";
+        }
+        const step = this.recheck(request, nowMs);
+        if (step === "wait") {
+            request.stage = RequestStage.claimingTrial;
+            this.claims.start(this.trialOrder(request, nowMs), nowMs);
+        }
+        return step;
+    }
+
+    /** Looks whether the suspicion has changed while the request waits. */
+    recheck(request: RequestRow, nowMs: number): TrialStep {
+        const standing = this.crashes.standingOf(request.facts, nowMs);
+        if (standing === Standing.suspect) {
+            return "wait";
+        }
+        this.abandon(request, nowMs);
+        return standing === Standing.clear ? "run-normally" : "refuse";
+    }
+
+    isWaiting(request: RequestRow): boolean {
+        return request.stage === RequestStage.locking || request.stage === RequestStage.claimingTrial;
+    }
+
+    /** Whether the claim of the trial is recent enough to be used. */
+    isDispatchable(request: RequestRow, nowMs: number): boolean {
+        return this.claims.isDispatchable(request.facts.id + trialSuffix, nowMs);
+    }
+
+    /** The attempt of the trial has ended. A claim whose trial lost an instance is kept, so that nobody repeats it. */
+    end(request: RequestRow, nowMs: number): void {
+        const { id } = request.facts;
+        if (this.crashes.standingOf(request.facts, nowMs) === Standing.refused) {
+            const outcome = { kind: "verdict", verdict: Verdict.mayHaveRun, reason: "crash-suspect" } as const;
+            this.claims.finish(id + trialSuffix, outcome, nowMs);
+        }
+        this.abandon(request, nowMs);
+    }
+
+    /** The request ended while the attempt of the trial ran; nobody will know how it went. */
+    leave(request: RequestRow, nowMs: number): void {
+        this.claims.drop(request.facts.id + trialSuffix);
+        this.abandon(request, nowMs);
+    }
+
+    private abandon(request: RequestRow, nowMs: number): void {
+        this.claims.release(request.facts.id + trialSuffix, nowMs);
+        this.claims.release(request.facts.id + lockSuffix, nowMs);
+        request.stage = RequestStage.running;
+    }
+
+    private lockOrder(request: RequestRow, nowMs: number): ClaimOrder {
+        const { id, service } = request.facts;
+        return this.orderOf(request, id + lockSuffix, `trial-lock:${service}`, nowMs);
+    }
+
+    private trialOrder(request: RequestRow, nowMs: number): ClaimOrder {
+        const { id } = request.facts;
+        return this.orderOf(request, id + trialSuffix, `trial:${fingerprintOf(request.facts)}`, nowMs);
+    }
+
+    private orderOf(request: RequestRow, ownerId: string, key: string, nowMs: number): ClaimOrder {
+        const { deadlineAtMs } = request.facts;
+        return {
+            ownerId,
+            key,
+            bodyHash: "",
+            deadlineAtMs,
+            lifetimeMs: Math.max(0, deadlineAtMs - nowMs) + claimMarginMs,
+            heldPolicy: HeldPolicy.retry,
+        };
+    }
+}
