Add multi-entry fake and seeded properties of claims

300 runs with kills, restarts, pauses, cuts, roster changes and resends find no doubled run, no false not-run and no foreign answer; two of five replicas killed at once lose no claim.

--- /dev/null
+++ b/src/requests/claims.property.test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import fc from "fast-check";
+import { FakeCluster, makeCatalogue } from "../../test/fakeEntries.js";
+
+const listedCount = 5;
+const entryCount = 7;
+const keyCount = 3;
+
+interface Step {
+    readonly kind: "request" | "kill" | "restart" | "pause" | "cut" | "heal" | "roster" | "wait";
+    readonly entry: number;
+    readonly other: number;
+    readonly durationMs: number;
+}
+
+const steps = fc.array(
+    fc.record<Step>({
+        kind: fc.oneof(
+            { weight: 12, arbitrary: fc.constant<Step["kind"]>("request") },
+            { weight: 6, arbitrary: fc.constantFrom<Step["kind"]>("kill", "restart", "restart") },
+            { weight: 5, arbitrary: fc.constantFrom<Step["kind"]>("pause", "cut", "heal", "wait", "roster") },
+        ),
+        entry: fc.nat(entryCount - 1),
+        other: fc.nat(entryCount - 1),
+        durationMs: fc.nat(150),
+    }),
+    { minLength: 10, maxLength: 40 },
+);
+
+function apply(cluster: FakeCluster, step: Step, index: number): void {
+    const id = `e${step.entry}`;
+    const otherId = `e${step.other}`;
+    const entry = cluster.entry(id);
+    switch (step.kind) {
+        case "request":
+            if (entry.isAlive) {
+                cluster.request(id, { id: `r${index}`, idempotencyKey: `k${step.other % keyCount}` });
+            }
+            return;
+        case "kill":
+            return cluster.kill(id);
+        case "restart":
+            cluster.kill(id);
+            return cluster.startEntry(id);
+        case "pause":
+            entry.pausedUntilMs = cluster.nowMs + step.durationMs * 10;
+            return;
+        case "cut":
+            cluster.cutLinks.add(`${id}>${otherId}`).add(`${otherId}>${id}`);
+            return;
+        case "heal":
+            return cluster.cutLinks.clear();
+        case "roster":
+            return changeRoster(cluster, step);
+        case "wait":
+            return cluster.run(step.durationMs * 4);
+    }
+}
+
+// Entries learn of the new list one after the other.
+function changeRoster(cluster: FakeCluster, { entry, other }: Step): void {
+    const newest = [...cluster.catalogues.values()].reduce((a, b) => a.revision > b.revision ? a : b);
+    const ids = [...Array(entryCount).keys()].filter(it => it !== entry && it !== other).map(it => `e${it}`);
+    const next = makeCatalogue(newest.revision + 1, [...newest.entryLists.map(list => list.entryIds), ids]);
+    [...cluster.entries.keys()].forEach((id, index) => cluster.after(index * 60, () => cluster.learn(id, next)));
+}
+
+function runSteps(seed: number, all: readonly Step[]): FakeCluster {
+    const cluster = new FakeCluster({
+        seed,
+        entryCount,
+        listedCount,
+        upstreamCount: 3,
+        lossShare: 0.15,
+        maxDelayMs: 40,
+        serviceMs: 60,
+    });
+    all.forEach((step, index) => {
+        apply(cluster, step, index);
+        cluster.run(step.durationMs / 3);
+    });
+    cluster.run(2500);
+    return cluster;
+}
+
+function findViolation(cluster: FakeCluster): string | undefined {
+    const bodies = cluster.executions.map(it => it.body);
+    const doubled = bodies.find((body, index) => bodies.indexOf(body) !== index);
+    if (doubled !== undefined) {
+        return `key ${doubled} ran twice`;
+    }
+    for (const [id, answer] of cluster.answers) {
+        const runs = cluster.executions.filter(it => it.requestId === id).length;
+        if (answer.verdict === "not-run" && runs > 0) {
+            return `${id} was answered not-run (${answer.reason}) and ran`;
+        }
+        if (answer.body !== "" && answer.body !== cluster.keyOf(id)) {
+            return `${id} got the answer of ${answer.body}`;
+        }
+    }
+    return undefined;
+}
+
+test("guards against doubled runs, false not-run and foreign answers under kills, pauses, cuts and roster changes", t => {
+    let ran = 0;
+    let answered = 0;
+    fc.assert(
+        fc.property(fc.nat(), steps, (seed, all) => {
+            const cluster = runSteps(seed, all);
+            ran += cluster.executions.length;
+            answered += cluster.answers.size;
+            t.is(findViolation(cluster), undefined);
+        }),
+        { seed: 20261204, numRuns: 300 },
+    );
+    // A cluster that refuses everything would keep all promises.
+    t.true(ran > 300, `${ran} keys ran`);
+    t.true(answered > 1000, `${answered} requests were answered`);
+});
+
+test("guards against lost claims when two of five replicas are killed at once, and restart", t => {
+    for (let seed = 0; seed < 20; seed++) {
+        const cluster = new FakeCluster({ seed, entryCount: listedCount, upstreamCount: 3 });
+        cluster.request("e0", { id: "first", idempotencyKey: "k1" });
+        cluster.run(60);
+        const [one, other] = [1 + seed % 4, 1 + (seed + 1 + Math.floor(seed / 4) % 3) % 4];
+        cluster.kill(`e${one}`);
+        cluster.kill(`e${other}`);
+        cluster.request("e0", { id: "new", idempotencyKey: "k2" });
+        cluster.request("e0", { id: "again", idempotencyKey: "k1" });
+        cluster.run(60);
+        cluster.startEntry(`e${one}`);
+        cluster.startEntry(`e${other}`);
+        cluster.run(600);
+        cluster.request(`e${one}`, { id: "later", idempotencyKey: "k2" });
+        cluster.request(`e${other}`, { id: "fresh", idempotencyKey: "k3" });
+        cluster.run(60);
+        t.deepEqual([...cluster.answers].map(([id, it]) => `${id}:${it.reason}`).sort(), [
+            "again:replay",
+            "first:forwarded",
+            "fresh:forwarded",
+            "later:replay",
+            "new:forwarded",
+        ]);
+        t.is(cluster.executions.length, 3);
+    }
+});
--- /dev/null
+++ b/test/fakeEntries.ts
@@ -0,0 +1,388 @@
+import { type Catalogue, emptyCatalogue, type Service } from "../src/catalogue/model.js";
+import { type RandomSource, SeededRandom } from "../src/core/random.js";
+import type { EntryEffect, EntryEvent } from "../src/entry/messages.js";
+import type { PeerRow, PeerView, UpstreamRow, UpstreamView } from "../src/membership/view.js";
+import type { ClaimSettings } from "../src/requests/claimStack.js";
+import { RequestLifecycle } from "../src/requests/lifecycle.js";
+import type { AttemptTarget, GeneratedAnswer, RequestFacts } from "../src/requests/model.js";
+import { type AttemptOutcome, type DelayedDecision, type RouteDecision, Router } from "../src/requests/router.js";
+
+export const tickMs = 5;
+const zones = ["a", "b", "c"];
+
+/** Router that picks an upstream by turns and grants every retry. */
+export class FakeRouter extends Router {
+    readonly finished: AttemptOutcome[] = [];
+    hedgeAfterMs: number | undefined;
+    retriesLeft = Infinity;
+    private turn = 0;
+
+    constructor(private readonly upstreams: ReadonlyMap<string, FakeUpstream>) {
+        super();
+    }
+
+    route(_attemptId: string, _request: RequestFacts, avoid: readonly string[]): RouteDecision {
+        const all = [...this.upstreams.values()].filter(it => it.isListed);
+        const preferred = all.filter(it => !avoid.includes(it.id));
+        const choices = preferred.length > 0 ? preferred : all;
+        if (choices.length === 0) {
+            return { kind: "refuse", reason: "no-upstream", detail: "none", retryAfterMs: 100 };
+        }
+        const { id, incarnation } = choices[this.turn++ % choices.length];
+        return { kind: "upstream", upstreamId: id, address: id, incarnation };
+    }
+    takeRetry(): boolean {
+        return this.retriesLeft-- > 0;
+    }
+    hedgeDelayMs(): number | undefined {
+        return this.hedgeAfterMs;
+    }
+    finish(outcome: AttemptOutcome): void {
+        this.finished.push(outcome);
+    }
+    takeDecisions(): readonly DelayedDecision[] {
+        return [];
+    }
+    takeEffects(): readonly EntryEffect[] {
+        return [];
+    }
+    abandon(): void {}
+    handlePeerMessage(): void {}
+    finishProbe(): void {}
+    tick(): void {}
+}
+
+export interface FakeUpstream {
+    readonly id: string;
+    incarnation: number;
+    isAlive: boolean;
+    /** Whether routers still choose it. */
+    isListed: boolean;
+    isSilent: boolean;
+    readonly running: Set<() => void>;
+}
+
+interface FakeEntry {
+    readonly id: string;
+    readonly lifecycle: RequestLifecycle;
+    readonly router: FakeRouter;
+    readonly incarnation: number;
+    readonly heard: Map<string, number>;
+    readonly cancelled: Set<string>;
+    readonly ended: Map<string, string>;
+    pausedUntilMs: number;
+    isAlive: boolean;
+}
+
+export interface ClusterOptions {
+    readonly seed: number;
+    readonly entryCount: number;
+    /** Entries in the first entry list; all of them unless given. */
+    readonly listedCount?: number;
+    readonly upstreamCount: number;
+    readonly claims?: Partial<ClaimSettings>;
+    readonly serviceMs?: number;
+    readonly lossShare?: number;
+    readonly maxDelayMs?: number;
+}
+
+/** Several request lifecycles, messages between them that get lost, late and doubled, and upstreams that count. */
+export class FakeCluster {
+    nowMs = 0;
+    readonly upstreams = new Map<string, FakeUpstream>();
+    readonly entries = new Map<string, FakeEntry>();
+    readonly answers = new Map<string, { verdict: string; reason: string; status: number; body: string; }>();
+    readonly executions: { requestId: string; body: string; upstreamId: string; }[] = [];
+    readonly effects: EntryEffect[] = [];
+    readonly cutLinks = new Set<string>();
+    readonly poison = new Set<string>();
+    lostUpstreams = 0;
+    readonly catalogues = new Map<string, Catalogue>();
+    private readonly facts = new Map<string, RequestFacts>();
+    private readonly queue: { atMs: number; run: () => void; }[] = [];
+    private readonly random: RandomSource;
+
+    constructor(private readonly options: ClusterOptions) {
+        this.random = new SeededRandom(options.seed);
+        for (let index = 0; index < options.upstreamCount; index++) {
+            const id = `u${index}`;
+            const running = new Set<() => void>();
+            this.upstreams.set(id, { id, incarnation: 1, isAlive: true, isListed: true, isSilent: false, running });
+        }
+        const ids = Array.from({ length: options.entryCount }, (_, index) => `e${index}`);
+        ids.forEach(id => this.catalogues.set(id, makeCatalogue(1, [ids.slice(0, options.listedCount)])));
+        ids.forEach(id => this.startEntry(id, options.claims?.isFirstStart ?? true));
+        this.run(50);
+    }
+
+    startEntry(id: string, isFirstStart = false): void {
+        const incarnation = (this.entries.get(id)?.incarnation ?? 0) + 1;
+        const router = new FakeRouter(this.upstreams);
+        const heard = new Map<string, number>();
+        const lifecycle = new RequestLifecycle({
+            selfId: id,
+            incarnation,
+            router,
+            peers: this.peersOf(id, heard),
+            upstreams: this.upstreamView,
+            catalogue: () => this.catalogues.get(id) ?? emptyCatalogue,
+            random: new SeededRandom(this.random.nextInt(1 << 30)),
+            claims: { ...this.options.claims, isFirstStart },
+        });
+        this.entries.set(id, {
+            id,
+            lifecycle,
+            router,
+            incarnation,
+            heard,
+            cancelled: new Set(),
+            ended: new Map(),
+            pausedUntilMs: 0,
+            isAlive: true,
+        });
+    }
+
+    kill(id: string): void {
+        this.entry(id).isAlive = false;
+    }
+
+    entry(id: string): FakeEntry {
+        return this.entries.get(id) as FakeEntry;
+    }
+
+    request(entryId: string, facts: Partial<RequestFacts> & { id: string; }): void {
+        const { idempotencyKey, bodyHash = `hash-${idempotencyKey}` } = facts;
+        const request: RequestFacts = {
+            service: "orders",
+            method: "POST",
+            path: "/",
+            callerId: "c",
+            isBodyReplayable: true,
+            idempotencyKey,
+            bodyHash,
+            deadlineAtMs: this.nowMs + 2000,
+            ...facts,
+        };
+        this.facts.set(request.id, request);
+        this.deliver(entryId, this.entry(entryId).incarnation, { kind: "request", request });
+    }
+
+    after(delayMs: number, run: () => void): void {
+        this.schedule(delayMs, run);
+    }
+
+    learn(id: string, catalogue: Catalogue): void {
+        if (catalogue.revision > (this.catalogues.get(id)?.revision ?? 0)) {
+            this.catalogues.set(id, catalogue);
+        }
+    }
+
+    keyOf(requestId: string): string {
+        return this.facts.get(requestId)?.idempotencyKey ?? requestId;
+    }
+
+    /** Runs the cluster for a while. */
+    run(durationMs: number): void {
+        for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
+            this.nowMs += tickMs;
+            this.runQueue();
+            for (const entry of this.entries.values()) {
+                if (entry.isAlive && entry.pausedUntilMs <= this.nowMs) {
+                    this.hearPeers(entry);
+                    this.perform(entry, entry.lifecycle.tick(this.nowMs));
+                }
+            }
+        }
+    }
+
+    /** Hands an event to an entry, later if it is paused, never if it has died. */
+    deliver(entryId: string, incarnation: number, event: EntryEvent): void {
+        const entry = this.entry(entryId);
+        if (!entry.isAlive || entry.incarnation !== incarnation) {
+            return;
+        }
+        if (entry.pausedUntilMs > this.nowMs) {
+            return this.schedule(entry.pausedUntilMs - this.nowMs, () => this.deliver(entryId, incarnation, event));
+        }
+        this.perform(entry, entry.lifecycle.handle(event, this.nowMs));
+    }
+
+    private runQueue(): void {
+        for (let due = this.takeDue(); due !== undefined; due = this.takeDue()) {
+            due.run();
+        }
+    }
+
+    private takeDue() {
+        let first = -1;
+        this.queue.forEach((it, index) => {
+            if (it.atMs <= this.nowMs && (first < 0 || it.atMs < this.queue[first].atMs)) {
+                first = index;
+            }
+        });
+        return first < 0 ? undefined : this.queue.splice(first, 1)[0];
+    }
+
+    private schedule(delayMs: number, run: () => void): void {
+        this.queue.push({ atMs: this.nowMs + delayMs, run });
+    }
+
+    private perform(entry: FakeEntry, effects: readonly EntryEffect[]): void {
+        for (const effect of effects) {
+            this.effects.push(effect);
+            switch (effect.kind) {
+                case "send-peer":
+                    this.send(entry, effect);
+                    break;
+                case "cancel-attempt":
+                    entry.cancelled.add(effect.attemptId);
+                    break;
+                case "dispatch":
+                    this.dispatch(entry, effect.requestId, effect.target);
+                    break;
+                case "forward":
+                    this.answer(effect.requestId, "ran", "forwarded", 200, entry.ended.get(effect.attemptId) ?? "");
+                    break;
+                case "replay":
+                    this.answer(
+                        effect.requestId,
+                        "ran",
+                        "replay",
+                        200,
+                        Buffer.from(effect.response.body ?? []).toString(),
+                    );
+                    break;
+                case "answer":
+                    this.answerGenerated(effect.requestId, effect.answer);
+                    break;
+                case "check-connection": {
+                    const { checkId, address } = effect;
+                    const isAccepted = this.upstreams.get(address)?.isAlive ?? false;
+                    const event: EntryEvent = { kind: "connection-checked", checkId, isAccepted };
+                    this.schedule(1, () => this.deliver(entry.id, entry.incarnation, event));
+                }
+            }
+        }
+    }
+
+    private send(from: FakeEntry, { to, message }: Extract<EntryEffect, { kind: "send-peer"; }>): void {
+        const copies = this.random.nextUnit() < (this.options.lossShare ?? 0) ? this.random.nextInt(3) : 1;
+        for (let copy = 0; copy < copies && !this.isCut(from.id, to) && this.entries.has(to); copy++) {
+            const { incarnation } = this.entry(to);
+            const event: EntryEvent = { kind: "peer-message", from: from.id, message: structuredClone(message) };
+            const delayMs = 1 + this.random.nextInt(this.options.maxDelayMs ?? 1);
+            // A frame on a connection to a dead process does not reach the next process with the same id.
+            this.schedule(delayMs, () => this.isCut(from.id, to) || this.deliver(to, incarnation, event));
+        }
+    }
+
+    private dispatch(entry: FakeEntry, requestId: string, target: AttemptTarget): void {
+        const { attemptId } = target;
+        const report = (event: EntryEvent) => this.deliver(entry.id, entry.incarnation, event);
+        const connect = () => {
+            const upstream = this.upstreams.get(target.upstreamId) as FakeUpstream;
+            if (!entry.isAlive || entry.cancelled.has(attemptId)) {
+                return;
+            }
+            if (entry.pausedUntilMs > this.nowMs) {
+                return this.schedule(entry.pausedUntilMs - this.nowMs, connect);
+            }
+            if (!upstream.isAlive) {
+                return report({ kind: "attempt-failed", attemptId, failure: "connect-refused" });
+            }
+            report({ kind: "attempt-sent", attemptId });
+            if (!entry.cancelled.has(attemptId) && !upstream.isSilent) {
+                this.execute(entry, requestId, attemptId, upstream);
+            }
+        };
+        this.schedule(this.random.nextInt(3), connect);
+    }
+
+    private execute(entry: FakeEntry, requestId: string, attemptId: string, upstream: FakeUpstream): void {
+        const facts = this.facts.get(requestId) as RequestFacts;
+        const body = facts.idempotencyKey ?? requestId;
+        const report = (event: EntryEvent) => this.deliver(entry.id, entry.incarnation, event);
+        const fail = () => report({ kind: "attempt-failed", attemptId, failure: "reset" });
+        upstream.running.add(fail);
+        this.executions.push({ requestId, body, upstreamId: upstream.id });
+        this.schedule(1 + this.random.nextInt(this.options.serviceMs ?? 5), () => {
+            if (!upstream.running.delete(fail)) {
+                return;
+            }
+            if (this.poison.has(facts.path)) {
+                upstream.running.add(fail);
+                return this.crash(upstream);
+            }
+            entry.ended.set(attemptId, body);
+            const head = { status: 200, headers: [] };
+            report({ kind: "attempt-head", attemptId, head, load: undefined });
+            report({ kind: "attempt-complete", attemptId, retained: { ...head, body: Buffer.from(body) } });
+        });
+    }
+
+    private crash(upstream: FakeUpstream): void {
+        this.lostUpstreams++;
+        upstream.isAlive = false;
+        const running = [...upstream.running];
+        upstream.running.clear();
+        running.forEach(fail => fail());
+    }
+
+    private answerGenerated(requestId: string, { verdict, reason, status }: GeneratedAnswer): void {
+        this.answer(requestId, verdict, reason, status, "");
+    }
+
+    private answer(requestId: string, verdict: string, reason: string, status: number, body: string): void {
+        if (this.answers.has(requestId)) {
+            throw new Error(`second answer to ${requestId}: ${reason}`);
+        }
+        this.answers.set(requestId, { verdict, reason, status, body });
+    }
+
+    private hearPeers(entry: FakeEntry): void {
+        for (const peer of this.entries.values()) {
+            if (peer.isAlive && !this.isCut(peer.id, entry.id) && this.random.nextUnit() < 0.02) {
+                entry.heard.set(peer.id, peer.incarnation);
+            }
+        }
+    }
+
+    isCut(from: string, to: string): boolean {
+        return this.cutLinks.has(`${from}>${to}`);
+    }
+
+    private peersOf(selfId: string, heard: ReadonlyMap<string, number>): PeerView {
+        const rowOf = (id: string): PeerRow | undefined => {
+            const incarnation = heard.get(id);
+            const row = { id, availabilityZone: "", revision: 1, isDraining: false, heardAtMs: this.nowMs };
+            return incarnation === undefined ? undefined : { ...row, incarnation };
+        };
+        const isLive = (id: string) => id !== selfId && this.entry(id).isAlive && !this.isCut(id, selfId);
+        return {
+            selfId,
+            availabilityZone: "a",
+            findPeer: rowOf,
+            livePeers: () => [...this.entries.keys()].filter(isLive).map(rowOf).filter(row => row !== undefined),
+        };
+    }
+
+    private readonly upstreamView: UpstreamView = {
+        eligibleUpstreams: () => [],
+        findUpstream: (_service, id) => {
+            const upstream = this.upstreams.get(id);
+            const announcement = { id, incarnation: upstream?.incarnation ?? 0 } as UpstreamRow["announcement"];
+            return upstream === undefined ? undefined : { announcement, evidenceAtMs: this.nowMs, readySinceMs: 0 };
+        },
+    };
+}
+
+/** Returns a catalogue with one service and these entry lists. */
+export function makeCatalogue(revision: number, lists: readonly (readonly string[])[]): Catalogue {
+    const service = { name: "orders", idempotentMethods: ["GET"] } as unknown as Service;
+    const entryLists = lists.map((entryIds, index) => ({
+        revision: index + 1,
+        entryIds,
+        availabilityZones: entryIds.map(id => zones[Number(id.slice(1)) % zones.length]),
+    }));
+    return { ...emptyCatalogue, revision, services: { orders: service }, entryLists };
+}
