--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -7,6 +7,7 @@
 import { refuse } from "./answers.js";
 import { Attempt } from "./attempt.js";
 import { BufferBudget } from "./bufferBudget.js";
+import { checkConnection } from "./connectionCheck.js";
 import type { EntryCore } from "./core.js";
 import { Exchange } from "./exchange.js";
 import { parseCount, parseLoadReport } from "./headers.js";
@@ -203,6 +204,8 @@
                 return this.destroyCaller(effect);
             case "reset-pool":
                 return this.pools.reset(effect.address);
+            case "check-connection":
+                return this.checkConnection(effect);
             case "send-peer":
                 return this.peerLinks.send(effect.to, effect.message);
             case "sync-control":
@@ -274,6 +277,13 @@
         this.exchanges.get(requestId)?.destroyCaller();
     }
 
+    private checkConnection(effect: EffectOf<"check-connection">): void {
+        const { checkId, address, timeoutMs } = effect;
+        void checkConnection(address, timeoutMs).then(isAccepted => {
+            this.run({ kind: "connection-checked", checkId, isAccepted });
+        });
+    }
+
     private probe(effect: EffectOf<"probe">): void {
         const { service, upstreamId, address } = effect;
         const startedAtMs = this.nowMs();
