--- /dev/null
+++ b/src/catalogue/declarations.ts
@@ -0,0 +1,132 @@
+import { readdirSync } from "node:fs";
+import path from "node:path";
+import type { z } from "zod";
+import type { Declarations } from "../control/operatorApi.js";
+import { SettingsError } from "../core/errors.js";
+import { type FieldPath, type Parsed, readDocument, type SettingsDocument } from "../settings/document.js";
+import { type Catalogue, emptyCatalogue, type EntryVm, type RunbookCommand, type Service } from "./model.js";
+import { commandsFileSchema, entriesFileSchema, type entryVmDeclarationSchema, serviceSchema } from "./schema.js";
+import { type CatalogueProblem, checkDuplicates, validateCatalogue } from "./validate.js";
+
+const serviceFolder = "services";
+const entriesFile = "entries.jsonc";
+const commandsFile = "commands.jsonc";
+const declarationSuffix = ".jsonc";
+
+type EntryVmDeclaration = z.output<typeof entryVmDeclarationSchema>;
+
+/** Content of a declarations folder whose files fit their schemas. */
+export interface DeclarationsFolder {
+    readonly services: readonly Service[];
+    readonly entryVms: readonly EntryVmDeclaration[];
+    readonly runbookCommands: readonly RunbookCommand[];
+}
+
+/** A declarations folder, or all problems found in it. */
+export type FolderResult =
+    | { readonly isValid: true; readonly folder: DeclarationsFolder; }
+    | { readonly isValid: false; readonly problems: readonly SettingsError[]; };
+
+interface FolderDocuments {
+    readonly services: readonly Parsed<Service>[];
+    readonly entries: Parsed<z.output<typeof entriesFileSchema>>;
+    readonly commands: Parsed<z.output<typeof commandsFileSchema>>;
+}
+
+/** Reads the files `services/*.jsonc`, `entries.jsonc` and `commands.jsonc` of a folder and checks them together. */
+export function readDeclarationsFolder(folder: string): FolderResult {
+    const serviceFiles = listServiceFiles(path.join(folder, serviceFolder));
+    if (serviceFiles === undefined) {
+        return {
+            isValid: false,
+            problems: [new SettingsError("file-missing", { file: path.join(folder, serviceFolder) })],
+        };
+    }
+    const documents: FolderDocuments = {
+        services: serviceFiles.map(file => readDocument(file, serviceSchema)),
+        entries: readDocument(path.join(folder, entriesFile), entriesFileSchema),
+        commands: readDocument(path.join(folder, commandsFile), commandsFileSchema),
+    };
+    return checkDocuments(documents);
+}
+
+/** Returns the declarations as a change of `base` carries them; see the field `state` of entry VMs. */
+export function resolveDeclarations(folder: DeclarationsFolder, base: Catalogue): Declarations {
+    const entryVms = folder.entryVms.map((entryVm): EntryVm => ({
+        ...entryVm,
+        state: entryVm.state ?? base.entryVms[entryVm.id]?.state ?? "active",
+    }));
+    return { ...folder, entryVms };
+}
+
+/** Returns the catalogue that a change with these declarations makes of `base`, at the same revision. */
+export function declareCatalogue(base: Catalogue, declarations: Declarations): Catalogue {
+    return {
+        ...base,
+        services: Object.fromEntries(declarations.services.map(service => [service.name, service])),
+        entryVms: Object.fromEntries(declarations.entryVms.map(entryVm => [entryVm.id, entryVm])),
+        runbookCommands: Object.fromEntries(declarations.runbookCommands.map(command => [command.name, command])),
+    };
+}
+
+function listServiceFiles(folder: string): string[] | undefined {
+    try {
+        const names = readdirSync(folder).filter(name => name.endsWith(declarationSuffix));
+        return names.sort().map(name => path.join(folder, name));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function checkDocuments(documents: FolderDocuments): FolderResult {
+    const { services, entries, commands } = documents;
+    const shapeProblems = [...services, entries, commands].flatMap(parsed => parsed.isValid ? [] : parsed.problems);
+    if (shapeProblems.length > 0 || !entries.isValid || !commands.isValid) {
+        return { isValid: false, problems: shapeProblems };
+    }
+    const folder: DeclarationsFolder = {
+        services: services.flatMap(parsed => parsed.isValid ? [parsed.value] : []),
+        entryVms: entries.value.entryVms,
+        runbookCommands: commands.value.runbookCommands,
+    };
+    const problems = findReferenceProblems(folder).map(problem => locateProblem(problem, folder, documents));
+    return problems.length > 0 ? { isValid: false, problems } : { isValid: true, folder };
+}
+
+function findReferenceProblems(folder: DeclarationsFolder): CatalogueProblem[] {
+    const declarations = resolveDeclarations(folder, emptyCatalogue);
+    const duplicates = checkDuplicates(declarations);
+    return duplicates.length > 0 ? duplicates : validateCatalogue(declareCatalogue(emptyCatalogue, declarations));
+}
+
+/** Turns a path of the catalogue into the file and line that declares the field. */
+function locateProblem(
+    problem: CatalogueProblem,
+    folder: DeclarationsFolder,
+    { services, entries, commands }: FolderDocuments,
+): SettingsError {
+    const [table, key, ...rest] = problem.path;
+    const at = (parsed: Parsed<unknown>, fieldPath: FieldPath) =>
+        documentOf(parsed).problemAt(fieldPath, problem.expected, problem.actual);
+    if (table === "services") {
+        return at(services[indexOf(key, folder.services.map(service => service.name))], rest);
+    }
+    if (table === "entryVms") {
+        return at(entries, ["entryVms", indexOf(key, folder.entryVms.map(entryVm => entryVm.id)), ...rest]);
+    }
+    const names = folder.runbookCommands.map(command => command.name);
+    return at(commands, ["runbookCommands", indexOf(key, names), ...rest]);
+}
+
+/** Returns the index of an item; problems name it either by its index or by its id. */
+function indexOf(key: PropertyKey, ids: readonly string[]): number {
+    return typeof key === "number" ? key : ids.indexOf(String(key));
+}
+
+function documentOf(parsed: Parsed<unknown>): SettingsDocument {
+    if (!parsed.isValid) {
+        throw parsed.problems[0];
+    }
+    return parsed.document;
+}
