--- a/src/catalogue/declarations.test.ts
+++ b/src/catalogue/declarations.test.ts
@@ -2,7 +2,8 @@
 import { cpSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { readDeclarationsFolder, resolveDeclarations } from "./declarations.js";
+import { declareOperation, readDeclarationsFolder } from "./declarations.js";
+import { declareCatalogue } from "./declare.js";
 import { emptyCatalogue } from "./model.js";
 
 const example = "examples/catalogue";
@@ -174,8 +175,10 @@
     if (!result.isValid) {
         return t.fail();
     }
-    const first = resolveDeclarations(result.folder, emptyCatalogue).entryVms[0];
+    const operation = declareOperation(result.folder);
+    const [first] = operation.declarations.entryVms;
     const base = { ...emptyCatalogue, entryVms: { [first.id]: { ...first, state: "draining" as const } } };
-    t.is(first.state, "active");
-    t.is(resolveDeclarations(result.folder, base).entryVms[0].state, "draining");
+    t.is(declareCatalogue(emptyCatalogue, operation).entryVms[first.id].state, "active");
+    t.is(declareCatalogue(base, operation).entryVms[first.id].state, "draining");
+    t.is(declareCatalogue(base, { ...operation, keepStateOf: [] }).entryVms[first.id].state, "active");
 });
--- a/src/catalogue/declarations.ts
+++ b/src/catalogue/declarations.ts
@@ -4,7 +4,8 @@
 import type { Declarations } from "../control/operatorApi.js";
 import { SettingsError } from "../core/errors.js";
 import { type FieldPath, type Parsed, readDocument, type SettingsDocument } from "../settings/document.js";
-import { type Catalogue, emptyCatalogue, type EntryVm, type RunbookCommand, type Service } from "./model.js";
+import { declareCatalogue, type DeclareOperation } from "./declare.js";
+import { emptyCatalogue, type EntryVm, type RunbookCommand, type Service } from "./model.js";
 import { commandsFileSchema, entriesFileSchema, type entryVmDeclarationSchema, serviceSchema } from "./schema.js";
 import { type CatalogueProblem, checkDuplicates, validateCatalogue } from "./validate.js";
 
@@ -50,23 +51,17 @@
     return checkDocuments(documents);
 }
 
-/** Returns the declarations as a change of `base` carries them; see the field `state` of entry VMs. */
-export function resolveDeclarations(folder: DeclarationsFolder, base: Catalogue): Declarations {
-    const entryVms = folder.entryVms.map((entryVm): EntryVm => ({
-        ...entryVm,
-        state: entryVm.state ?? base.entryVms[entryVm.id]?.state ?? "active",
-    }));
-    return { ...folder, entryVms };
-}
-
-/** Returns the catalogue that a change with these declarations makes of `base`, at the same revision. */
-export function declareCatalogue(base: Catalogue, declarations: Declarations): Catalogue {
-    return {
-        ...base,
-        services: Object.fromEntries(declarations.services.map(service => [service.name, service])),
-        entryVms: Object.fromEntries(declarations.entryVms.map(entryVm => [entryVm.id, entryVm])),
-        runbookCommands: Object.fromEntries(declarations.runbookCommands.map(command => [command.name, command])),
+/**
+ * Returns the operation that applies a folder. It depends on the folder only, so the same folder sent again is the same
+ * operation, whatever the catalogue holds by then.
+ */
+export function declareOperation(folder: DeclarationsFolder): DeclareOperation {
+    const declarations: Declarations = {
+        ...folder,
+        entryVms: folder.entryVms.map((entryVm): EntryVm => ({ ...entryVm, state: entryVm.state ?? "active" })),
     };
+    const keepStateOf = folder.entryVms.filter(entryVm => entryVm.state === undefined).map(entryVm => entryVm.id);
+    return { kind: "declare", declarations, keepStateOf };
 }
 
 function listServiceFiles(folder: string): string[] | undefined {
@@ -95,9 +90,9 @@
 }
 
 function findReferenceProblems(folder: DeclarationsFolder): CatalogueProblem[] {
-    const declarations = resolveDeclarations(folder, emptyCatalogue);
-    const duplicates = checkDuplicates(declarations);
-    return duplicates.length > 0 ? duplicates : validateCatalogue(declareCatalogue(emptyCatalogue, declarations));
+    const operation = declareOperation(folder);
+    const duplicates = checkDuplicates(operation.declarations);
+    return duplicates.length > 0 ? duplicates : validateCatalogue(declareCatalogue(emptyCatalogue, operation));
 }
 
 /** Turns a path of the catalogue into the file and line that declares the field. */
--- a/src/catalogue/schema.ts
+++ b/src/catalogue/schema.ts
@@ -112,7 +112,11 @@
 
 /** Operation of a change, as `catalogue.apply` receives it. */
 export const changeOperationSchema = z.discriminatedUnion("kind", [
-    object({ kind: z.literal("declare"), declarations: declarationsSchema }),
+    object({
+        kind: z.literal("declare"),
+        declarations: declarationsSchema,
+        keepStateOf: list(identifier()).optional(),
+    }),
     object({ kind: z.literal("set-upstream-override"), override: overrideSchema }),
     object({ kind: z.literal("clear-upstream-override"), service: identifier(), upstreamId: text() }),
     object({
--- /dev/null
+++ b/src/cli/exitCode.ts
@@ -0,0 +1,37 @@
+import { ApplyOutcome } from "../control/operatorApi.js";
+
+/** Exit codes of all commands. */
+export const ExitCode = {
+    /** The command did what it says; a change is accepted. */
+    done: 0,
+    /** An unexpected error. */
+    failed: 1,
+    /** Arguments, settings or declarations are invalid; nothing was started or sent. */
+    invalid: 2,
+    /** Another change came first; nothing was changed. */
+    conflict: 3,
+    /** Control refused the change as invalid; nothing was changed. */
+    rejected: 4,
+    /** The change is durable, and not yet known to be held by a majority of the entries of each region. */
+    pending: 5,
+    /** Whether the change was made is not known; the same command sent again settles it. */
+    unknown: 6,
+    /** No control VM could answer; nothing was changed. */
+    unavailable: 7,
+    /** The token was refused; nothing was changed. */
+    unauthorized: 8,
+} as const;
+
+export type ExitCode = typeof ExitCode[keyof typeof ExitCode];
+
+/** Returns the exit code of a change. */
+export function exitCodeOf(outcome: ApplyOutcome): ExitCode {
+    const codes: Record<ApplyOutcome, ExitCode> = {
+        [ApplyOutcome.accepted]: ExitCode.done,
+        [ApplyOutcome.conflict]: ExitCode.conflict,
+        [ApplyOutcome.rejected]: ExitCode.rejected,
+        [ApplyOutcome.pending]: ExitCode.pending,
+        [ApplyOutcome.unknown]: ExitCode.unknown,
+    };
+    return codes[outcome];
+}
--- a/src/control/operatorApi.ts
+++ b/src/control/operatorApi.ts
@@ -10,7 +10,12 @@
 
 /** What a change does to the catalogue. */
 export type ChangeOperation =
-    | { readonly kind: "declare"; readonly declarations: Declarations; }
+    | {
+        readonly kind: "declare";
+        readonly declarations: Declarations;
+        /** Entry VMs that keep the state they have in the catalogue, because their declarations name none. */
+        readonly keepStateOf?: readonly EntryId[];
+    }
     | { readonly kind: "set-upstream-override"; readonly override: UpstreamOverride; }
     | { readonly kind: "clear-upstream-override"; readonly service: ServiceName; readonly upstreamId: UpstreamId; }
     | { readonly kind: "set-entry-vm-state"; readonly entryId: EntryId; readonly state: "active" | "draining"; }
@@ -93,6 +98,11 @@
     readonly limit?: number;
 }
 
+/** Answer of `audit.list` and `catalogue.history`, oldest first; confirmed by a quorum. */
+export interface AuditAnswer {
+    readonly records: readonly AuditRecord[];
+}
+
 /** State of an entry as control last heard it. */
 export interface EntryStatus {
     readonly id: EntryId;
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -5,6 +5,11 @@
     "channel-closed": "the connection to {peer} closed before the answer arrived",
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
+    "problems-found": "{count} problems found",
+    "control-unavailable": "no control VM could answer: {reason}",
+    "operator-unauthorized": "{address} does not accept the token of the settings file",
+    "runbook-command-unknown": "there is no runbook command {name}; the catalogue has {known}",
+    "runbook-arguments": "{name} takes {expected} arguments, got {actual}",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
 } as const;
 
@@ -24,6 +29,16 @@
 /** Settings or declarations that cannot be used. */
 export class SettingsError extends FigwharfError {}
 
+/** Settings or declarations with one or more problems. */
+export class ProblemListError extends FigwharfError {
+    constructor(readonly problems: readonly SettingsError[]) {
+        super("problems-found", { count: problems.length });
+    }
+}
+
+/** A command of an operator that cannot be carried out. */
+export class OperatorError extends FigwharfError {}
+
 /** A message between two processes of the system that could not be delivered or answered. */
 export class ChannelError extends FigwharfError {}
 
--- /dev/null
+++ b/src/settings/schemas.ts
@@ -0,0 +1,119 @@
+import { z } from "zod";
+import { address, identifier, integer, list, object, oneOf, text, Unit } from "./fields.js";
+
+const kibibyte = 1024;
+const mebibyte = 1024 * kibibyte;
+const maxTimeMs = 600_000;
+
+const file = () => text("path of a file, relative to the folder of this file");
+const bytes = (maxBytes: number) => integer(Unit.bytes, 0, maxBytes);
+const time = () => integer(Unit.ms, 1, maxTimeMs);
+const count = (max: number) => integer(Unit.count, 1, max);
+
+const logSchema = object({
+    format: oneOf("json", "pretty").default("json").describe("JSON lines, or text for people."),
+    level: oneOf("debug", "info", "warn", "error").default("info").describe("Lowest level that is written."),
+});
+
+const metricsSchema = object({
+    address: address().describe("Address of the StatsD receiver (UDP)."),
+    prefix: text().default("figwharf.").describe("Prefix of all metric names."),
+});
+
+const entryLimitsSchema = object({
+    headBytes: bytes(mebibyte).default(16 * kibibyte).describe("Largest request head."),
+    bodyBytes: bytes(1024 * mebibyte).default(32 * mebibyte).describe("Largest request body."),
+    bufferedBodyBytes: bytes(64 * mebibyte).default(256 * kibibyte)
+        .describe("Bodies up to this size are buffered, so that they can be sent again and hashed."),
+    retainedBodyBytes: bytes(64 * mebibyte).default(256 * kibibyte)
+        .describe("Largest response body that is retained for resends."),
+    connections: count(100_000).default(4_096).describe("Connections of callers and upstreams."),
+    connectionsPerUpstream: count(10_000).default(64).describe("Connections to one upstream."),
+    requests: count(100_000).default(4_096)
+        .describe("Requests that are being read, waiting or in flight, over all services."),
+    bufferedBytes: bytes(1024 * mebibyte).default(64 * mebibyte)
+        .describe("Buffered bytes of request bodies, over all requests."),
+    headTimeoutMs: time().default(10_000).describe("Time to receive a request head."),
+    bodyTimeoutMs: time().default(10_000).describe("Time to receive a body that is buffered."),
+    keepAliveTimeoutMs: time().default(15_000).describe("Idle time after which a caller's connection is closed."),
+    upstreamIdleMs: time().default(1_000)
+        .describe("Idle time after which a connection to an upstream is not used again."),
+    connectTimeoutMs: time().default(1_000).describe("Time to connect to an upstream."),
+    maxDeadlineMs: time().default(maxTimeMs).describe("Longest deadline that a caller can state."),
+});
+
+const place = {
+    region: identifier().describe("Region of the VM."),
+    availabilityZone: identifier().describe("Availability zone of the VM."),
+};
+
+const common = {
+    clusterSecretFile: file().describe(
+        "File with the secret that all processes of the system share, at least 16 characters. Its value is never logged.",
+    ),
+    log: logSchema.prefault({}).describe("Log lines on standard output."),
+    metrics: metricsSchema.optional().describe("Where metrics are sent; without it, none are sent."),
+};
+
+/** Settings of the daemon `figwharf entry`. */
+export const entrySettingsSchema = object({
+    id: identifier().describe("Id of the entry VM, as in the catalogue."),
+    ...place,
+    listen: address().describe("Address for callers and upstreams, as in the catalogue."),
+    peerListen: address().describe("Address for the system's own processes, as in the catalogue."),
+    controlAddresses: list(address()).min(1, { error: "at least one address" })
+        .describe("Peer addresses of the control VMs."),
+    limits: entryLimitsSchema.prefault({}).describe("Limits that bound the memory of the entry."),
+    ...common,
+});
+
+const memberSchema = object({
+    id: identifier().describe("Id of a control VM."),
+    peerAddress: address().describe("Peer address of that VM."),
+});
+
+/** Settings of the daemon `figwharf control`. */
+export const controlSettingsSchema = object({
+    id: identifier().describe("Id of the control VM; also in `members`."),
+    ...place,
+    operatorListen: address().describe("Address for operators."),
+    peerListen: address().describe("Address for the system's own processes."),
+    members: list(memberSchema).min(1, { error: "at least one member" })
+        .describe("All control VMs, this one included."),
+    dataFolder: text("path of a folder, relative to the folder of this file")
+        .describe("Folder of the log and the snapshots; on a disk that survives a restart."),
+    operatorTokensFile: file().describe(
+        "File with the operators and their bearer tokens. Its values are never logged.",
+    ),
+    ...common,
+});
+
+/** File that `operatorTokensFile` names. */
+export const operatorTokensSchema = object({
+    operatorTokens: list(object({
+        operator: identifier().describe("Name of the operator; it appears in the audit trail."),
+        token: z.string({ error: tokenExpected() }).min(16, { error: tokenExpected() }).describe("Bearer token."),
+    })).min(1, { error: "at least one operator" }).describe("Operators and their bearer tokens."),
+});
+
+/** Settings of the operators' commands (`--config FILE`). */
+export const operatorSettingsSchema = object({
+    operator: identifier().describe("Name of the operator; part of the change ids that the commands make."),
+    controlAddresses: list(address()).min(1, { error: "at least one address" })
+        .describe("Operator addresses of the control VMs, tried in this order."),
+    tokenFile: file().describe("File with the operator's bearer token."),
+    callTimeoutMs: time().default(6_000)
+        .describe("Time to wait for one answer of one control VM; above the 4,000 ms that a change waits for entries."),
+    totalTimeoutMs: time().default(20_000).describe("Time to find a control VM that can answer."),
+});
+
+function tokenExpected(): string {
+    return "token of at least 16 characters";
+}
+
+/** Output of the schemas. */
+export type EntrySettings = z.output<typeof entrySettingsSchema>;
+export type ControlSettings = z.output<typeof controlSettingsSchema>;
+export type OperatorSettings = z.output<typeof operatorSettingsSchema>;
+export type LogSettings = z.output<typeof logSchema>;
+export type MetricsSettings = z.output<typeof metricsSchema>;
