Add the operators' commands and their table of answers and exit codes

Each command runs as a child process against a stand-in that speaks the same JSON-RPC. plan and the other readers never send a change. apply needs the base revision that plan showed: with the current revision as its default, a resend after a lost answer would have been made against another revision, under another change id, and could have overwritten a change in between. Drains and resumes may leave it out; they send nothing when the catalogue already has what they ask for, and print the exact command for a resend.

--- a/src/catalogue/difference.ts
+++ b/src/catalogue/difference.ts
@@ -6,12 +6,9 @@
  * follow from the other fields.
  */
 export function diffCatalogues(before: Catalogue, after: Catalogue): FieldDifference[] {
-    const beforeFields = flattenFields(comparableParts(before));
-    const afterFields = flattenFields(comparableParts(after));
-    const paths = [...new Set([...beforeFields.keys(), ...afterFields.keys()])].sort();
-    return paths
-        .map(path => ({ path, before: beforeFields.get(path), after: afterFields.get(path) }))
-        .filter(difference => difference.before !== difference.after);
+    const differences: FieldDifference[] = [];
+    compareValues("", comparableParts(before), comparableParts(after), differences);
+    return differences;
 }
 
 function comparableParts(catalogue: Catalogue): unknown {
@@ -20,19 +17,23 @@
     return { services, entryVms, upstreamOverrides: Object.fromEntries(overrides), runbookCommands };
 }
 
-/** Lists the leaves of a value by path. Lists of plain values are leaves, so that one changed item reads as a whole. */
-function flattenFields(value: unknown): Map<string, string> {
-    const fields = new Map<string, string>();
-    collectFields(value, "", fields);
-    return fields;
-}
-
-function collectFields(value: unknown, path: string, fields: Map<string, string>): void {
-    if (typeof value !== "object" || value === null || Array.isArray(value)) {
-        fields.set(path, JSON.stringify(value));
+/** Compares field by field where both sides are objects; an object on one side only is one difference. */
+function compareValues(path: string, before: unknown, after: unknown, differences: FieldDifference[]): void {
+    if (isObject(before) && isObject(after)) {
+        const keys = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
+        keys.forEach(key => compareValues(path === "" ? key : `${path}.${key}`, before[key], after[key], differences));
         return;
     }
-    for (const [key, child] of Object.entries(value)) {
-        collectFields(child, path === "" ? key : `${path}.${key}`, fields);
+    const difference = { path, before: formatValue(before), after: formatValue(after) };
+    if (difference.before !== difference.after) {
+        differences.push(difference);
     }
 }
+
+function isObject(value: unknown): value is Record<string, unknown> {
+    return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+function formatValue(value: unknown): string | undefined {
+    return value === undefined ? undefined : JSON.stringify(value);
+}
--- /dev/null
+++ b/src/cli/commands.test.ts
@@ -0,0 +1,363 @@
+import test from "ava";
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import PQueue from "p-queue";
+import { type FakeBehaviour, FakeControl } from "../../test/fakeControl.js";
+import { type Catalogue, emptyCatalogue } from "../catalogue/model.js";
+import type { ApplyAnswer, AuditRecord, StatusAnswer } from "../control/operatorApi.js";
+
+const token = "token-of-the-operator-asha";
+const closedAddress = "127.0.0.1:1";
+const exhaustedTimeoutMs = 1_500;
+/** Commands that end only when the time is over. */
+const exhaustingExitCodes = [6, 7];
+const childQueue = new PQueue({ concurrency: 4 });
+
+const winner: AuditRecord = {
+    revision: 5,
+    changeId: "c-bela",
+    operator: "bela",
+    from: "10.1.1.9",
+    at: "2026-03-01T08:00:00.000Z",
+    operation: "set-upstream-override",
+    difference: [{ path: "upstreamOverrides.orders/orders-1", before: undefined, after: "\"draining\"" }],
+    outcome: "accepted",
+    detail: "",
+};
+
+const catalogue: Catalogue = {
+    ...emptyCatalogue,
+    revision: 4,
+    upstreamOverrides: [{ service: "orders", upstreamId: "orders-9", state: "draining" }],
+    runbookCommands: {
+        "bench-out": { name: "bench-out", operation: "upstream-drain", arguments: ["orders", "{1}"] },
+        "roll-call": { name: "roll-call", operation: "status", arguments: [] },
+    },
+};
+
+const status: StatusAnswer = {
+    answeredBy: "control-1",
+    isQuorumConfirmed: true,
+    revision: 4,
+    voters: [{ id: "control-1", role: "leader", term: 2, revision: 4, heardAgoMs: 0, problems: [] }],
+    entries: [{
+        id: "entry-1",
+        availabilityZone: "sherbrooke",
+        revision: 4,
+        incarnation: 7,
+        isDraining: false,
+        isConfirmed: true,
+        heardAgoMs: 300,
+        measuringSpentMsPerSecond: { orders: 12.25 },
+        problems: ["no upstream of moulds"],
+    }],
+    upstreams: [{
+        service: "orders",
+        id: "orders-9",
+        address: "10.1.9.9:9000",
+        availabilityZone: "sherbrooke",
+        state: "ready",
+        slots: 3,
+        incarnation: 2,
+        evidenceAgeMs: 400,
+    }],
+};
+
+const show: FakeBehaviour[] = [{ kind: "result", result: { catalogue } }];
+const hangUp: FakeBehaviour[] = [{ kind: "hang-up" }];
+const noLeader: FakeBehaviour = { kind: "error", code: "leader-unknown", message: "no control VM leads" };
+
+function applyAnswer(outcome: ApplyAnswer["outcome"], more: Partial<ApplyAnswer> = {}): FakeBehaviour[] {
+    const answer = { outcome, revision: 5, detail: "", winner: undefined, entriesHolding: 2, entriesTotal: 3, ...more };
+    return [{ kind: "result", result: answer }];
+}
+
+/** A command, how the control VMs behave, and what the operator gets. */
+interface CommandCase {
+    readonly guards: string;
+    readonly command: string;
+    /** Behaviour of each control VM by method; undefined for one that refuses connections. */
+    readonly controls: readonly (Readonly<Record<string, FakeBehaviour[]>> | undefined)[];
+    readonly exitCode: number;
+    readonly stdout?: RegExp;
+    readonly stderr?: RegExp;
+    /** Number of `catalogue.apply` calls over all control VMs; they all carry the same change id. */
+    readonly applyCalls?: number;
+}
+
+const drain = "upstream drain orders orders-1";
+const apply = "catalogue apply examples/catalogue --base-revision 4";
+
+const cases: readonly CommandCase[] = [
+    {
+        guards: "an accepted change that reads as something else",
+        command: drain,
+        controls: [{ "catalogue.show": show, "catalogue.apply": applyAnswer("accepted") }],
+        exitCode: 0,
+        stdout: /is accepted as revision 5; 2 of 3 entries hold it/,
+        applyCalls: 1,
+    },
+    {
+        guards: "a pending change that reads as accepted",
+        command: apply,
+        controls: [{ "catalogue.apply": applyAnswer("pending") }],
+        exitCode: 5,
+        stdout:
+            /PENDING.*\n.*same change again:\n {2}figwharf catalogue apply examples\/catalogue .*--change-id [0-9a-f]{32}/,
+    },
+    {
+        guards: "a lost race that does not name the winner",
+        command: apply,
+        controls: [{ "catalogue.apply": applyAnswer("conflict", { winner }) }],
+        exitCode: 3,
+        stdout:
+            /CONFLICT.*revision 4 is no longer current\nrevision 5 was made by bela \(change c-bela\) .* from 10.1.1.9/,
+    },
+    {
+        guards: "a rejected change whose reason is lost",
+        command: apply,
+        controls: [{ "catalogue.apply": applyAnswer("rejected", { detail: "there is no service x" }) }],
+        exitCode: 4,
+        stdout: /REJECTED: .* there is no service x/,
+    },
+    {
+        guards: "a lost answer that reads as a failure, and a resend under another change id",
+        command: apply,
+        controls: [{ "catalogue.apply": hangUp }, { "catalogue.apply": hangUp }],
+        exitCode: 6,
+        stdout: /UNKNOWN: whether change [0-9a-f]{32} was made is not known/,
+    },
+    {
+        guards: "a lost answer that the next control VM settles",
+        command: apply,
+        controls: [{ "catalogue.apply": hangUp }, { "catalogue.apply": applyAnswer("accepted") }],
+        exitCode: 0,
+        stdout: /is accepted as revision 5/,
+        applyCalls: 2,
+    },
+    {
+        guards: "an outcome that a leader lost while waiting and the next one settles",
+        command: apply,
+        controls: [{ "catalogue.apply": [...applyAnswer("unknown"), ...applyAnswer("accepted")] }],
+        exitCode: 0,
+        stdout: /is accepted as revision 5/,
+        applyCalls: 2,
+    },
+    {
+        guards: "giving up during an election",
+        command: apply,
+        controls: [{ "catalogue.apply": [noLeader, ...applyAnswer("accepted")] }, { "catalogue.apply": [noLeader] }],
+        exitCode: 0,
+        stdout: /is accepted/,
+        applyCalls: 3,
+    },
+    {
+        guards: "a first control VM that is down",
+        command: drain,
+        controls: [undefined, { "catalogue.show": show, "catalogue.apply": applyAnswer("accepted") }],
+        exitCode: 0,
+        stdout: /is accepted/,
+    },
+    {
+        guards: "no control VM that can answer, read as an unknown outcome",
+        command: apply,
+        controls: [undefined, { "catalogue.apply": [noLeader] }],
+        exitCode: 7,
+        stderr: /no control VM could answer/,
+    },
+    {
+        guards: "a refused token that is retried or hidden",
+        command: apply,
+        controls: [{ "catalogue.apply": [{ kind: "status", status: 401 }] }],
+        exitCode: 8,
+        stderr: /does not accept the token/,
+        applyCalls: 1,
+    },
+    {
+        guards: "a change sent for a state that is already in force",
+        command: "upstream drain orders orders-9",
+        controls: [{ "catalogue.show": show }],
+        exitCode: 0,
+        stdout: /nothing to change: revision 4 already has it/,
+        applyCalls: 0,
+    },
+    {
+        guards: "a resend by hand that is not sent because the change is already in force",
+        command: "upstream drain orders orders-9 --base-revision 3 --change-id c-1",
+        controls: [{ "catalogue.apply": applyAnswer("accepted") }],
+        exitCode: 0,
+        applyCalls: 1,
+    },
+    {
+        guards: "sending invalid declarations",
+        command: "catalogue apply examples --base-revision 4",
+        controls: [{}],
+        exitCode: 2,
+        stderr: /examples\/services: the file does not exist/,
+        applyCalls: 0,
+    },
+    {
+        guards: "applying without a base revision",
+        command: "catalogue apply examples/catalogue",
+        controls: [{}],
+        exitCode: 2,
+        stderr: /Missing required flag base-revision/,
+    },
+    {
+        guards: "a plan that hides a change or changes something",
+        command: "catalogue plan examples/catalogue",
+        controls: [{ "catalogue.show": show }],
+        exitCode: 0,
+        stdout:
+            /bench-out.arguments: \["orders","\{1\}"\] -> .*[^]*services.orders: \(none\) -> \{"name":"orders"[^]*--base-revision 4/,
+        applyCalls: 0,
+    },
+    {
+        guards: "a runbook command that the catalogue lacks",
+        command: "run bench-gone orders-1",
+        controls: [{ "catalogue.show": show }],
+        exitCode: 2,
+        stderr: /there is no runbook command bench-gone; the catalogue has bench-out, roll-call/,
+    },
+    {
+        guards: "a runbook command with a missing argument",
+        command: "run bench-out",
+        controls: [{ "catalogue.show": show }],
+        exitCode: 2,
+        stderr: /bench-out takes 1 arguments, got 0/,
+        applyCalls: 0,
+    },
+    {
+        guards: "a runbook command that runs another operation",
+        command: "run bench-out orders-1",
+        controls: [{ "catalogue.show": show, "catalogue.apply": applyAnswer("pending") }],
+        exitCode: 5,
+        stdout: /figwharf run bench-out orders-1 --config .* --base-revision 4 --change-id/,
+        applyCalls: 1,
+    },
+    {
+        guards: "a status that hides problems or spending",
+        command: "status",
+        controls: [{ status: [{ kind: "result", result: status }] }],
+        exitCode: 0,
+        stdout:
+            /confirmed by a quorum[^]*control-1 +leader[^]*orders +12.3[^]*1 problem:\n {2}entry-1: no upstream of moulds/,
+    },
+    {
+        guards: "the old view of a partitioned control VM, when another one has a quorum",
+        command: "run roll-call",
+        controls: [
+            { "catalogue.show": show, "status": [{ kind: "result", result: { ...status, isQuorumConfirmed: false } }] },
+            { status: [{ kind: "result", result: { ...status, answeredBy: "control-2" } }] },
+        ],
+        exitCode: 0,
+        stdout: /answered by control-2, confirmed by a quorum/,
+    },
+    {
+        guards: "a lost quorum that is not said plainly",
+        command: "status",
+        controls: [undefined, { status: [{ kind: "result", result: { ...status, isQuorumConfirmed: false } }] }],
+        exitCode: 0,
+        stdout: /NOT CONFIRMED BY A QUORUM/,
+    },
+    {
+        guards: "a list of upstreams without overrides",
+        command: "upstream list --service orders",
+        controls: [{ "catalogue.show": show, "status": [{ kind: "result", result: status }] }],
+        exitCode: 0,
+        stdout: /orders +orders-9 +10.1.9.9:9000 +sherbrooke +ready +draining +3 +0.4 s ago\n1 upstream/,
+    },
+    {
+        guards: "an audit trail without origin or outcome",
+        command: "audit --limit 1",
+        controls: [{ "audit.list": [{ kind: "result", result: { records: [winner] } }] }],
+        exitCode: 0,
+        stdout:
+            /revision 5 set-upstream-override accepted by bela \(change c-bela\) at 2026.* from 10.1.1.9\n {2}upstreamOv/,
+    },
+];
+
+interface Finished {
+    readonly exitCode: number | null;
+    readonly stdout: string;
+    readonly stderr: string;
+}
+
+function runCommand(words: readonly string[]): Promise<Finished> {
+    return childQueue.add(() => startCommand(words)) as Promise<Finished>;
+}
+
+function startCommand(words: readonly string[]): Promise<Finished> {
+    return new Promise((resolve, reject) => {
+        const child = spawn(process.execPath, ["bin/figwharf.js", ...words], {
+            env: { ...process.env, NO_COLOR: "1" },
+        });
+        let stdout = "";
+        let stderr = "";
+        child.stdout.on("data", chunk => stdout += chunk);
+        child.stderr.on("data", chunk => stderr += chunk);
+        child.on("error", reject);
+        child.on("close", exitCode => resolve({ exitCode, stdout, stderr }));
+    });
+}
+
+async function runAgainst({ command, controls, exitCode }: CommandCase, extra: readonly string[] = []) {
+    const fakes = controls.map(script => script === undefined ? undefined : new FakeControl(script));
+    const controlAddresses = await Promise.all(fakes.map(fake => fake?.listen() ?? closedAddress));
+    const folder = mkdtempSync(path.join(tmpdir(), "figwharf-cli-"));
+    const config = path.join(folder, "operator.jsonc");
+    writeFileSync(path.join(folder, "token"), `${token}\n`);
+    const timeouts = exhaustingExitCodes.includes(exitCode) ? { totalTimeoutMs: exhaustedTimeoutMs } : {};
+    const settings = { operator: "asha", controlAddresses, tokenFile: "token", ...timeouts };
+    writeFileSync(config, `// operator\n${JSON.stringify(settings)}`);
+    const finished = await runCommand([...command.split(" "), ...extra, "--config", config]);
+    await Promise.all(fakes.map(fake => fake?.close()));
+    rmSync(folder, { recursive: true });
+    return { finished, calls: fakes.flatMap(fake => fake?.calls ?? []) };
+}
+
+for (const commandCase of cases) {
+    test(`guards against ${commandCase.guards}`, async t => {
+        const { finished, calls } = await runAgainst(commandCase);
+        const { exitCode, stdout, stderr } = finished;
+        t.is(exitCode, commandCase.exitCode, `${stdout}\n${stderr}`);
+        t.regex(stdout, commandCase.stdout ?? /^/);
+        t.regex(stderr, commandCase.stderr ?? /^$/);
+        t.false(`${stdout}${stderr}`.includes(token), "the token is never printed");
+        t.true(calls.every(call => call.authorization === `Bearer ${token}`));
+        const changeIds = calls.filter(call => call.method === "catalogue.apply").map(call => call.params.changeId);
+        t.true(new Set(changeIds).size <= 1, "every attempt carries the same change id");
+        t.is(changeIds.length, commandCase.applyCalls ?? changeIds.length);
+    });
+}
+
+for (const { guards, command, controls, exitCode } of [cases[1], cases[2], cases[9], cases[13], cases[19]]) {
+    test(`guards against text in the output of --json: ${guards}`, async t => {
+        const { finished } = await runAgainst({ guards, command, controls, exitCode }, ["--json"]);
+        t.is(finished.exitCode, exitCode);
+        t.is(typeof JSON.parse(finished.stdout), "object");
+    });
+}
+
+test("guards against a change id that differs for the same command and is shared by different ones", async t => {
+    const changeIdOf = async (command: string) => {
+        const controls = [{ "catalogue.apply": applyAnswer("accepted") }];
+        const { calls } = await runAgainst({ guards: "", command, controls, exitCode: 0 });
+        return calls[0].params.changeId;
+    };
+    const first = await changeIdOf(apply);
+    t.is(await changeIdOf(apply), first);
+    t.not(await changeIdOf("catalogue apply examples/catalogue --base-revision 5"), first);
+    t.is(await changeIdOf(`${apply} --change-id c-1`), "c-1");
+});
+
+for (const id of ["catalogue lint", "catalogue apply", "upstream drain", "entry-vm resume", "status", "audit", "run"]) {
+    test(`guards against help without examples or exit codes: ${id}`, async t => {
+        const { stdout, exitCode } = await runCommand([...id.split(" "), "--help"]);
+        t.is(exitCode, 0);
+        t.regex(stdout, /EXAMPLES\n {2}\$ figwharf/);
+        t.regex(stdout.replace(/\s+/g, " "), /Exit codes: 0 done or accepted/);
+    });
+}
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,9 @@
+import type { Command } from "@oclif/core";
+import { catalogueCommands } from "./commands/catalogue.js";
+import { operationCommands } from "./commands/operations.js";
+
+/** All commands by id, for oclif. */
+export const commands: Record<string, typeof Command> = {
+    ...catalogueCommands,
+    ...operationCommands,
+};
--- /dev/null
+++ b/src/cli/operations.ts
@@ -0,0 +1,90 @@
+import type { Catalogue } from "../catalogue/model.js";
+import { ApplyOutcome, type ChangeOperation, OperatorMethod } from "../control/operatorApi.js";
+import { makeChange } from "./change.js";
+import type { ControlClient } from "./controlClient.js";
+import type { Report } from "./report.js";
+import { reportAudit, reportEntryVms, reportStatus, reportUpstreams } from "./reports.js";
+
+/** Flags of a changing command and what identifies the command. */
+export interface OperationContext {
+    readonly client: ControlClient;
+    readonly operator: string;
+    readonly baseRevision: number | undefined;
+    readonly changeId: string | undefined;
+    /** Command line without change id and base revision. */
+    readonly command: string;
+}
+
+interface OperationChange {
+    readonly operation: ChangeOperation;
+    readonly isInForce: (catalogue: Catalogue) => boolean;
+}
+
+/** Names of outcomes, for flags. */
+export const applyOutcomes = Object.values(ApplyOutcome);
+
+/** Runs an operation by its name in the table `runbookOperations`, with checked arguments. */
+export function runOperation(name: string, values: readonly string[], context: OperationContext): Promise<Report> {
+    const { client } = context;
+    switch (name) {
+        case "upstream-list":
+            return reportUpstreams(client);
+        case "entry-vm-list":
+            return reportEntryVms(client);
+        case "status":
+            return reportStatus(client);
+        case "audit":
+            return reportAudit(client, OperatorMethod.audit, {});
+        default:
+            return makeChange(client, { ...context, ...changeOf(name, values) });
+    }
+}
+
+function changeOf(name: string, [first, second, third]: readonly string[]): OperationChange {
+    switch (name) {
+        case "upstream-drain":
+            return drainUpstream(first, second);
+        case "upstream-resume":
+            return resumeUpstream(first, second);
+        case "entry-vm-drain":
+            return setEntryVmState(first, "draining");
+        case "entry-vm-resume":
+            return setEntryVmState(first, "active");
+        default:
+            return setServiceLimit(first, second, Number(third));
+    }
+}
+
+function drainUpstream(service: string, upstreamId: string): OperationChange {
+    return {
+        operation: { kind: "set-upstream-override", override: { service, upstreamId, state: "draining" } },
+        isInForce: catalogue => hasOverride(catalogue, service, upstreamId),
+    };
+}
+
+function resumeUpstream(service: string, upstreamId: string): OperationChange {
+    return {
+        operation: { kind: "clear-upstream-override", service, upstreamId },
+        isInForce: catalogue => !hasOverride(catalogue, service, upstreamId),
+    };
+}
+
+function hasOverride(catalogue: Catalogue, service: string, upstreamId: string): boolean {
+    return catalogue.upstreamOverrides.some(row => row.service === service && row.upstreamId === upstreamId);
+}
+
+function setEntryVmState(entryId: string, state: "active" | "draining"): OperationChange {
+    return {
+        operation: { kind: "set-entry-vm-state", entryId, state },
+        isInForce: catalogue => catalogue.entryVms[entryId]?.state === state,
+    };
+}
+
+function setServiceLimit(service: string, limit: string, value: number): OperationChange {
+    return {
+        operation: { kind: "set-service-limit", service, limit, value },
+        isInForce: catalogue =>
+            Object.entries(catalogue.services[service]?.limits ?? {})
+                .some(([name, current]) => name === limit && current === value),
+    };
+}
--- /dev/null
+++ b/test/fakeControl.ts
@@ -0,0 +1,73 @@
+import http from "node:http";
+import type net from "node:net";
+
+/** How the fake treats a call: an answer, or a fault that a real control VM or its network can show. */
+export type FakeBehaviour =
+    | { readonly kind: "result"; readonly result: unknown; }
+    | { readonly kind: "error"; readonly code: string; readonly message: string; }
+    | { readonly kind: "status"; readonly status: number; }
+    /** Reads the call and closes the connection without an answer. */
+    | { readonly kind: "hang-up"; };
+
+/** A call as the fake received it. */
+export interface FakeCall {
+    readonly method: string;
+    readonly params: Record<string, unknown>;
+    readonly authorization: string | undefined;
+}
+
+/** Stand-in for the operators' interface of a control VM, for tests of the commands. */
+export class FakeControl {
+    readonly calls: FakeCall[] = [];
+    private readonly server = http.createServer((request, response) => {
+        this.handle(request, response).catch(() => response.destroy());
+    });
+
+    /** `script` has the behaviours of each method in order; the last one repeats. */
+    constructor(private readonly script: Readonly<Record<string, readonly FakeBehaviour[]>>) {}
+
+    /** Listens on loopback and returns the address. */
+    listen(): Promise<string> {
+        return new Promise(resolve =>
+            this.server.listen(0, "127.0.0.1", () => {
+                resolve(`127.0.0.1:${(this.server.address() as net.AddressInfo).port}`);
+            })
+        );
+    }
+
+    close(): Promise<void> {
+        this.server.closeAllConnections();
+        return new Promise(resolve => this.server.close(() => resolve()));
+    }
+
+    private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const { id, method, params } = JSON.parse(Buffer.concat(chunks).toString());
+        const earlierCalls = this.calls.filter(call => call.method === method).length;
+        this.calls.push({ method, params, authorization: request.headers.authorization });
+        const behaviours = this.script[method] ?? [];
+        const behaviour = behaviours[Math.min(earlierCalls, behaviours.length - 1)] ?? { kind: "status", status: 404 };
+        this.respond(behaviour, id, response);
+    }
+
+    private respond(behaviour: FakeBehaviour, id: unknown, response: http.ServerResponse): void {
+        switch (behaviour.kind) {
+            case "result":
+                response.end(JSON.stringify({ jsonrpc: "2.0", id, result: behaviour.result }));
+                return;
+            case "error": {
+                const error = { code: -32000, message: behaviour.message, data: { code: behaviour.code } };
+                response.end(JSON.stringify({ jsonrpc: "2.0", id, error }));
+                return;
+            }
+            case "status":
+                response.writeHead(behaviour.status).end("{}");
+                return;
+            case "hang-up":
+                response.destroy();
+        }
+    }
+}
