--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -147,7 +147,7 @@
                 method: call.method,
                 path: `/services/${call.service}${call.path}`,
                 headers,
-                body: call.bodyBytes > 0 ? Buffer.alloc(call.bodyBytes, name) : null,
+                body: call.bodyBytes > 0 ? Buffer.alloc(call.bodyBytes, call.name) : null,
                 signal: AbortSignal.timeout(call.patienceMs),
             });
             const text = await response.body.text();
@@ -200,3 +200,12 @@
     }
     return [status === 200 ? TryOutcome.ok : TryOutcome.failed, String(status)];
 }
+
+/** Returns one line about a call: its outcome and its last tries. */
+export function describeResult(result: CallResult): string {
+    const tries = result.tries.slice(-2).map(it => `${it.name} at ${it.entryAddress}: ${it.outcome} ${it.detail}`);
+    const { call, outcome } = result;
+    return `${call.method} ${call.service}${call.path} ${call.name}: ${outcome} after ${result.tries.length} tries: ${
+        tries.join("; ")
+    }`;
+}
--- a/bench/entryProcess.ts
+++ b/bench/entryProcess.ts
@@ -16,6 +16,8 @@
     readonly clusterSecret: string;
     readonly seed: number;
     readonly limits?: Partial<EntryLimits>;
+    /** True for the first entries of a new system, which need not abstain from granting claims. */
+    readonly isFirstStart?: boolean;
 }
 
 const warnLevel = 4;
@@ -29,6 +31,7 @@
     controlAddresses: options.controlAddresses,
     clusterSecret: options.clusterSecret,
     limits: { ...defaultEntryLimits, ...options.limits },
+    claims: { isFirstStart: options.isFirstStart ?? false },
     // Standard output carries the ready line only.
     logger: new Logger({
         type: "hidden",
--- a/bench/system.ts
+++ b/bench/system.ts
@@ -23,6 +23,7 @@
 export interface BenchSystem {
     readonly entries: BenchProcess[];
     readonly entryAddresses: readonly string[];
+    /** Starts a stopped entry again. */
     startEntry(index: number): Promise<BenchProcess>;
     startUpstream(options: Omit<UpstreamProcessOptions, "entryAddresses" | "executionLog">): Promise<BenchProcess>;
     executionLogs(): readonly string[];
@@ -46,7 +47,7 @@
     const controlAddress = await control.listen();
     const entryAddresses = entryVms.map(vm => vm.address);
     const logs = new Set<string>();
-    const startEntry = (index: number) =>
+    const startEntry = (index: number, isFirstStart = false) =>
         processes.start("entryProcess.js", entryVms[index].id, {
             id: entryVms[index].id,
             region: benchRegion,
@@ -56,8 +57,9 @@
             controlAddresses: [controlAddress],
             clusterSecret: benchSecret,
             seed: options.seed * 100 + index,
+            isFirstStart,
         });
-    const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index)));
+    const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index, true)));
     return {
         entries,
         entryAddresses,
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -6,6 +6,7 @@
 import { ConfigLease } from "../membership/configLease.js";
 import { PeerTable } from "../membership/peerTable.js";
 import { UpstreamTable } from "../membership/upstreamTable.js";
+import type { ClaimSettings } from "../requests/claimStack.js";
 import { RequestLifecycle } from "../requests/lifecycle.js";
 import { AttemptFailure, type AttemptTarget, type GeneratedAnswer, type RequestFacts } from "../requests/model.js";
 import { ServiceRouter } from "../routing/serviceRouter.js";
@@ -26,6 +27,7 @@
     /** `host:port` for other processes of the system. */
     readonly peerAddress: string;
     readonly random: RandomSource;
+    readonly claims?: Partial<ClaimSettings>;
 }
 
 interface AttemptRow {
@@ -59,7 +61,12 @@
             random,
         };
         this.router = new ServiceRouter(shared);
-        this.lifecycle = new RequestLifecycle({ ...shared, incarnation: options.incarnation, router: this.router });
+        this.lifecycle = new RequestLifecycle({
+            ...shared,
+            incarnation: options.incarnation,
+            router: this.router,
+            claims: options.claims,
+        });
         this.configSystem = new ConfigSystem(this.config, this.peers, catalogue => this.onCatalogue(catalogue));
         this.peerSystem = new PeerSystem(options, this.peers, this.upstreams);
     }
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../core/clock.js";
 import type { EntryId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
+import type { ClaimSettings } from "../requests/claimStack.js";
 
 /** Where a server listens. */
 export interface ListenAddress {
@@ -79,6 +80,8 @@
     readonly controlAddresses: readonly string[];
     readonly clusterSecret: string;
     readonly limits: EntryLimits;
+    /** Settings of claims that differ from the defaults, e.g. `isFirstStart` in a new cluster. */
+    readonly claims?: Partial<ClaimSettings>;
     readonly logger: Logger<ILogObj>;
     readonly metrics: StatsD;
     readonly clock: Clock;
