--- /dev/null
+++ b/src/control/catalogueService.ts
@@ -0,0 +1,161 @@
+import type { Clock } from "../core/clock.js";
+import { ControlError } from "../core/errors.js";
+import type { CatalogueLog } from "./catalogueLog.js";
+import type { EntryTable } from "./entryTable.js";
+import type { ChangeResult, EntryGroup } from "./messages.js";
+import {
+    type ApplyAnswer,
+    ApplyOutcome,
+    type ApplyParams,
+    type AuditAnswer,
+    type AuditFilter,
+    type ConfigSyncAnswer,
+    type ConfigSyncParams,
+    OperatorMethod,
+    type ShowAnswer,
+    type StatusAnswer,
+} from "./operatorApi.js";
+import { findParamsProblem } from "./validation.js";
+
+const entryWaitMs = 4000;
+const confirmTimeoutMs = 2000;
+
+/** Who sent an operator's call. */
+export interface OperatorCaller {
+    readonly operator: string;
+    /** Address the call came from. */
+    readonly from: string;
+}
+
+/** Answers the calls of operators and entries at the control VM that leads. */
+export class CatalogueService {
+    constructor(
+        private readonly log: CatalogueLog,
+        private readonly entries: EntryTable,
+        private readonly clock: Clock,
+    ) {}
+
+    /** Answers an operator's call. Throws ControlError when it cannot be answered at the moment. */
+    async answer(method: string, params: unknown, caller: OperatorCaller): Promise<unknown> {
+        switch (method) {
+            case OperatorMethod.apply:
+                return this.apply(params, caller);
+            case OperatorMethod.show:
+                return this.show();
+            case OperatorMethod.history:
+                return this.listAudit({ ...params as AuditFilter, outcome: ApplyOutcome.accepted });
+            case OperatorMethod.audit:
+                return this.listAudit(params as AuditFilter ?? {});
+            case OperatorMethod.status:
+                return this.describeStatus();
+            default:
+                throw new ControlError("method-unknown", { method });
+        }
+    }
+
+    /** Answers `config.sync`. The quorum round of the answer starts after the call. */
+    async sync(params: ConfigSyncParams): Promise<ConfigSyncAnswer> {
+        this.entries.record(params, this.clock.monotonicMs());
+        const isQuorumConfirmed = this.log.isLeader && await this.log.confirmLeadership();
+        const catalogue = this.log.state.current;
+        return {
+            isQuorumConfirmed,
+            revision: catalogue.revision,
+            catalogue: catalogue.revision > params.revision ? catalogue : undefined,
+            leaderAddress: this.log.leaderAddress,
+        };
+    }
+
+    private async apply(params: unknown, caller: OperatorCaller): Promise<ApplyAnswer> {
+        const problem = findParamsProblem(params);
+        if (problem !== undefined) {
+            return this.toAnswer(ApplyOutcome.rejected, this.log.state.revision, problem);
+        }
+        const { changeId, baseRevision, operation } = params as ApplyParams;
+        const known = this.log.state.findResult(changeId, operation);
+        if (known !== undefined) {
+            return this.awaitEntries(known);
+        }
+        const leaderTimeMs = this.clock.now().getTime();
+        const end = await this.log.propose({ changeId, baseRevision, operation, leaderTimeMs, ...caller });
+        switch (end.kind) {
+            case "applied":
+                return this.awaitEntries(end.result);
+            case "refused":
+                throw new ControlError("leader-unknown");
+            case "unknown":
+                return this.toAnswer(
+                    ApplyOutcome.unknown,
+                    this.log.state.revision,
+                    "leadership was lost while the change waited; send the same command again to settle it",
+                );
+        }
+    }
+
+    /** Waits until the entries hold an accepted change, for a bounded time. */
+    private async awaitEntries(result: ChangeResult): Promise<ApplyAnswer> {
+        if (result.outcome !== ApplyOutcome.accepted) {
+            return { ...this.toAnswer(result.outcome, result.revision, result.detail), winner: result.winner };
+        }
+        const groups = result.requiredGroups ?? this.log.state.listEntryGroups();
+        const isHeld = await this.waitUntilHeld(groups, result.revision);
+        const detail = isHeld ? "" : "durable; not yet held by a majority of the entries of each region";
+        return this.toAnswer(isHeld ? ApplyOutcome.accepted : ApplyOutcome.pending, result.revision, detail);
+    }
+
+    private waitUntilHeld(groups: readonly EntryGroup[], revision: number): Promise<boolean> {
+        return new Promise(resolve => {
+            const finish = (isHeld: boolean) => {
+                clearTimeout(timer);
+                unwatch();
+                resolve(isHeld);
+            };
+            const check = () => this.entries.isHeldByMajorities(groups, revision) && finish(true);
+            const unwatch = this.entries.watch(check);
+            const timer = setTimeout(() => finish(false), entryWaitMs);
+            check();
+        });
+    }
+
+    private toAnswer(outcome: ApplyOutcome, revision: number, detail: string): ApplyAnswer {
+        const listed = this.log.state.listEntryGroups().flatMap(group => group.entryIds);
+        return {
+            outcome,
+            revision,
+            detail,
+            winner: undefined,
+            entriesHolding: this.entries.countHolding(listed, revision),
+            entriesTotal: listed.length,
+        };
+    }
+
+    private async show(): Promise<ShowAnswer> {
+        await this.requireQuorum();
+        return { catalogue: this.log.state.current };
+    }
+
+    private async listAudit(filter: AuditFilter): Promise<AuditAnswer> {
+        await this.requireQuorum();
+        return { records: this.log.state.listAudit(filter) };
+    }
+
+    private async requireQuorum(): Promise<void> {
+        if (!await this.log.confirmLeadership()) {
+            throw new ControlError("leader-unconfirmed", { timeoutMs: confirmTimeoutMs });
+        }
+    }
+
+    private async describeStatus(): Promise<StatusAnswer> {
+        const isQuorumConfirmed = this.log.isLeader && await this.log.confirmLeadership();
+        const nowMs = this.clock.monotonicMs();
+        const catalogue = this.log.state.current;
+        return {
+            answeredBy: this.log.selfId,
+            isQuorumConfirmed,
+            revision: catalogue.revision,
+            voters: this.log.listVoters(),
+            entries: this.entries.listStatus(catalogue, nowMs),
+            upstreams: this.entries.listUpstreams(nowMs),
+        };
+    }
+}
--- /dev/null
+++ b/src/control/catalogueState.ts
@@ -0,0 +1,232 @@
+import { Packr } from "msgpackr";
+import { createHash } from "node:crypto";
+import { type Catalogue, emptyCatalogue } from "../catalogue/model.js";
+import { listDifferences } from "./difference.js";
+import type { ChangeCommand, ChangeResult, EntryGroup } from "./messages.js";
+import { applyOperation, changedEntryList, currentEntryList } from "./operations.js";
+import {
+    ApplyOutcome,
+    type AuditFilter,
+    type AuditRecord,
+    type ChangeOperation,
+    type FieldDifference,
+} from "./operatorApi.js";
+import { findCatalogueProblem } from "./validation.js";
+
+/** Claims are retained for 10 min; the lists they were spread over are kept one minute longer. */
+const entryListRetentionMs = 11 * 60 * 1000;
+const maxAuditRecords = 20_000;
+
+const packr = new Packr({ useRecords: false });
+
+interface StateImage {
+    readonly catalogue: Catalogue;
+    readonly audit: readonly AuditRecord[];
+    readonly results: readonly ChangeResult[];
+    readonly leaderTimeMs: number;
+    readonly replacedLists: readonly (readonly [number, number])[];
+}
+
+/** The replicated state: catalogue, audit trail and results by change id. Depends only on the commands applied. */
+export class CatalogueState {
+    private catalogue: Catalogue = emptyCatalogue;
+    private audit: AuditRecord[] = [];
+    private results = new Map<string, ChangeResult>();
+    private leaderTimeMs = 0;
+    /** When a list was replaced, by its revision, in the leader's time. */
+    private replacedLists = new Map<number, number>();
+
+    get revision(): number {
+        return this.catalogue.revision;
+    }
+
+    get current(): Catalogue {
+        return this.catalogue;
+    }
+
+    /** Returns the result that a resend of a known change gets. */
+    findResult(changeId: string, operation: ChangeOperation): ChangeResult | undefined {
+        const known = this.results.get(changeId);
+        return known === undefined ? undefined : answerResend(known, digestOperation(operation));
+    }
+
+    /** Applies a command. A change id that is already known gets its first result. */
+    apply(command: ChangeCommand): ChangeResult {
+        this.leaderTimeMs = Math.max(this.leaderTimeMs, command.leaderTimeMs);
+        const digest = digestOperation(command.operation);
+        const known = this.results.get(command.changeId);
+        if (known !== undefined) {
+            return answerResend(known, digest);
+        }
+        const result = this.decide(command, digest);
+        this.results.set(command.changeId, result);
+        this.forgetOldest();
+        return result;
+    }
+
+    /** Returns matching audit records, newest last. */
+    listAudit(filter: AuditFilter): readonly AuditRecord[] {
+        const found = this.audit.filter(record => isMatch(record, filter));
+        return filter.limit === undefined ? found : found.slice(Math.max(0, found.length - filter.limit));
+    }
+
+    /** Returns the entries of the current list by region. */
+    listEntryGroups(): readonly EntryGroup[] {
+        return groupByRegion(currentEntryList(this.catalogue)?.entryIds ?? [], this.catalogue);
+    }
+
+    toBytes(): Uint8Array {
+        const image: StateImage = {
+            catalogue: this.catalogue,
+            audit: this.audit,
+            results: [...this.results.values()],
+            leaderTimeMs: this.leaderTimeMs,
+            replacedLists: [...this.replacedLists],
+        };
+        return packr.pack(image);
+    }
+
+    restore(bytes: Uint8Array): void {
+        const image = packr.unpack(bytes) as StateImage;
+        this.catalogue = image.catalogue;
+        this.audit = [...image.audit];
+        this.results = new Map(image.results.map(result => [result.changeId, result]));
+        this.leaderTimeMs = image.leaderTimeMs;
+        this.replacedLists = new Map(image.replacedLists);
+    }
+
+    private decide(command: ChangeCommand, digest: string): ChangeResult {
+        if (command.baseRevision !== this.revision) {
+            return this.recordConflict(command, digest);
+        }
+        const next = applyOperation(this.catalogue, command.operation);
+        const problem = "problem" in next ? next.problem : findCatalogueProblem(next);
+        if ("problem" in next || problem !== undefined) {
+            return this.record(command, digest, ApplyOutcome.rejected, problem ?? "", [], undefined);
+        }
+        return this.accept(command, digest, next);
+    }
+
+    private recordConflict(command: ChangeCommand, digest: string): ChangeResult {
+        const winner = this.audit.find(record =>
+            record.outcome === ApplyOutcome.accepted && record.revision === command.baseRevision + 1
+        );
+        const detail = winner === undefined
+            ? `the base revision ${command.baseRevision} is not the current one, ${this.revision}`
+            : `revision ${winner.revision} was made by ${winner.operator} with change ${winner.changeId}`;
+        return this.record(command, digest, ApplyOutcome.conflict, detail, [], winner);
+    }
+
+    private accept(command: ChangeCommand, digest: string, next: Catalogue): ChangeResult {
+        const before = this.catalogue;
+        const revision = before.revision + 1;
+        const list = changedEntryList(next, revision);
+        const replaced = currentEntryList(before);
+        if (list !== undefined && replaced !== undefined) {
+            this.replacedLists.set(replaced.revision, this.leaderTimeMs);
+        }
+        const lists = this.retainedLists(next);
+        this.catalogue = { ...next, revision, entryLists: list === undefined ? lists : [...lists, list] };
+        const groups = list === undefined ? undefined : listRequiredGroups(before, this.catalogue);
+        const differences = listDifferences(before, this.catalogue);
+        return this.record(command, digest, ApplyOutcome.accepted, "", differences, undefined, groups);
+    }
+
+    private retainedLists(catalogue: Catalogue): Catalogue["entryLists"] {
+        const kept = catalogue.entryLists.filter(list => {
+            const replacedAtMs = this.replacedLists.get(list.revision);
+            return replacedAtMs === undefined || this.leaderTimeMs - replacedAtMs <= entryListRetentionMs;
+        });
+        const keptRevisions = new Set(kept.map(list => list.revision));
+        [...this.replacedLists.keys()].filter(key => !keptRevisions.has(key)).forEach(key =>
+            this.replacedLists.delete(key)
+        );
+        return kept;
+    }
+
+    private record(
+        command: ChangeCommand,
+        operationDigest: string,
+        outcome: ApplyOutcome,
+        detail: string,
+        difference: readonly FieldDifference[],
+        winner: AuditRecord | undefined,
+        requiredGroups?: readonly EntryGroup[],
+    ): ChangeResult {
+        const { changeId, operator, from } = command;
+        const at = new Date(command.leaderTimeMs).toISOString();
+        const operation = command.operation.kind;
+        this.audit.push({
+            revision: this.revision,
+            changeId,
+            operator,
+            from,
+            at,
+            operation,
+            difference,
+            outcome,
+            detail,
+        });
+        return { changeId, operationDigest, outcome, revision: this.revision, detail, winner, requiredGroups };
+    }
+
+    /** A forgotten change id cannot be applied twice: its base revision is no longer the current one. */
+    private forgetOldest(): void {
+        if (this.audit.length > maxAuditRecords) {
+            this.audit.splice(0, this.audit.length - maxAuditRecords);
+        }
+        for (const changeId of this.results.keys()) {
+            if (this.results.size <= maxAuditRecords) {
+                break;
+            }
+            this.results.delete(changeId);
+        }
+    }
+}
+
+/** Returns a digest of a change's operation that does not depend on the order of its fields. */
+export function digestOperation(operation: ChangeOperation): string {
+    return createHash("sha256").update(JSON.stringify(operation, sortKeys)).digest("base64url");
+}
+
+function sortKeys(_key: string, value: unknown): unknown {
+    if (typeof value !== "object" || value === null || Array.isArray(value)) {
+        return value;
+    }
+    return Object.fromEntries(Object.entries(value).sort(([first], [second]) => first < second ? -1 : 1));
+}
+
+function answerResend(known: ChangeResult, digest: string): ChangeResult {
+    if (known.operationDigest === digest) {
+        return known;
+    }
+    const detail = `change id ${known.changeId} was already used for another operation`;
+    return { ...known, outcome: ApplyOutcome.rejected, detail, winner: undefined };
+}
+
+function isMatch(record: AuditRecord, filter: AuditFilter): boolean {
+    return (filter.operator === undefined || record.operator === filter.operator) &&
+        (filter.changeId === undefined || record.changeId === filter.changeId) &&
+        (filter.sinceRevision === undefined || record.revision >= filter.sinceRevision) &&
+        (filter.untilRevision === undefined || record.revision <= filter.untilRevision) &&
+        (filter.outcome === undefined || record.outcome === filter.outcome);
+}
+
+/**
+ * Returns the groups that must hold a change of the entry list: the new list without the entries it adds, and the
+ * replaced list, whose entries confirm their configuration among themselves until they hold the change.
+ */
+function listRequiredGroups(before: Catalogue, after: Catalogue): readonly EntryGroup[] {
+    const oldIds = currentEntryList(before)?.entryIds ?? [];
+    const keptIds = (currentEntryList(after)?.entryIds ?? []).filter(id => oldIds.includes(id));
+    return [...groupByRegion(keptIds, after), ...groupByRegion(oldIds, before)];
+}
+
+function groupByRegion(entryIds: readonly string[], catalogue: Catalogue): readonly EntryGroup[] {
+    const groups = new Map<string, string[]>();
+    for (const id of entryIds) {
+        const region = catalogue.entryVms[id].region;
+        groups.set(region, [...groups.get(region) ?? [], id]);
+    }
+    return [...groups].map(([region, ids]) => ({ region, entryIds: ids }));
+}
--- /dev/null
+++ b/src/control/operations.ts
@@ -0,0 +1,113 @@
+import type { Catalogue, EntryList, EntryVm, UpstreamOverride } from "../catalogue/model.js";
+import type { EntryId } from "../core/ids.js";
+import type { ChangeOperation, Declarations } from "./operatorApi.js";
+
+/** An operation that does not fit the catalogue. */
+export interface OperationProblem {
+    readonly problem: string;
+}
+
+/** Returns the catalogue after an operation at the same revision, or why the operation does not fit. */
+export function applyOperation(catalogue: Catalogue, operation: ChangeOperation): Catalogue | OperationProblem {
+    switch (operation.kind) {
+        case "declare":
+            return declare(catalogue, operation.declarations);
+        case "set-upstream-override":
+            return setOverride(catalogue, operation.override);
+        case "clear-upstream-override":
+            return {
+                ...catalogue,
+                upstreamOverrides: catalogue.upstreamOverrides.filter(row => !isSameUpstream(row, operation)),
+            };
+        case "set-entry-vm-state":
+            return setEntryVmState(catalogue, operation.entryId, operation.state);
+        case "set-service-limit":
+            return setServiceLimit(catalogue, operation.service, operation.limit, operation.value);
+        default:
+            return { problem: `unknown operation ${(operation as { kind: string; }).kind}` };
+    }
+}
+
+/** Returns the current entry list of a catalogue. */
+export function currentEntryList(catalogue: Catalogue): EntryList | undefined {
+    return catalogue.entryLists.at(-1);
+}
+
+/** Returns the entry list that the entry VMs of a catalogue call for, when it differs from the current one. */
+export function changedEntryList(catalogue: Catalogue, revision: number): EntryList | undefined {
+    const vms = Object.values(catalogue.entryVms).sort((a, b) => a.id < b.id ? -1 : 1);
+    const current = currentEntryList(catalogue);
+    const list = { revision, entryIds: vms.map(vm => vm.id), availabilityZones: vms.map(vm => vm.availabilityZone) };
+    const isSame = current !== undefined
+        ? isSameList(current.entryIds, list.entryIds) && isSameList(current.availabilityZones, list.availabilityZones)
+        : vms.length === 0;
+    return isSame ? undefined : list;
+}
+
+function isSameList(first: readonly string[], second: readonly string[]): boolean {
+    return first.length === second.length && first.every((value, position) => value === second[position]);
+}
+
+function declare(catalogue: Catalogue, declarations: Declarations): Catalogue | OperationProblem {
+    const duplicate = findDuplicate(declarations.services.map(row => row.name)) ??
+        findDuplicate(declarations.entryVms.map(row => row.id)) ??
+        findDuplicate(declarations.runbookCommands.map(row => row.name));
+    if (duplicate !== undefined) {
+        return { problem: `${duplicate} is declared twice` };
+    }
+    return {
+        ...catalogue,
+        services: keyBy(declarations.services, row => row.name),
+        entryVms: keyBy(declarations.entryVms, row => row.id),
+        runbookCommands: keyBy(declarations.runbookCommands, row => row.name),
+    };
+}
+
+function findDuplicate(names: readonly string[]): string | undefined {
+    return names.find((name, position) => names.indexOf(name) !== position);
+}
+
+function keyBy<Row>(rows: readonly Row[], getKey: (row: Row) => string): Record<string, Row> {
+    return Object.fromEntries(rows.map(row => [getKey(row), row]));
+}
+
+function setOverride(catalogue: Catalogue, override: UpstreamOverride): Catalogue | OperationProblem {
+    if (!Object.hasOwn(catalogue.services, override.service)) {
+        return { problem: `there is no service ${override.service}` };
+    }
+    const others = catalogue.upstreamOverrides.filter(row => !isSameUpstream(row, override));
+    return { ...catalogue, upstreamOverrides: [...others, override] };
+}
+
+function isSameUpstream(row: UpstreamOverride, other: { service: string; upstreamId: string; }): boolean {
+    return row.service === other.service && row.upstreamId === other.upstreamId;
+}
+
+function setEntryVmState(
+    catalogue: Catalogue,
+    entryId: EntryId,
+    state: EntryVm["state"],
+): Catalogue | OperationProblem {
+    if (!Object.hasOwn(catalogue.entryVms, entryId)) {
+        return { problem: `there is no entry VM ${entryId}` };
+    }
+    const changed = { ...catalogue.entryVms[entryId], state };
+    return { ...catalogue, entryVms: { ...catalogue.entryVms, [entryId]: changed } };
+}
+
+function setServiceLimit(
+    catalogue: Catalogue,
+    service: string,
+    limit: string,
+    value: number,
+): Catalogue | OperationProblem {
+    if (!Object.hasOwn(catalogue.services, service)) {
+        return { problem: `there is no service ${service}` };
+    }
+    const row = catalogue.services[service];
+    if (!Object.hasOwn(row.limits, limit)) {
+        return { problem: `there is no limit ${limit}` };
+    }
+    const changed = { ...row, limits: { ...row.limits, [limit]: value } };
+    return { ...catalogue, services: { ...catalogue.services, [service]: changed } };
+}
--- a/src/control/operatorApi.ts
+++ b/src/control/operatorApi.ts
@@ -93,6 +93,11 @@
     readonly limit?: number;
 }
 
+/** Answer of `audit.list` and `catalogue.history`, oldest first; confirmed by a quorum. */
+export interface AuditAnswer {
+    readonly records: readonly AuditRecord[];
+}
+
 /** State of an entry as control last heard it. */
 export interface EntryStatus {
     readonly id: EntryId;
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -6,6 +6,11 @@
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
+    "leader-unknown": "no control VM leads at the moment; nothing was changed",
+    "leader-unconfirmed": "no quorum of control VMs confirmed the leader within {timeoutMs} ms",
+    "method-unknown": "there is no method {method}",
+    "storage-corrupt": "{file}: the record at byte {offsetBytes} is corrupt and is followed by valid records",
+    "storage-failed": "{file}: {operation} failed: {reason}",
 } as const;
 
 export type ErrorCode = keyof typeof errorMessages;
@@ -27,6 +32,12 @@
 /** A message between two processes of the system that could not be delivered or answered. */
 export class ChannelError extends FigwharfError {}
 
+/** A call that a control VM cannot answer at the moment. */
+export class ControlError extends FigwharfError {}
+
+/** A file that cannot be read or written, or whose content is damaged. */
+export class StorageError extends FigwharfError {}
+
 /** Returns the message of an error code with its placeholders filled. */
 export function formatErrorMessage(code: ErrorCode, details: ErrorDetails): string {
     return errorMessages[code].replace(
