Attach the operator interface through polka's listen

polka adds its request handler only in its own listen, so calls to POST /v1/rpc were never answered.

--- a/src/control/operatorServer.ts
+++ b/src/control/operatorServer.ts
@@ -18,6 +18,7 @@
 /** HTTP interface of the operators: `POST /v1/rpc` with JSON-RPC and a bearer token. */
 export class OperatorServer {
     private readonly server: http.Server;
+    private readonly app: polka.Polka;
     private readonly rpc = new JSONRPCServer<OperatorCaller>({ errorListener: () => undefined });
 
     constructor(private readonly tokens: readonly OperatorToken[], answerCall: AnswerCall) {
@@ -27,7 +28,7 @@
         });
         this.rpc.mapErrorToJSONRPCErrorResponse = toErrorResponse;
         this.server = http.createServer({ headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs });
-        polka({ server: this.server }).post("/v1/rpc", (request, response) => {
+        this.app = polka({ server: this.server }).post("/v1/rpc", (request, response) => {
             this.handle(request, response).catch(() => response.destroy());
         });
     }
@@ -36,11 +37,9 @@
     listen(address: ListenAddress): Promise<number> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(
-                address.port,
-                address.host,
-                () => resolve((this.server.address() as net.AddressInfo).port),
-            );
+            const finish = () => resolve((this.server.address() as net.AddressInfo).port);
+            // polka handles requests only from its own listen on.
+            this.app.listen({ port: address.port, host: address.host }, finish);
         });
     }
 
