--- /dev/null
+++ b/src/cli/commands/daemons.ts
@@ -0,0 +1,57 @@
+import { Command, Flags } from "@oclif/core";
+import { ProblemListError } from "../../core/errors.js";
+import { type Loaded, loadEntrySettings } from "../../settings/load.js";
+import { runEntry } from "../../wiring.js";
+import { ExitCode } from "../exitCode.js";
+
+const settingsFlag = {
+    settings: Flags.string({
+        helpValue: "FILE",
+        description: "settings of the daemon (JSON with comments)",
+        required: true,
+    }),
+};
+const daemonHelp =
+    "Exit codes: 0 drained after SIGTERM; 1 it could not start or go on; 2 invalid settings, nothing started.";
+
+/** Command that runs a daemon until a signal stops it. */
+abstract class DaemonCommand extends Command {
+    async run(): Promise<void> {
+        try {
+            await this.start();
+        }
+        catch (error) {
+            if (!(error instanceof ProblemListError)) {
+                throw error;
+            }
+            error.problems.forEach(problem => this.logToStderr(problem.message));
+            process.exitCode = ExitCode.invalid;
+        }
+    }
+
+    protected abstract start(): Promise<void>;
+}
+
+function requireValid<Value>(loaded: Loaded<Value>): Value {
+    if (!loaded.isValid) {
+        throw new ProblemListError(loaded.problems);
+    }
+    return loaded.value;
+}
+
+export class Entry extends DaemonCommand {
+    static summary = "Run an entry: accept callers and route their requests to upstreams.";
+    static description = `SIGTERM drains the entry; requests in flight are finished. ${daemonHelp}`;
+    static examples = ["<%= config.bin %> entry --settings /etc/figwharf/entry.jsonc"];
+    static flags = settingsFlag;
+
+    protected async start(): Promise<void> {
+        const { flags } = await this.parse(Entry);
+        await runEntry(requireValid(loadEntrySettings(flags.settings)));
+    }
+}
+
+/** Commands that run daemons. */
+export const daemonCommands: Record<string, typeof Command> = {
+    entry: Entry,
+};
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -19,6 +19,8 @@
     | { readonly isValid: false; readonly problems: readonly SettingsError[]; };
 
 const maxActualLength = 60;
+/** Fields whose values appear in no message. */
+const secretFields = new Set(["token"]);
 
 /** A JSON-with-comments file and the lines of its fields. */
 export class SettingsDocument {
@@ -41,7 +43,7 @@
             line: this.lineAt((node ?? this.findEnclosing(path))?.offset ?? 0),
             field: formatPath(path),
             expected,
-            actual: actual ?? describeValue(node),
+            actual: actual ?? (secretFields.has(String(path.at(-1))) ? "(not shown)" : describeValue(node)),
         });
     }
 
@@ -153,10 +155,15 @@
     return document.problemAt(issue.path, issue.message);
 }
 
+/** Describes a value without its content when it is a list or an object, because that may hold a secret. */
 function describeValue(node: Node | undefined): string {
     if (node === undefined) {
         return "nothing";
     }
+    if (node.type === "object" || node.type === "array") {
+        const count = node.children?.length ?? 0;
+        return `${node.type === "array" ? "a list" : "an object"} of ${count}`;
+    }
     const formatted = JSON.stringify(getNodeValue(node));
     return formatted.length <= maxActualLength ? formatted : `${formatted.slice(0, maxActualLength)}...`;
 }
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
+import { defaultEntryLimits as defaults, type EntryLimits } from "../entry/options.js";
 import { address, identifier, integer, list, object, oneOf, text, Unit } from "./fields.js";
 
-const kibibyte = 1024;
-const mebibyte = 1024 * kibibyte;
+const mebibyte = 1024 * 1024;
 const maxTimeMs = 600_000;
 
 const file = () => text("path of a file, relative to the folder of this file");
@@ -21,26 +21,31 @@
 });
 
 const entryLimitsSchema = object({
-    headBytes: bytes(mebibyte).default(16 * kibibyte).describe("Largest request head."),
-    bodyBytes: bytes(1024 * mebibyte).default(32 * mebibyte).describe("Largest request body."),
-    bufferedBodyBytes: bytes(64 * mebibyte).default(256 * kibibyte)
+    headBytes: bytes(mebibyte).default(defaults.headBytes).describe("Largest request head."),
+    bodyBytes: bytes(1024 * mebibyte).default(defaults.bodyBytes).describe("Largest request body."),
+    bufferedBodyBytes: bytes(64 * mebibyte).default(defaults.bufferedBodyBytes)
         .describe("Bodies up to this size are buffered, so that they can be sent again and hashed."),
-    retainedBodyBytes: bytes(64 * mebibyte).default(256 * kibibyte)
+    retainedBodyBytes: bytes(64 * mebibyte).default(defaults.retainedBodyBytes)
         .describe("Largest response body that is retained for resends."),
-    connections: count(100_000).default(4_096).describe("Connections of callers and upstreams."),
-    connectionsPerUpstream: count(10_000).default(64).describe("Connections to one upstream."),
-    requests: count(100_000).default(4_096)
+    connections: count(100_000).default(defaults.connections).describe("Connections of callers and upstreams."),
+    connectionsPerUpstream: count(10_000).default(defaults.connectionsPerUpstream)
+        .describe("Connections to one upstream."),
+    requests: count(100_000).default(defaults.requests)
         .describe("Requests that are being read, waiting or in flight, over all services."),
-    bufferedBytes: bytes(1024 * mebibyte).default(64 * mebibyte)
-        .describe("Buffered bytes of request bodies, over all requests."),
-    headTimeoutMs: time().default(10_000).describe("Time to receive a request head."),
-    bodyTimeoutMs: time().default(10_000).describe("Time to receive a body that is buffered."),
-    keepAliveTimeoutMs: time().default(15_000).describe("Idle time after which a caller's connection is closed."),
-    upstreamIdleMs: time().default(1_000)
+    places: count(100_000).default(defaults.places).describe("Requests that may be in flight, over all services."),
+    bufferedBytes: bytes(1024 * mebibyte).default(defaults.bufferedBytes)
+        .describe("Bytes of request and response bodies that are held in memory, over all requests."),
+    headTimeoutMs: time().default(defaults.headTimeoutMs).describe("Time to receive a request head."),
+    bodyTimeoutMs: time().default(defaults.bodyTimeoutMs).describe("Time to receive a body that is buffered."),
+    keepAliveTimeoutMs: time().default(defaults.keepAliveTimeoutMs)
+        .describe("Idle time after which a caller's connection is closed."),
+    upstreamIdleMs: time().default(defaults.upstreamIdleMs)
         .describe("Idle time after which a connection to an upstream is not used again."),
-    connectTimeoutMs: time().default(1_000).describe("Time to connect to an upstream."),
-    maxDeadlineMs: time().default(maxTimeMs).describe("Longest deadline that a caller can state."),
-});
+    connectTimeoutMs: time().default(defaults.connectTimeoutMs).describe("Time to connect to an upstream."),
+    stallTimeoutMs: time().default(defaults.stallTimeoutMs)
+        .describe("Time after which a caller that does not read its response is disconnected."),
+    maxDeadlineMs: time().default(defaults.maxDeadlineMs).describe("Longest deadline that a caller can state."),
+}) satisfies z.ZodType<EntryLimits>;
 
 const place = {
     region: identifier().describe("Region of the VM."),
