Let replicas of a new entry list grant claims at once

Cause: all entries of a new cluster abstained until the retention time had passed, because none could read claims from a replica that did not abstain. Ruled out: a setting that asserts the first start, because a process that is restarted with it would forget claims. Change: an entry list that did not exist when a quorum of control VMs first answered this process cannot have been used by an earlier incarnation.

--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -66,6 +66,7 @@
             incarnation: options.incarnation,
             router: this.router,
             claims: options.claims,
+            firstControlRevision: () => this.config.firstControlRevision,
         });
         this.configSystem = new ConfigSystem(this.config, this.peers, catalogue => this.onCatalogue(catalogue));
         this.peerSystem = new PeerSystem(options, this.peers, this.upstreams);
--- a/src/membership/configLease.ts
+++ b/src/membership/configLease.ts
@@ -22,6 +22,11 @@
 /** The catalogue that an entry holds, and when it was last confirmed to be in force. */
 export class ConfigLease {
     catalogue: Catalogue = emptyCatalogue;
+    /**
+     * Revision of the first answer that a quorum of control VMs confirmed. No earlier incarnation of this entry can have
+     * used a higher revision, because none existed when this process was already running.
+     */
+    firstControlRevision: number | undefined;
     private confirmedAtMs = Number.NEGATIVE_INFINITY;
     private question: { askedAtMs: number; revision: number; answered: Set<EntryId>; } | undefined;
 
@@ -53,6 +58,9 @@
 
     /** Applies an answer of control to a question sent at `sentAtMs`. */
     applyControlAnswer(isQuorumConfirmed: boolean, revision: number, sentAtMs: number): void {
+        if (isQuorumConfirmed) {
+            this.firstControlRevision ??= revision;
+        }
         if (isQuorumConfirmed && revision > 0 && revision <= this.catalogue.revision) {
             this.confirm(sentAtMs);
         }
--- a/src/requests/claimStack.ts
+++ b/src/requests/claimStack.ts
@@ -44,6 +44,8 @@
     readonly catalogue: () => Catalogue;
     readonly peers: PeerView;
     readonly random: RandomSource;
+    /** Lowest revision that a quorum of control VMs has confirmed to this process. */
+    readonly firstControlRevision?: () => number | undefined;
     readonly settings: ClaimSettings;
     readonly outbox: Outbox;
 }
@@ -70,6 +72,7 @@
                 isFirstStart,
                 abstentionMs: retentionMs + maxClaimAgeMs,
                 entryLists: nowMs => lists.list(nowMs),
+                isNewList: list => list.revision > (options.firstControlRevision?.() ?? Number.POSITIVE_INFINITY),
             },
             this.table,
             outbox,
--- a/src/requests/claimSync.ts
+++ b/src/requests/claimSync.ts
@@ -17,6 +17,8 @@
     readonly isFirstStart: boolean;
     /** Time after the start at which every claim that an earlier incarnation granted has ended. */
     readonly abstentionMs: number;
+    /** Whether the list did not exist yet when this process started, so that no earlier incarnation granted under it. */
+    readonly isNewList: (list: EntryList) => boolean;
     /** Entry lists that count for claims. */
     readonly entryLists: (nowMs: number) => readonly EntryList[];
 }
@@ -47,7 +49,11 @@
 
     /** Whether this replica withholds grants of claims with these replica sets. */
     isAbstaining(replicaSets: readonly (readonly EntryId[])[], nowMs: number): boolean {
-        return !this.hasOutwaited(nowMs) && !replicaSets.every(set => this.hasRead(set));
+        if (this.hasOutwaited(nowMs) || replicaSets.every(set => this.hasRead(set))) {
+            return false;
+        }
+        const lists = this.options.entryLists(nowMs);
+        return lists.length === 0 || lists.some(list => this.hasEarlierGrants(list));
     }
 
     /** Newest incarnations known here of the given entries. */
@@ -172,7 +178,13 @@
     // enough replicas of any set that can be chosen from the lists.
     private hasReadAll(nowMs: number): boolean {
         const lists = this.options.entryLists(nowMs);
-        return this.hasOutwaited(nowMs) || (lists.length > 0 && lists.every(list => this.hasReadList(list)));
+        return this.hasOutwaited(nowMs) ||
+            (lists.length > 0 && lists.every(list => !this.hasEarlierGrants(list) || this.hasReadList(list)));
+    }
+
+    // An entry that is added to the list, or all entries of a new cluster, have granted nothing that could be forgotten.
+    private hasEarlierGrants(list: EntryList): boolean {
+        return list.entryIds.includes(this.options.selfId) && !this.options.isNewList(list);
     }
 
     private hasReadList(list: EntryList): boolean {
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -38,6 +38,8 @@
     readonly catalogue: () => Catalogue;
     readonly random: RandomSource;
     readonly claims?: Partial<ClaimSettings>;
+    /** Lowest revision that a quorum of control VMs has confirmed to this process; undefined before the first. */
+    readonly firstControlRevision?: () => number | undefined;
 }
 
 /**
