Replace the in-memory log by the replicated log on disk

The core takes events and returns effects; the host does the disk effects of a batch, in order and synced, before any message or answer leaves. Checked so far only by hand with one member over loopback; tests follow.

--- /dev/null
+++ b/src/control/follower.ts
@@ -0,0 +1,115 @@
+import type { VoterId } from "../core/ids.js";
+import type { AppendMessage, LogRecord, SnapshotMessage } from "./messages.js";
+import type { ReplicaState } from "./replicaState.js";
+
+interface IncomingSnapshot {
+    readonly index: number;
+    readonly term: number;
+    readonly parts: Uint8Array[];
+    sizeBytes: number;
+}
+
+/** Takes records and snapshots from the leader of the current term. */
+export class Follower {
+    private incoming: IncomingSnapshot | undefined;
+
+    constructor(private readonly state: ReplicaState) {}
+
+    append(from: VoterId, message: AppendMessage): void {
+        const { log } = this.state;
+        const { previousIndex, records } = message;
+        const isBelowBase = previousIndex < log.base;
+        if (!isBelowBase && log.termAt(previousIndex) !== message.previousTerm) {
+            this.answer(from, message, false, this.findRetryIndex(previousIndex));
+            return;
+        }
+        this.incoming = undefined;
+        this.state.append(this.selectNew(records));
+        const matchIndex = previousIndex + records.length;
+        this.state.commitUpTo(Math.max(this.state.commitIndex, Math.min(message.commitIndex, matchIndex)));
+        this.answer(from, message, true, matchIndex);
+    }
+
+    installPart(from: VoterId, message: SnapshotMessage): void {
+        if (message.index <= this.state.commitIndex) {
+            this.answer(from, message, true, message.index);
+            return;
+        }
+        const incoming = this.selectIncoming(message);
+        if (message.offset === incoming.sizeBytes) {
+            incoming.parts.push(message.data);
+            incoming.sizeBytes += message.data.length;
+            if (message.isLast) {
+                this.install(from, message, incoming);
+                return;
+            }
+        }
+        this.state.send(from, {
+            kind: "snapshot-answer",
+            term: this.state.term,
+            snapshotIndex: message.index,
+            nextOffset: incoming.sizeBytes,
+            round: message.round,
+        });
+    }
+
+    private install(from: VoterId, message: SnapshotMessage, incoming: IncomingSnapshot): void {
+        const { index, snapshotTerm: term, members } = message;
+        this.incoming = undefined;
+        this.state.install({ index, term, members, state: Buffer.concat(incoming.parts) });
+        this.answer(from, message, true, index);
+    }
+
+    private selectIncoming(message: SnapshotMessage): IncomingSnapshot {
+        const { index, snapshotTerm: term } = message;
+        if (this.incoming?.index !== index || this.incoming.term !== term) {
+            this.incoming = { index, term, parts: [], sizeBytes: 0 };
+        }
+        return this.incoming;
+    }
+
+    /** Returns the records from the first one that is not held yet; a delayed message must not cut off the log. */
+    private selectNew(records: readonly LogRecord[]): readonly LogRecord[] {
+        const { log } = this.state;
+        const position = records.findIndex(record =>
+            record.index > log.base && log.termAt(record.index) !== record.term
+        );
+        const selected = position === -1 ? [] : records.slice(position);
+        if (selected.length > 0 && selected[0].index <= this.state.commitIndex) {
+            throw new Error(`the leader contradicts committed record ${selected[0].index}`);
+        }
+        return selected;
+    }
+
+    /** Returns the index before the whole term that does not match, so that a long mismatch is skipped at once. */
+    private findRetryIndex(previousIndex: number): number {
+        const { log, commitIndex } = this.state;
+        if (previousIndex > log.lastIndex) {
+            return log.lastIndex;
+        }
+        const mismatched = log.termAt(previousIndex);
+        let index = previousIndex - 1;
+        while (index > commitIndex && log.termAt(index) === mismatched) {
+            index--;
+        }
+        return index;
+    }
+
+    private answer(
+        to: VoterId,
+        message: AppendMessage | SnapshotMessage,
+        isMatch: boolean,
+        matchIndex: number,
+    ): void {
+        const { term, machine } = this.state;
+        const { round } = message;
+        this.state.send(to, {
+            kind: "append-answer",
+            term,
+            isMatch,
+            matchIndex,
+            round,
+            revision: machine.revision,
+        });
+    }
+}
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -132,6 +132,8 @@
     | { readonly kind: "propose"; readonly requestId: number; readonly command: Command; }
     /** Asks for a quorum round that starts after this event. */
     | { readonly kind: "read"; readonly requestId: number; }
+    /** Starts a new group; ignored by a VM that already has one. */
+    | { readonly kind: "found"; readonly members: GroupMembers; }
     /** A VM that is not a member asks to become one. */
     | { readonly kind: "join"; readonly member: Member; };
 
--- /dev/null
+++ b/src/control/peerLinks.ts
@@ -0,0 +1,54 @@
+import type { VoterId } from "../core/ids.js";
+import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
+import type { Member, ReplicationMessage } from "./messages.js";
+
+/** Method of the messages between replicas. */
+export const messageMethod = "replication.message";
+
+/** Parameters of `replication.message`. A VM with another identity at the same address drops the message. */
+export interface AddressedMessage {
+    readonly to: VoterId;
+    readonly message: ReplicationMessage;
+}
+
+/** Channels to the other control VMs. */
+export class PeerLinks {
+    private readonly clients = new Map<string, ChannelClient>();
+    private readonly addresses = new Map<VoterId, string>();
+
+    constructor(private readonly options: ChannelOptions) {}
+
+    /** Remembers where a VM is reached. */
+    learn(member: Member): void {
+        this.addresses.set(member.id, member.peerAddress);
+    }
+
+    /** Returns the peer address of a VM. */
+    addressOf(id: VoterId): string | undefined {
+        return this.addresses.get(id);
+    }
+
+    /** Sends a message; it is lost when there is no connection. */
+    send(to: VoterId, message: ReplicationMessage): void {
+        const address = this.addresses.get(to);
+        if (address !== undefined) {
+            this.client(address).notify(messageMethod, { to, message } satisfies AddressedMessage);
+        }
+    }
+
+    /** Calls a method at an address. Rejects with ChannelError or the other side's error. */
+    call(address: string, method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+        return this.client(address).call(method, params, timeoutMs);
+    }
+
+    close(): void {
+        this.clients.forEach(client => client.close());
+    }
+
+    private client(address: string): ChannelClient {
+        const known = this.clients.get(address);
+        const client = known ?? new ChannelClient(address, this.options);
+        this.clients.set(address, client);
+        return client;
+    }
+}
--- /dev/null
+++ b/src/control/replicaHost.ts
@@ -0,0 +1,229 @@
+import type { Clock } from "../core/clock.js";
+import type { RandomSource } from "../core/random.js";
+import type { ControlStore } from "../storage/controlStore.js";
+import { CatalogueLog, type ProposalEnd } from "./catalogueLog.js";
+import { CatalogueState } from "./catalogueState.js";
+import type { ChangeCommand, ControlAnswer, ControlEffect, ControlEvent, GroupMembers } from "./messages.js";
+import type { VoterStatus } from "./operatorApi.js";
+import type { ControlLogger } from "./options.js";
+import type { PeerLinks } from "./peerLinks.js";
+import { Replica } from "./replica.js";
+
+const tickMs = 50;
+const proposalTimeoutMs = 5000;
+const confirmTimeoutMs = 1500;
+const silentAfterMs = 2000;
+
+/** What a replica host works with. */
+export interface ReplicaHostOptions {
+    readonly selfId: string;
+    readonly store: ControlStore;
+    readonly links: PeerLinks;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: ControlLogger;
+    /** Called once, when the disk fails or the replica finds a contradiction; the host has stopped. */
+    readonly onFailed: (error: Error) => void;
+}
+
+type Settle = (answer: ControlAnswer | undefined) => void;
+
+/** Drives a replica with its disk, its peers and the time. */
+export class ReplicaHost extends CatalogueLog {
+    readonly state = new CatalogueState();
+    private readonly replica: Replica;
+    private readonly startedAtMs: number;
+    private readonly ticker: NodeJS.Timeout;
+    private readonly waiting = new Map<number, Settle>();
+    private nextRequestId = 1;
+    private queue: ControlEvent[] = [];
+    private isStopped = false;
+
+    constructor(private readonly options: ReplicaHostOptions) {
+        super();
+        const { selfId, store, random, clock } = options;
+        this.startedAtMs = clock.monotonicMs();
+        const persisted = store.load();
+        this.replica = new Replica({ selfId, persisted, machine: this.state, random, nowMs: this.startedAtMs });
+        this.ticker = setInterval(() => this.run(), tickMs);
+        this.learnMembers();
+    }
+
+    get selfId(): string {
+        return this.options.selfId;
+    }
+
+    get isLeader(): boolean {
+        return this.replica.role === "leader";
+    }
+
+    get leaderAddress(): string | undefined {
+        const leader = this.replica.knownLeader;
+        return leader === undefined || leader === this.selfId ? undefined : this.options.links.addressOf(leader);
+    }
+
+    get members(): GroupMembers {
+        return this.replica.members;
+    }
+
+    /** Returns whether this VM votes or learns in the group it knows. */
+    get isMember(): boolean {
+        const { voters, learners } = this.replica.members;
+        return [...voters, ...learners].some(member => member.id === this.selfId);
+    }
+
+    /** Hands in an event; it is handled together with the others of this turn of the event loop. */
+    submit(event: ControlEvent): void {
+        if (this.queue.length === 0) {
+            setImmediate(() => this.run());
+        }
+        this.queue.push(event);
+    }
+
+    /** Handles the waiting events and the time. The records of all of them are synced at once. */
+    run(): void {
+        if (this.isStopped) {
+            return;
+        }
+        try {
+            const nowMs = this.options.clock.monotonicMs();
+            const events = this.queue;
+            this.queue = [];
+            const effects = events.flatMap(event => this.replica.handle(event, nowMs));
+            this.perform([...effects, ...this.replica.tick(nowMs)]);
+        }
+        catch (error) {
+            this.fail(error as Error);
+        }
+    }
+
+    async propose(change: ChangeCommand): Promise<ProposalEnd> {
+        const answer = await this.ask(proposalTimeoutMs, requestId => ({
+            kind: "propose",
+            requestId,
+            command: { kind: "change", change },
+        }));
+        if (answer?.kind === "applied" && answer.result !== undefined) {
+            return { kind: "applied", result: answer.result };
+        }
+        return { kind: answer?.kind === "refused" ? "refused" : "unknown" };
+    }
+
+    async confirmLeadership(): Promise<boolean> {
+        const answer = await this.ask(confirmTimeoutMs, requestId => ({ kind: "read", requestId }));
+        return answer?.kind === "confirmed";
+    }
+
+    listVoters(): readonly VoterStatus[] {
+        const { voters, learners } = this.replica.members;
+        return [...voters, ...learners].map(member => this.describe(member.id));
+    }
+
+    close(): void {
+        this.isStopped = true;
+        clearInterval(this.ticker);
+        this.waiting.forEach(settle => settle(undefined));
+        this.options.store.close();
+    }
+
+    private ask(timeoutMs: number, makeEvent: (requestId: number) => ControlEvent): Promise<ControlAnswer | undefined> {
+        if (this.isStopped) {
+            return Promise.resolve(undefined);
+        }
+        return new Promise(resolve => {
+            const requestId = this.nextRequestId++;
+            const settle: Settle = answer => {
+                clearTimeout(timer);
+                this.waiting.delete(requestId);
+                resolve(answer);
+            };
+            const timer = setTimeout(() => settle(undefined), timeoutMs);
+            this.waiting.set(requestId, settle);
+            this.submit(makeEvent(requestId));
+        });
+    }
+
+    private perform(effects: readonly ControlEffect[]): void {
+        effects.forEach(effect => this.performOnDisk(effect));
+        if (effects.some(effect => effect.kind === "append" || effect.kind === "save-snapshot")) {
+            this.options.store.sync();
+            this.learnMembers();
+        }
+        effects.forEach(effect => this.performElsewhere(effect));
+    }
+
+    private performOnDisk(effect: ControlEffect): void {
+        const { store } = this.options;
+        switch (effect.kind) {
+            case "save-vote":
+                store.saveVote(effect.term, effect.votedFor);
+                break;
+            case "append":
+                store.append(effect.records);
+                break;
+            case "save-snapshot":
+                store.saveSnapshot(effect.snapshot, effect.records);
+                break;
+        }
+    }
+
+    private performElsewhere(effect: ControlEffect): void {
+        switch (effect.kind) {
+            case "send":
+                this.options.links.send(effect.to, effect.message);
+                break;
+            case "answer":
+                this.waiting.get(effect.requestId)?.(effect.answer);
+                break;
+            case "log":
+                this.options.logger[effect.level](effect.text);
+                break;
+        }
+    }
+
+    private learnMembers(): void {
+        const { voters, learners } = this.replica.members;
+        [...voters, ...learners].forEach(member => this.options.links.learn(member));
+    }
+
+    private fail(error: Error): void {
+        this.options.logger.error(`control VM stops: ${error.message}`);
+        this.close();
+        this.options.onFailed(error);
+    }
+
+    private describe(id: string): VoterStatus {
+        const { replica } = this;
+        const nowMs = this.options.clock.monotonicMs();
+        const isSelf = id === this.selfId;
+        const heard = replica.heard.get(id);
+        const heardAgoMs = isSelf ? 0 : Math.round(nowMs - (heard?.atMs ?? this.startedAtMs));
+        return {
+            id,
+            role: isSelf ? replica.role : this.guessRole(id),
+            term: replica.term,
+            revision: isSelf ? this.state.revision : heard?.revision ?? 0,
+            heardAgoMs,
+            problems: isSelf ? this.listOwnProblems(nowMs) : this.listPeerProblems(heardAgoMs),
+        };
+    }
+
+    private guessRole(id: string): VoterStatus["role"] {
+        if (id === this.replica.knownLeader) {
+            return "leader";
+        }
+        if (this.replica.members.learners.some(member => member.id === id)) {
+            return "learner";
+        }
+        return this.isLeader ? "follower" : "unknown";
+    }
+
+    private listOwnProblems(nowMs: number): readonly string[] {
+        return this.replica.isLed(nowMs) ? [] : ["does not hear a leader"];
+    }
+
+    /** Only the leader hears all members all the time. */
+    private listPeerProblems(heardAgoMs: number): readonly string[] {
+        return this.isLeader && heardAgoMs > silentAfterMs ? [`not heard for ${heardAgoMs} ms`] : [];
+    }
+}
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -7,9 +7,12 @@
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
     "leader-unknown": "no control VM leads at the moment; nothing was changed",
+    "leader-refused": "the leading control VM did not take the call: {reason}",
     "leader-unconfirmed": "no quorum of control VMs confirmed the leader within {timeoutMs} ms",
     "method-unknown": "there is no method {method}",
     "storage-corrupt": "{file}: the record at byte {offsetBytes} is corrupt and is followed by valid records",
+    "storage-damaged": "{file}: the file is damaged",
+    "storage-incomplete": "{file}: the file is missing while other files of the data folder exist",
     "storage-failed": "{file}: {operation} failed: {reason}",
 } as const;
 
