--- /dev/null
+++ b/src/requests/lifecycle.ts
@@ -0,0 +1,382 @@
+import type { Catalogue } from "../catalogue/model.js";
+import type { AttemptId, EntryId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import { Verdict } from "../core/verdict.js";
+import type { EntryEffect, EntryEvent, PeerMessage } from "../entry/messages.js";
+import type { PeerView, UpstreamView } from "../membership/view.js";
+import * as answers from "./answers.js";
+import { AttemptRunner, type RouteRefusal } from "./attempts.js";
+import { HeldPolicy } from "./claim.js";
+import type { DecidedClaim } from "./claimCoordinator.js";
+import { type ClaimSettings, ClaimStack, defaultClaimSettings } from "./claimStack.js";
+import { CrashGuard } from "./crashGuard.js";
+import {
+    AttemptFailure,
+    AttemptPhase,
+    type LoadReport,
+    type RequestFacts,
+    type ResponseHead,
+    type RetainedResponse,
+} from "./model.js";
+import { Outbox } from "./outbox.js";
+import { RequestCloser } from "./requestCloser.js";
+import { type AttemptRow, type RequestRow, RequestStage, RequestTable, verdictOfRequest } from "./requestTable.js";
+import type { Router } from "./router.js";
+import { SlowAttempts } from "./slowAttempts.js";
+import { Standing } from "./suspectTable.js";
+import { Trials, type TrialStep } from "./trials.js";
+import { isIdempotent, isRefusal } from "./verdicts.js";
+
+/** Options of `RequestLifecycle`. */
+export interface RequestLifecycleOptions {
+    readonly selfId: EntryId;
+    /** Rises with each start of the entry. */
+    readonly incarnation: number;
+    readonly router: Router;
+    readonly peers: PeerView;
+    readonly upstreams: UpstreamView;
+    readonly catalogue: () => Catalogue;
+    readonly random: RandomSource;
+    readonly claims?: Partial<ClaimSettings>;
+}
+
+/**
+ * Requests in flight at one entry, from acceptance to the end of the answer. Drives the router: each call also applies
+ * the router's delayed decisions and returns its effects. Events of attempts or requests that have ended are ignored.
+ */
+export class RequestLifecycle {
+    private readonly table = new RequestTable();
+    private readonly outbox = new Outbox();
+    private readonly claims: ClaimStack;
+    private readonly crashes: CrashGuard;
+    private readonly trials: Trials;
+    private readonly runner: AttemptRunner;
+    private readonly closer: RequestCloser;
+    private readonly slowAttempts: SlowAttempts;
+
+    constructor(private readonly options: RequestLifecycleOptions) {
+        const { table, outbox } = this;
+        const settings = { ...defaultClaimSettings, ...options.claims };
+        this.claims = new ClaimStack({ ...options, settings, outbox });
+        this.crashes = new CrashGuard(options.peers, options.upstreams, outbox);
+        this.trials = new Trials(this.claims.coordinator, this.crashes);
+        this.runner = new AttemptRunner(table, options.router, outbox, {
+            isDispatchable: (request, nowMs) => this.isDispatchable(request, nowMs),
+            onRefused: (request, refusal, nowMs) => this.onRefused(request, refusal, nowMs),
+            onStale: (request, nowMs) => this.onStale(request, nowMs),
+        });
+        this.closer = new RequestCloser(table, this.runner, this.claims.coordinator, this.trials, outbox);
+        this.slowAttempts = new SlowAttempts(options.router, this.runner, outbox);
+    }
+
+    /** Requests in flight. */
+    get inFlight(): number {
+        return this.table.size;
+    }
+
+    /**
+     * Handles `request`, `caller-gone`, `attempt-*`, `connection-checked` and `peer-message` (`claim.*`, `crash.*`);
+     * ignores other kinds.
+     */
+    handle(event: EntryEvent, nowMs: number): EntryEffect[] {
+        this.apply(event, nowMs);
+        return this.settle(nowMs);
+    }
+
+    /** Runs timers: deadlines, hedges, silent attempts, claims, the router. Due every few milliseconds. */
+    tick(nowMs: number): EntryEffect[] {
+        this.options.router.tick(nowMs);
+        this.claims.tick(nowMs);
+        this.crashes.tick(nowMs);
+        for (const request of this.table.listRequests()) {
+            this.runTimers(request, nowMs);
+        }
+        return this.settle(nowMs);
+    }
+
+    /** Applies decisions that the router has made since the last call, e.g. after a `slot.grant` message. */
+    applyDecisions(nowMs: number): EntryEffect[] {
+        return this.settle(nowMs);
+    }
+
+    private apply(event: EntryEvent, nowMs: number): void {
+        switch (event.kind) {
+            case "request":
+                return this.accept(event.request, nowMs);
+            case "caller-gone":
+                return this.onCallerGone(event.requestId, nowMs);
+            case "attempt-sent":
+                return this.onSent(event.attemptId, nowMs);
+            case "attempt-head":
+                return this.withAttempt(event.attemptId, it => this.onHead(it, event.head, event.load, nowMs));
+            case "attempt-overflow":
+                return this.withAttempt(event.attemptId, it => this.onOverflow(it, nowMs));
+            case "attempt-complete":
+                return this.withAttempt(event.attemptId, it => this.onComplete(it, event.retained, nowMs));
+            case "attempt-failed":
+                return this.withAttempt(event.attemptId, it => this.onFailed(it, event.failure, nowMs));
+            case "connection-checked":
+                return this.crashes.onChecked(event.checkId, event.isAccepted, nowMs);
+            case "peer-message":
+                return this.onPeerMessage(event.from, event.message, nowMs);
+        }
+    }
+
+    private withAttempt(id: AttemptId, apply: (attempt: AttemptRow) => void): void {
+        const attempt = this.table.findAttempt(id);
+        if (attempt?.target !== undefined) {
+            apply(attempt);
+        }
+    }
+
+    private onPeerMessage(from: EntryId, message: PeerMessage, nowMs: number): void {
+        if (message.method.startsWith("claim.")) {
+            this.claims.handle(from, message, nowMs);
+        }
+        else if (message.method.startsWith("crash.")) {
+            this.crashes.handle(from, message, nowMs);
+        }
+    }
+
+    /** Applies what the parts have decided, until nothing is left, and returns the effects. */
+    private settle(nowMs: number): EntryEffect[] {
+        for (let hasProgress = true; hasProgress;) {
+            this.runner.applyDecisions(nowMs);
+            const decided = this.claims.coordinator.takeDecided();
+            const settled = this.crashes.takeSettled();
+            decided.forEach(it => this.onClaimDecided(it, nowMs));
+            settled.forEach(id => this.onChecked(id, nowMs));
+            hasProgress = decided.length + settled.length > 0;
+        }
+        return [...this.outbox.take(), ...this.options.router.takeEffects()];
+    }
+
+    private accept(facts: RequestFacts, nowMs: number): void {
+        if (this.table.findRequest(facts.id) !== undefined) {
+            return;
+        }
+        const service = this.options.catalogue().services[facts.service];
+        const request = this.table.addRequest(facts, isIdempotent(facts, service?.idempotentMethods), nowMs);
+        if (service === undefined) {
+            return this.closer.answer(request, answers.unknownServiceAnswer(facts.service), nowMs);
+        }
+        if (nowMs >= facts.deadlineAtMs) {
+            return this.onDeadline(request, nowMs);
+        }
+        if (request.isKeyed) {
+            return this.claim(request, nowMs);
+        }
+        this.run(request, nowMs);
+    }
+
+    private claim(request: RequestRow, nowMs: number): void {
+        const { id, service, idempotencyKey, bodyHash, deadlineAtMs } = request.facts;
+        if (bodyHash === undefined || idempotencyKey === undefined) {
+            return this.closer.answer(request, answers.unhashedBodyAnswer(), nowMs);
+        }
+        request.stage = RequestStage.claiming;
+        this.claims.coordinator.start({
+            ownerId: id,
+            key: `key:${service}:${idempotencyKey}`,
+            bodyHash,
+            deadlineAtMs,
+            lifetimeMs: deadlineAtMs - nowMs + this.claims.settings.retentionMs,
+            heldPolicy: HeldPolicy.awaitOutcome,
+        }, nowMs);
+    }
+
+    private onClaimDecided({ order, result }: DecidedClaim, nowMs: number): void {
+        const trialRequestId = this.trials.requestIdOf(order.ownerId);
+        const request = this.table.findRequest(trialRequestId ?? order.ownerId);
+        if (request === undefined) {
+            return;
+        }
+        if (trialRequestId !== undefined) {
+            return this.continueTrial(request, this.trials.onDecided(request, result, nowMs), nowMs);
+        }
+        if (result.kind === "granted") {
+            return this.run(request, nowMs);
+        }
+        if (result.kind === "outcome") {
+            return this.closer.replay(request, result.outcome, nowMs);
+        }
+        this.closer.answer(request, answers.claimFailureAnswer(result), nowMs);
+    }
+
+    /** Starts an attempt, as a trial if the request is a crash suspect. */
+    private run(request: RequestRow, nowMs: number): void {
+        request.stage = RequestStage.running;
+        switch (this.crashes.standingOf(request.facts, nowMs)) {
+            case Standing.clear:
+                return this.runner.start(request, nowMs);
+            case Standing.suspect:
+                return this.trials.begin(request, nowMs);
+            case Standing.refused:
+                return this.refuseSuspect(request, nowMs);
+        }
+    }
+
+    private continueTrial(request: RequestRow, step: TrialStep, nowMs: number): void {
+        switch (step) {
+            case "wait":
+                return;
+            case "refuse":
+                return this.refuseSuspect(request, nowMs);
+            case "start":
+            case "run-normally":
+                return this.runner.start(request, nowMs);
+        }
+    }
+
+    private refuseSuspect(request: RequestRow, nowMs: number): void {
+        this.closer.answer(request, answers.crashSuspectAnswer(verdictOfRequest(request)), nowMs);
+    }
+
+    private isDispatchable(request: RequestRow, nowMs: number): boolean {
+        return nowMs < request.facts.deadlineAtMs
+            && (!request.isKeyed || this.claims.coordinator.isDispatchable(request.facts.id, nowMs))
+            && (request.stage !== RequestStage.trial || this.trials.isDispatchable(request, nowMs));
+    }
+
+    private onStale(request: RequestRow, nowMs: number): void {
+        if (nowMs >= request.facts.deadlineAtMs) {
+            return this.onDeadline(request, nowMs);
+        }
+        this.closer.answer(request, answers.staleClaimAnswer(verdictOfRequest(request)), nowMs);
+    }
+
+    private onRefused(request: RequestRow, refusal: RouteRefusal, nowMs: number): void {
+        if (request.attempts.size === 0) {
+            this.closer.answer(request, answers.refusalAnswer(refusal, verdictOfRequest(request)), nowMs);
+        }
+    }
+
+    private onSent(attemptId: AttemptId, nowMs: number): void {
+        const attempt = this.table.findAttempt(attemptId);
+        if (attempt === undefined) {
+            return this.runner.stop(attemptId);
+        }
+        if (attempt.phase !== AttemptPhase.connecting) {
+            return;
+        }
+        if (!this.isDispatchable(attempt.request, nowMs)) {
+            this.runner.cancel(attempt, nowMs);
+            return this.onStale(attempt.request, nowMs);
+        }
+        attempt.phase = AttemptPhase.sent;
+    }
+
+    private onHead(attempt: AttemptRow, head: ResponseHead, load: LoadReport | undefined, nowMs: number): void {
+        if (attempt.head !== undefined) {
+            return;
+        }
+        attempt.head = head;
+        attempt.load = load;
+        if (isRefusal(head)) {
+            return this.onUpstreamRefusal(attempt, nowMs);
+        }
+        attempt.phase = AttemptPhase.responding;
+        this.slowAttempts.onHead(attempt, nowMs);
+        if (!attempt.isBuffered) {
+            this.closer.forward(attempt, nowMs);
+        }
+    }
+
+    private onUpstreamRefusal(attempt: AttemptRow, nowMs: number): void {
+        const { request } = attempt;
+        request.isBodyIntact &&= request.facts.isBodyReplayable;
+        this.runner.stop(attempt.id);
+        this.runner.end(attempt, undefined, nowMs, Verdict.notRun);
+        this.retryOrAnswer(request, nowMs);
+    }
+
+    private onOverflow(attempt: AttemptRow, nowMs: number): void {
+        if (attempt.request.isCallerGone) {
+            this.runner.cancel(attempt, nowMs);
+            return this.closer.complete(attempt, undefined, nowMs);
+        }
+        if (attempt.request.forwardedId === undefined && attempt.head !== undefined) {
+            this.closer.forward(attempt, nowMs);
+        }
+    }
+
+    private onComplete(attempt: AttemptRow, retained: RetainedResponse | undefined, nowMs: number): void {
+        const { request } = attempt;
+        attempt.phase = AttemptPhase.complete;
+        this.crashes.onSurvived(request.facts, nowMs);
+        if (request.forwardedId === undefined) {
+            this.closer.forward(attempt, nowMs);
+        }
+        this.runner.end(attempt, undefined, nowMs);
+        this.closer.complete(attempt, retained, nowMs);
+    }
+
+    private onFailed(attempt: AttemptRow, failure: AttemptFailure, nowMs: number): void {
+        const { request } = attempt;
+        const hadBytesWritten = attempt.phase !== AttemptPhase.connecting;
+        request.lastFailure = failure;
+        request.isBodyIntact &&= !hadBytesWritten || request.facts.isBodyReplayable;
+        this.runner.end(attempt, failure, nowMs);
+        const isForwarded = request.forwardedId === attempt.id;
+        if (hadBytesWritten && isConnectionLoss(failure) && attempt.target !== undefined) {
+            request.pendingChecks++;
+            this.crashes.onReset(request.facts, attempt.target, nowMs);
+        }
+        if (isForwarded) {
+            return this.closer.truncate(request, failure, nowMs);
+        }
+        this.retryOrAnswer(request, nowMs);
+    }
+
+    private onChecked(requestId: string, nowMs: number): void {
+        const request = this.table.findRequest(requestId);
+        if (request !== undefined && request.pendingChecks > 0) {
+            request.pendingChecks--;
+            this.retryOrAnswer(request, nowMs);
+        }
+    }
+
+    private retryOrAnswer(request: RequestRow, nowMs: number): void {
+        if (request.attempts.size > 0 || request.pendingChecks > 0) {
+            return;
+        }
+        if (request.stage === RequestStage.trial) {
+            this.trials.end(request, nowMs);
+        }
+        const mayRunAgain = request.isIdempotent || request.endedVerdict === Verdict.notRun;
+        if (mayRunAgain && request.isBodyIntact && !request.isCallerGone && this.runner.takeRetry(request, nowMs)) {
+            return this.run(request, nowMs);
+        }
+        this.closer.answer(request, answers.failureAnswer(request.lastFailure, verdictOfRequest(request)), nowMs);
+    }
+
+    private onCallerGone(requestId: string, nowMs: number): void {
+        const request = this.table.findRequest(requestId);
+        if (request !== undefined && !request.isCallerGone) {
+            this.closer.abandon(request, nowMs);
+        }
+    }
+
+    private runTimers(request: RequestRow, nowMs: number): void {
+        if (request.forwardedId !== undefined) {
+            return;
+        }
+        if (nowMs >= request.facts.deadlineAtMs) {
+            return this.onDeadline(request, nowMs);
+        }
+        if (this.trials.isWaiting(request)) {
+            return this.continueTrial(request, this.trials.recheck(request, nowMs), nowMs);
+        }
+        this.slowAttempts.runTimers(request, nowMs);
+    }
+
+    private onDeadline(request: RequestRow, nowMs: number): void {
+        const isUnknown = this.claims.coordinator.mayHaveRunElsewhere(request.facts.id);
+        const verdict = isUnknown ? Verdict.mayHaveRun : verdictOfRequest(request);
+        this.closer.answer(request, answers.deadlineAnswer(verdict), nowMs);
+    }
+}
+
+function isConnectionLoss(failure: AttemptFailure): boolean {
+    return failure === AttemptFailure.reset || failure === AttemptFailure.truncated;
+}
