--- a/src/requests/claim.ts
+++ b/src/requests/claim.ts
@@ -1,6 +1,11 @@
+import type { EntryList } from "../catalogue/model.js";
 import type { EntryId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
 import type { ClaimAnswer, ClaimId, ClaimKey, ClaimOutcome, ClaimRequest } from "./claimMessages.js";
-import { majorityOf } from "./replicaSet.js";
+import { chooseReplicas, majorityOf } from "./replicaSet.js";
+
+const minBackoffMs = 5;
+const maxBackoffMs = 100;
 
 /** What a claimant does when another entry holds the claim. */
 export const HeldPolicy = {
@@ -33,6 +38,12 @@
     /** Another entry dispatched the request, or may have, and cannot be asked. */
     | { readonly kind: "unknown"; };
 
+/** A claim and how it ended. */
+export interface DecidedClaim {
+    readonly order: ClaimOrder;
+    readonly result: ClaimResult;
+}
+
 /** Row of a claim that this entry wants or holds. */
 export interface ClaimRow {
     readonly order: ClaimOrder;
@@ -54,12 +65,62 @@
     isLastRound: boolean;
 }
 
+const emptyRequest: ClaimRequest = {
+    key: "",
+    claimId: "",
+    holder: "",
+    bodyHash: "",
+    lifetimeMs: 0,
+    replicaSets: [],
+};
+
 /** What the answers of a round amount to. */
 export type RoundState =
     | ClaimResult
     | { readonly kind: "held"; readonly holder: EntryId; readonly claimId: ClaimId; }
     | { readonly kind: "open"; };
 
+/** Returns the row of a claim that no replica has been asked for yet. */
+export function makeClaim(order: ClaimOrder, nowMs: number): ClaimRow {
+    return {
+        order,
+        round: 0,
+        roundStartedAtMs: nowMs,
+        nextSendAtMs: nowMs,
+        request: emptyRequest,
+        members: [],
+        answers: new Map(),
+        state: "collecting",
+        wakeAtMs: nowMs,
+        holder: undefined,
+        holderHeardAtMs: nowMs,
+        mayHaveRunElsewhere: false,
+        isLastRound: false,
+    };
+}
+
+/** Returns the message of the claim's current round. */
+export function makeRound(
+    { order, round }: ClaimRow,
+    selfId: EntryId,
+    incarnation: number,
+    lists: readonly EntryList[],
+): ClaimRequest {
+    return {
+        key: order.key,
+        claimId: `${selfId}:${incarnation}:${order.ownerId}:${round}`,
+        holder: selfId,
+        bodyHash: order.bodyHash,
+        lifetimeMs: order.lifetimeMs,
+        replicaSets: lists.map(list => chooseReplicas(list, order.key)),
+    };
+}
+
+/** Returns a random delay before the next round; claimants that split the votes must not meet again. */
+export function backoffMs(round: number, random: RandomSource): number {
+    return minBackoffMs + random.nextInt(Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(round, 5)));
+}
+
 /** Returns what the answers of a claim's current round amount to. */
 export function evaluateRound(claim: ClaimRow, peerIncarnation: (id: EntryId) => number | undefined): RoundState {
     for (const { reply } of claim.answers.values()) {
--- a/src/requests/claimCoordinator.ts
+++ b/src/requests/claimCoordinator.ts
@@ -1,35 +1,37 @@
 import type { EntryId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import type { PeerMessage } from "../entry/messages.js";
-import { type ClaimOrder, type ClaimResult, type ClaimRow, evaluateRound, HeldPolicy } from "./claim.js";
+import {
+    backoffMs,
+    type ClaimOrder,
+    type ClaimResult,
+    type ClaimRow,
+    type DecidedClaim,
+    evaluateRound,
+    HeldPolicy,
+    makeClaim,
+    makeRound,
+} from "./claim.js";
+import { ClaimBook, describeClaim } from "./claimBook.js";
 import {
     type ClaimAnswer,
     type ClaimId,
     ClaimMethod,
     type ClaimOutcome,
     type ClaimReference,
-    type ClaimRequest,
     type OutcomeAnswer,
 } from "./claimMessages.js";
 import type { ClaimRecorder } from "./claimRecorder.js";
 import type { ClaimReplica } from "./claimReplica.js";
+import { ClaimSender } from "./claimSender.js";
 import type { ClaimTable } from "./claimTable.js";
 import type { CountingEntryLists } from "./entryLists.js";
 import type { Outbox } from "./outbox.js";
-import { chooseReplicas } from "./replicaSet.js";
 
 const resendIntervalMs = 100;
 const roundTimeoutMs = 400;
 const askIntervalMs = 50;
 const holderSilenceMs = 1000;
-const minBackoffMs = 5;
-const maxBackoffMs = 100;
-
-/** A claim and how it ended. */
-export interface DecidedClaim {
-    readonly order: ClaimOrder;
-    readonly result: ClaimResult;
-}
 
 /** Options of `ClaimCoordinator`. */
 export interface ClaimCoordinatorOptions {
@@ -50,30 +52,19 @@
 
 /** Claimant side of the claim protocol: the claims that this entry's requests want or hold. */
 export class ClaimCoordinator {
-    private readonly claims = new Map<string, ClaimRow>();
-    private readonly ownersByClaim = new Map<ClaimId, string>();
+    private readonly claims = new ClaimBook();
     private decided: DecidedClaim[] = [];
 
-    constructor(private readonly options: ClaimCoordinatorOptions) {}
+    private readonly sender: ClaimSender;
+
+    constructor(private readonly options: ClaimCoordinatorOptions) {
+        this.sender = new ClaimSender(options.selfId, options.table, options.outbox);
+    }
 
     /** Starts to claim a key. */
     start(order: ClaimOrder, nowMs: number): void {
-        const claim: ClaimRow = {
-            order,
-            round: 0,
-            roundStartedAtMs: nowMs,
-            nextSendAtMs: nowMs,
-            request: emptyRequest,
-            members: [],
-            answers: new Map(),
-            state: "collecting",
-            wakeAtMs: nowMs,
-            holder: undefined,
-            holderHeardAtMs: nowMs,
-            mayHaveRunElsewhere: false,
-            isLastRound: false,
-        };
-        this.claims.set(order.ownerId, claim);
+        const claim = makeClaim(order, nowMs);
+        this.claims.add(claim);
         if (this.options.recorder.size >= this.options.maxFinished) {
             return this.decide(claim, { kind: "unavailable", reason: "claims-full" });
         }
@@ -89,46 +80,44 @@
 
     /** Whether the request holds a claim that is recent enough to be dispatched. */
     isDispatchable(ownerId: string, nowMs: number): boolean {
-        const claim = this.claims.get(ownerId);
+        const claim = this.claims.find(ownerId);
         return claim?.state === "granted" && nowMs - claim.roundStartedAtMs <= this.options.maxClaimAgeMs;
     }
 
     /** Whether an earlier request with the key may have run, so that a refusal is no proof that nothing ran. */
     mayHaveRunElsewhere(ownerId: string): boolean {
-        return this.claims.get(ownerId)?.mayHaveRunElsewhere ?? false;
+        return this.claims.find(ownerId)?.mayHaveRunElsewhere ?? false;
     }
 
     /** Gives up a claim, if there is one. Only for claims that were not and will not be dispatched. */
     release(ownerId: string, nowMs: number): void {
-        const claim = this.claims.get(ownerId);
+        const claim = this.claims.find(ownerId);
         if (claim !== undefined) {
             this.releaseRound(claim, nowMs);
-            this.claims.delete(ownerId);
+            this.claims.remove(claim);
         }
     }
 
     /** Forgets a claim that was dispatched and has no outcome; replicas keep it until its lifetime ends. */
     drop(ownerId: string): void {
-        const claim = this.claims.get(ownerId);
+        const claim = this.claims.find(ownerId);
         if (claim !== undefined) {
-            this.forget(claim);
-            this.claims.delete(ownerId);
+            this.claims.remove(claim);
         }
     }
 
     /** Records the outcome of a claim that was dispatched. */
     finish(ownerId: string, outcome: ClaimOutcome, nowMs: number): void {
-        const claim = this.claims.get(ownerId);
+        const claim = this.claims.find(ownerId);
         if (claim?.state !== "granted") {
             return;
         }
-        this.forget(claim);
-        this.claims.delete(ownerId);
+        this.claims.remove(claim);
         const record = { ...claim.request, outcome };
         if (claim.members.includes(this.options.selfId)) {
             this.options.table.record(record, nowMs);
         }
-        this.options.recorder.start(record, this.othersOf(claim), nowMs);
+        this.options.recorder.start(record, this.sender.othersOf(claim), nowMs);
     }
 
     /** Handles a message of a replica, of a claimant that asks for an outcome, or of a holder; ignores other methods. */
@@ -151,7 +140,7 @@
 
     /** Runs timers: resends, back-off, questions to holders. */
     tick(nowMs: number): void {
-        for (const claim of [...this.claims.values()]) {
+        for (const claim of this.claims.list()) {
             this.runTimers(claim, nowMs);
         }
     }
@@ -188,16 +177,9 @@
         claim.state = "collecting";
         claim.roundStartedAtMs = nowMs;
         claim.answers = new Map();
-        claim.request = {
-            key: order.key,
-            claimId: `${selfId}:${incarnation}:${order.ownerId}:${claim.round}`,
-            holder: selfId,
-            bodyHash: order.bodyHash,
-            lifetimeMs: order.lifetimeMs,
-            replicaSets: lists.list(nowMs).map(list => chooseReplicas(list, order.key)),
-        };
+        claim.request = makeRound(claim, selfId, incarnation, lists.list(nowMs));
         claim.members = [...new Set(claim.request.replicaSets.flat())];
-        this.ownersByClaim.set(claim.request.claimId, order.ownerId);
+        this.claims.nameRound(claim);
         if (claim.members.length === 0) {
             return this.onNoMajority(claim, "no-majority", nowMs);
         }
@@ -214,15 +196,11 @@
 
     private sendRound(claim: ClaimRow, nowMs: number): void {
         claim.nextSendAtMs = nowMs + resendIntervalMs;
-        for (const id of this.othersOf(claim)) {
-            if (!claim.answers.has(id)) {
-                this.options.outbox.send(id, ClaimMethod.request, claim.request);
-            }
-        }
+        this.sender.request(claim);
     }
 
     private onAnswer(from: EntryId, answer: ClaimAnswer, nowMs: number): void {
-        const claim = this.findClaim(answer.claimId);
+        const claim = this.claims.findRound(answer.claimId);
         if (claim?.state !== "collecting") {
             return;
         }
@@ -277,24 +255,13 @@
         }
     }
 
-    private describe({ key, claimId }: ClaimReference): OutcomeAnswer {
-        const outcome = this.options.recorder.findOutcome(claimId);
-        if (outcome !== undefined) {
-            return { key, claimId, state: "outcome", outcome };
-        }
-        const claim = this.findClaim(claimId);
-        if (claim !== undefined) {
-            return { key, claimId, state: claim.state === "granted" ? "running" : "undecided" };
-        }
-        if (this.options.recorder.isFinished(claimId)) {
-            return { key, claimId, state: "finished" };
-        }
-        const isOwn = claimId.startsWith(`${this.options.selfId}:${this.options.incarnation}:`);
-        return { key, claimId, state: isOwn ? "released" : "lost" };
+    private describe(reference: ClaimReference): OutcomeAnswer {
+        const { selfId, incarnation, recorder } = this.options;
+        return describeClaim(reference, `${selfId}:${incarnation}:`, this.claims, recorder);
     }
 
     private onOutcomeAnswer(answer: OutcomeAnswer, nowMs: number): void {
-        for (const claim of this.claims.values()) {
+        for (const claim of this.claims.list()) {
             if (claim.state === "asking" && claim.holder?.claimId === answer.claimId) {
                 this.applyOutcomeAnswer(claim, answer, nowMs);
             }
@@ -307,14 +274,13 @@
             case "running":
                 return;
             case "outcome":
-                return this.decide(claim, { kind: "outcome", outcome: answer.outcome ?? unknownOutcome });
+                return this.decide(claim, { kind: "outcome", outcome: answer.outcome });
             case "finished":
-                return this.backOff(claim, nowMs);
             case "undecided":
                 return this.backOff(claim, nowMs);
             case "released":
                 // The holder's release may have been lost or overtaken; it can be repeated by anyone.
-                this.sendRelease(claim, answer, nowMs);
+                this.sender.release(claim, answer, nowMs);
                 claim.mayHaveRunElsewhere = false;
                 return this.backOff(claim, nowMs);
             case "lost":
@@ -323,9 +289,8 @@
     }
 
     private backOff(claim: ClaimRow, nowMs: number): void {
-        const limitMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(claim.round, 5));
         claim.state = "backoff";
-        claim.wakeAtMs = nowMs + minBackoffMs + this.options.random.nextInt(limitMs);
+        claim.wakeAtMs = nowMs + backoffMs(claim.round, this.options.random);
     }
 
     private onNoMajority(claim: ClaimRow, reason: "no-majority" | "claims-full", nowMs: number): void {
@@ -334,49 +299,14 @@
     }
 
     private decide(claim: ClaimRow, result: ClaimResult): void {
-        this.forget(claim);
-        this.claims.delete(claim.order.ownerId);
+        this.claims.remove(claim);
         this.decided.push({ order: claim.order, result });
     }
 
     private releaseRound(claim: ClaimRow, nowMs: number): void {
-        this.forget(claim);
+        this.claims.forgetRound(claim);
         if (claim.state === "collecting" || claim.state === "granted") {
-            this.sendRelease(claim, claim.request, nowMs);
+            this.sender.release(claim, claim.request, nowMs);
         }
     }
-
-    private sendRelease(claim: ClaimRow, { key, claimId }: ClaimReference, nowMs: number): void {
-        const reference: ClaimReference = { key, claimId };
-        if (claim.members.includes(this.options.selfId)) {
-            this.options.table.release(reference, nowMs);
-        }
-        for (const id of this.othersOf(claim)) {
-            this.options.outbox.send(id, ClaimMethod.release, reference);
-        }
-    }
-
-    private findClaim(claimId: ClaimId): ClaimRow | undefined {
-        const ownerId = this.ownersByClaim.get(claimId);
-        return ownerId === undefined ? undefined : this.claims.get(ownerId);
-    }
-
-    private forget(claim: ClaimRow): void {
-        this.ownersByClaim.delete(claim.request.claimId);
-    }
-
-    private othersOf(claim: ClaimRow): EntryId[] {
-        return claim.members.filter(id => id !== this.options.selfId);
-    }
 }
-
-const emptyRequest: ClaimRequest = {
-    key: "",
-    claimId: "",
-    holder: "",
-    bodyHash: "",
-    lifetimeMs: 0,
-    replicaSets: [],
-};
-
-const unknownOutcome: ClaimOutcome = { kind: "verdict", verdict: "may-have-run", reason: "outcome-unknown" };
--- a/src/requests/claimMessages.ts
+++ b/src/requests/claimMessages.ts
@@ -74,15 +74,13 @@
     readonly outcome: ClaimOutcome;
 }
 
-/** Parameters of `claim.outcome-answer`. */
-export interface OutcomeAnswer extends ClaimReference {
-    /**
-     * `undecided`: the claim may still be dispatched; `released`: it was not and never will be; `finished`: the replicas
-     * have the outcome; `lost`: the holder has restarted since.
-     */
-    readonly state: "undecided" | "running" | "released" | "finished" | "lost" | "outcome";
-    readonly outcome?: ClaimOutcome;
-}
+/**
+ * Parameters of `claim.outcome-answer`. `undecided`: the claim may still be dispatched; `released`: it was not and never
+ * will be; `finished`: the replicas have the outcome; `lost`: the holder has restarted since.
+ */
+export type OutcomeAnswer =
+    | ClaimReference & { readonly state: "undecided" | "running" | "released" | "finished" | "lost"; }
+    | ClaimReference & { readonly state: "outcome"; readonly outcome: ClaimOutcome; };
 
 /** Parameters of `claim.sync`: a restarted replica reads the claims it may have granted. */
 export interface SyncRequest {
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -5,27 +5,18 @@
 import type { EntryEffect, EntryEvent, PeerMessage } from "../entry/messages.js";
 import type { PeerView, UpstreamView } from "../membership/view.js";
 import * as answers from "./answers.js";
-import { AttemptRunner, type RouteRefusal } from "./attempts.js";
-import { HeldPolicy } from "./claim.js";
-import type { DecidedClaim } from "./claimCoordinator.js";
+import { AttemptRunner } from "./attempts.js";
 import { type ClaimSettings, ClaimStack, defaultClaimSettings } from "./claimStack.js";
 import { CrashGuard } from "./crashGuard.js";
-import {
-    AttemptFailure,
-    AttemptPhase,
-    type LoadReport,
-    type RequestFacts,
-    type ResponseHead,
-    type RetainedResponse,
-} from "./model.js";
+import { AttemptFailure, AttemptPhase, type LoadReport, type ResponseHead, type RetainedResponse } from "./model.js";
 import { Outbox } from "./outbox.js";
 import { RequestCloser } from "./requestCloser.js";
+import { RequestStarter } from "./requestStarter.js";
 import { type AttemptRow, type RequestRow, RequestStage, RequestTable, verdictOfRequest } from "./requestTable.js";
 import type { Router } from "./router.js";
 import { SlowAttempts } from "./slowAttempts.js";
-import { Standing } from "./suspectTable.js";
-import { Trials, type TrialStep } from "./trials.js";
-import { isIdempotent, isRefusal } from "./verdicts.js";
+import { Trials } from "./trials.js";
+import { isRefusal } from "./verdicts.js";
 
 /** Options of `RequestLifecycle`. */
 export interface RequestLifecycleOptions {
@@ -52,6 +43,7 @@
     private readonly trials: Trials;
     private readonly runner: AttemptRunner;
     private readonly closer: RequestCloser;
+    private readonly starter: RequestStarter;
     private readonly slowAttempts: SlowAttempts;
 
     constructor(private readonly options: RequestLifecycleOptions) {
@@ -61,11 +53,20 @@
         this.crashes = new CrashGuard(options.peers, options.upstreams, outbox);
         this.trials = new Trials(this.claims.coordinator, this.crashes);
         this.runner = new AttemptRunner(table, options.router, outbox, {
-            isDispatchable: (request, nowMs) => this.isDispatchable(request, nowMs),
-            onRefused: (request, refusal, nowMs) => this.onRefused(request, refusal, nowMs),
-            onStale: (request, nowMs) => this.onStale(request, nowMs),
+            isDispatchable: (request, nowMs) => this.starter.isDispatchable(request, nowMs),
+            onRefused: (request, refusal, nowMs) => this.starter.onRefused(request, refusal, nowMs),
+            onStale: (request, nowMs) => this.starter.onStale(request, nowMs),
         });
         this.closer = new RequestCloser(table, this.runner, this.claims.coordinator, this.trials, outbox);
+        this.starter = new RequestStarter({
+            catalogue: options.catalogue,
+            table,
+            claims: this.claims,
+            crashes: this.crashes,
+            trials: this.trials,
+            runner: this.runner,
+            closer: this.closer,
+        });
         this.slowAttempts = new SlowAttempts(options.router, this.runner, outbox);
     }
 
@@ -102,7 +103,7 @@
     private apply(event: EntryEvent, nowMs: number): void {
         switch (event.kind) {
             case "request":
-                return this.accept(event.request, nowMs);
+                return this.starter.accept(event.request, nowMs);
             case "caller-gone":
                 return this.onCallerGone(event.requestId, nowMs);
             case "attempt-sent":
@@ -144,113 +145,13 @@
             this.runner.applyDecisions(nowMs);
             const decided = this.claims.coordinator.takeDecided();
             const settled = this.crashes.takeSettled();
-            decided.forEach(it => this.onClaimDecided(it, nowMs));
+            decided.forEach(it => this.starter.onClaimDecided(it, nowMs));
             settled.forEach(id => this.onChecked(id, nowMs));
             hasProgress = decided.length + settled.length > 0;
         }
         return [...this.outbox.take(), ...this.options.router.takeEffects()];
     }
 
-    private accept(facts: RequestFacts, nowMs: number): void {
-        if (this.table.findRequest(facts.id) !== undefined) {
-            return;
-        }
-        const service = this.options.catalogue().services[facts.service];
-        const request = this.table.addRequest(facts, isIdempotent(facts, service?.idempotentMethods), nowMs);
-        if (service === undefined) {
-            return this.closer.answer(request, answers.unknownServiceAnswer(facts.service), nowMs);
-        }
-        if (nowMs >= facts.deadlineAtMs) {
-            return this.onDeadline(request, nowMs);
-        }
-        if (request.isKeyed) {
-            return this.claim(request, nowMs);
-        }
-        this.run(request, nowMs);
-    }
-
-    private claim(request: RequestRow, nowMs: number): void {
-        const { id, service, idempotencyKey, bodyHash, deadlineAtMs } = request.facts;
-        if (bodyHash === undefined || idempotencyKey === undefined) {
-            return this.closer.answer(request, answers.unhashedBodyAnswer(), nowMs);
-        }
-        request.stage = RequestStage.claiming;
-        this.claims.coordinator.start({
-            ownerId: id,
-            key: `key:${service}:${idempotencyKey}`,
-            bodyHash,
-            deadlineAtMs,
-            lifetimeMs: deadlineAtMs - nowMs + this.claims.settings.retentionMs,
-            heldPolicy: HeldPolicy.awaitOutcome,
-        }, nowMs);
-    }
-
-    private onClaimDecided({ order, result }: DecidedClaim, nowMs: number): void {
-        const trialRequestId = this.trials.requestIdOf(order.ownerId);
-        const request = this.table.findRequest(trialRequestId ?? order.ownerId);
-        if (request === undefined) {
-            return;
-        }
-        if (trialRequestId !== undefined) {
-            return this.continueTrial(request, this.trials.onDecided(request, result, nowMs), nowMs);
-        }
-        if (result.kind === "granted") {
-            return this.run(request, nowMs);
-        }
-        if (result.kind === "outcome") {
-            return this.closer.replay(request, result.outcome, nowMs);
-        }
-        this.closer.answer(request, answers.claimFailureAnswer(result), nowMs);
-    }
-
-    /** Starts an attempt, as a trial if the request is a crash suspect. */
-    private run(request: RequestRow, nowMs: number): void {
-        request.stage = RequestStage.running;
-        switch (this.crashes.standingOf(request.facts, nowMs)) {
-            case Standing.clear:
-                return this.runner.start(request, nowMs);
-            case Standing.suspect:
-                return this.trials.begin(request, nowMs);
-            case Standing.refused:
-                return this.refuseSuspect(request, nowMs);
-        }
-    }
-
-    private continueTrial(request: RequestRow, step: TrialStep, nowMs: number): void {
-        switch (step) {
-            case "wait":
-                return;
-            case "refuse":
-                return this.refuseSuspect(request, nowMs);
-            case "start":
-            case "run-normally":
-                return this.runner.start(request, nowMs);
-        }
-    }
-
-    private refuseSuspect(request: RequestRow, nowMs: number): void {
-        this.closer.answer(request, answers.crashSuspectAnswer(verdictOfRequest(request)), nowMs);
-    }
-
-    private isDispatchable(request: RequestRow, nowMs: number): boolean {
-        return nowMs < request.facts.deadlineAtMs
-            && (!request.isKeyed || this.claims.coordinator.isDispatchable(request.facts.id, nowMs))
-            && (request.stage !== RequestStage.trial || this.trials.isDispatchable(request, nowMs));
-    }
-
-    private onStale(request: RequestRow, nowMs: number): void {
-        if (nowMs >= request.facts.deadlineAtMs) {
-            return this.onDeadline(request, nowMs);
-        }
-        this.closer.answer(request, answers.staleClaimAnswer(verdictOfRequest(request)), nowMs);
-    }
-
-    private onRefused(request: RequestRow, refusal: RouteRefusal, nowMs: number): void {
-        if (request.attempts.size === 0) {
-            this.closer.answer(request, answers.refusalAnswer(refusal, verdictOfRequest(request)), nowMs);
-        }
-    }
-
     private onSent(attemptId: AttemptId, nowMs: number): void {
         const attempt = this.table.findAttempt(attemptId);
         if (attempt === undefined) {
@@ -259,9 +160,9 @@
         if (attempt.phase !== AttemptPhase.connecting) {
             return;
         }
-        if (!this.isDispatchable(attempt.request, nowMs)) {
+        if (!this.starter.isDispatchable(attempt.request, nowMs)) {
             this.runner.cancel(attempt, nowMs);
-            return this.onStale(attempt.request, nowMs);
+            return this.starter.onStale(attempt.request, nowMs);
         }
         attempt.phase = AttemptPhase.sent;
     }
@@ -345,7 +246,7 @@
         }
         const mayRunAgain = request.isIdempotent || request.endedVerdict === Verdict.notRun;
         if (mayRunAgain && request.isBodyIntact && !request.isCallerGone && this.runner.takeRetry(request, nowMs)) {
-            return this.run(request, nowMs);
+            return this.starter.run(request, nowMs);
         }
         this.closer.answer(request, answers.failureAnswer(request.lastFailure, verdictOfRequest(request)), nowMs);
     }
@@ -362,19 +263,13 @@
             return;
         }
         if (nowMs >= request.facts.deadlineAtMs) {
-            return this.onDeadline(request, nowMs);
+            return this.starter.onDeadline(request, nowMs);
         }
         if (this.trials.isWaiting(request)) {
-            return this.continueTrial(request, this.trials.recheck(request, nowMs), nowMs);
+            return this.starter.continueTrial(request, this.trials.recheck(request, nowMs), nowMs);
         }
         this.slowAttempts.runTimers(request, nowMs);
     }
-
-    private onDeadline(request: RequestRow, nowMs: number): void {
-        const isUnknown = this.claims.coordinator.mayHaveRunElsewhere(request.facts.id);
-        const verdict = isUnknown ? Verdict.mayHaveRun : verdictOfRequest(request);
-        this.closer.answer(request, answers.deadlineAnswer(verdict), nowMs);
-    }
 }
 
 function isConnectionLoss(failure: AttemptFailure): boolean {
