--- a/bench/benchCatalogue.ts
+++ b/bench/benchCatalogue.ts
@@ -3,7 +3,8 @@
 /** Availability zones of the benchmarks. */
 export const availabilityZones: readonly string[] = ["az-1", "az-2", "az-3"];
 export const benchRegion = "bench";
-export const benchSecret = "bench-secret";
+export const benchSecret = "bench-secret-of-one-run";
+export const benchOperatorToken = "bench-operator-token";
 
 /** Returns a service with limits that do not bind. */
 export function benchService(name: string, overrides: Partial<Service> = {}): Service {
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -45,6 +45,7 @@
     const system = await startSystem(processes, {
         seed,
         entries: 3,
+        controls: 1,
         folder,
         services: demoServices.map(({ name }) => benchService(name)),
     });
@@ -76,7 +77,6 @@
     }
     finally {
         await processes.stopAll();
-        await system.close();
         fs.rmSync(folder, { recursive: true });
     }
 }
--- a/bench/entryProcess.ts
+++ b/bench/entryProcess.ts
@@ -1,9 +1,8 @@
-import { StatsD } from "hot-shots";
-import { Logger } from "tslog";
 import { SystemClock } from "../src/core/clock.js";
 import { SeededRandom } from "../src/core/random.js";
 import { startEntry } from "../src/entry/daemon.js";
 import { defaultEntryLimits, type EntryLimits } from "../src/entry/options.js";
+import { createLogger, createMetrics } from "../src/wiring.js";
 
 /** Options of an entry process; passed as JSON in the first argument. */
 export interface EntryProcessOptions {
@@ -20,7 +19,6 @@
     readonly isFirstStart?: boolean;
 }
 
-const warnLevel = 4;
 const options = JSON.parse(process.argv[2]) as EntryProcessOptions;
 const entry = await startEntry({
     id: options.id,
@@ -33,12 +31,8 @@
     limits: { ...defaultEntryLimits, ...options.limits },
     claims: { isFirstStart: options.isFirstStart ?? false },
     // Standard output carries the ready line only.
-    logger: new Logger({
-        type: "hidden",
-        minLevel: warnLevel,
-        attachedTransports: [line => void process.stderr.write(`${JSON.stringify(line)}\n`)],
-    }),
-    metrics: new StatsD({ mock: true }),
+    logger: createLogger("entry", { format: "json", level: "error" }, []),
+    metrics: createMetrics(undefined, {}),
     clock: new SystemClock(),
     random: new SeededRandom(options.seed),
 });
--- a/bench/system.ts
+++ b/bench/system.ts
@@ -1,8 +1,12 @@
+import { randomUUID } from "node:crypto";
 import path from "node:path";
 import { request } from "undici";
 import type { EntryVm, Service } from "../src/catalogue/model.js";
-import { availabilityZones, benchCatalogue, benchRegion, benchSecret } from "./benchCatalogue.js";
-import { FixedControl } from "./fixedControl.js";
+import { ControlClient } from "../src/cli/controlClient.js";
+import type { Member } from "../src/control/messages.js";
+import type { Declarations } from "../src/control/operatorApi.js";
+import { availabilityZones, benchOperatorToken, benchRegion, benchSecret } from "./benchCatalogue.js";
+import type { ControlProcessOptions } from "./controlProcess.js";
 import { findFreePorts } from "./ports.js";
 import type { BenchProcess, Processes } from "./processes.js";
 import type { UpstreamProcessOptions } from "./upstream.js";
@@ -14,6 +18,7 @@
 export interface SystemOptions {
     readonly seed: number;
     readonly entries: number;
+    readonly controls: number;
     readonly services: readonly Service[];
     /** Folder for execution logs. */
     readonly folder: string;
@@ -21,6 +26,7 @@
 
 /** Entries and upstream stand-ins on loopback, each in its own process. */
 export interface BenchSystem {
+    readonly controls: readonly BenchProcess[];
     readonly entries: BenchProcess[];
     readonly entryAddresses: readonly string[];
     /** Starts a stopped entry again. */
@@ -29,7 +35,6 @@
     executionLogs(): readonly string[];
     /** Waits until each service answers. */
     waitUntilServing(services: readonly string[]): Promise<void>;
-    close(): Promise<void>;
 }
 
 /** Starts control and entries. */
@@ -43,8 +48,7 @@
         peerAddress: `127.0.0.1:${ports[index * 2 + 1]}`,
         state: "active",
     }));
-    const control = new FixedControl(benchCatalogue(1, options.services, entryVms), benchSecret);
-    const controlAddress = await control.listen();
+    const controls = await startControls(processes, options);
     const entryAddresses = entryVms.map(vm => vm.address);
     const logs = new Set<string>();
     const startEntry = (index: number, isFirstStart = false) =>
@@ -54,13 +58,15 @@
             availabilityZone: entryVms[index].availabilityZone,
             port: ports[index * 2],
             peerPort: ports[index * 2 + 1],
-            controlAddresses: [controlAddress],
+            controlAddresses: controls.map(control => control.ready.peerAddress),
             clusterSecret: benchSecret,
             seed: options.seed * 100 + index,
             isFirstStart,
         });
     const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index, true)));
+    await applyDeclarations(controls.map(control => control.ready.address), options.services, entryVms);
     return {
+        controls,
         entries,
         entryAddresses,
         startEntry,
@@ -71,10 +77,50 @@
         },
         executionLogs: () => [...logs],
         waitUntilServing: services => waitUntilServing(entryAddresses, services),
-        close: () => control.close(),
     };
 }
 
+async function startControls(processes: Processes, options: SystemOptions): Promise<readonly BenchProcess[]> {
+    const ports = await findFreePorts(options.controls * 2);
+    const members = Array.from({ length: options.controls }, (_unused, index): Member => ({
+        id: `control-${index + 1}`,
+        peerAddress: `127.0.0.1:${ports[index * 2 + 1]}`,
+    }));
+    return Promise.all(members.map((member, index) => {
+        const processOptions: ControlProcessOptions = {
+            id: member.id,
+            availabilityZone: availabilityZones[index % availabilityZones.length],
+            operatorPort: ports[index * 2],
+            peerPort: ports[index * 2 + 1],
+            members,
+            dataFolder: path.join(options.folder, member.id),
+            seed: options.seed * 100 + index,
+        };
+        return processes.start("controlProcess.js", member.id, processOptions);
+    }));
+}
+
+/** Applies the catalogue through the operators' interface, as `figwharf catalogue apply` does. */
+async function applyDeclarations(
+    controlAddresses: readonly string[],
+    services: readonly Service[],
+    entryVms: readonly EntryVm[],
+): Promise<void> {
+    const client = new ControlClient({
+        controlAddresses: [...controlAddresses],
+        token: benchOperatorToken,
+        totalTimeoutMs: servingTimeoutMs,
+    });
+    const declarations: Declarations = { services, entryVms, runbookCommands: [] };
+    const operation = { kind: "declare", declarations } as const;
+    const answer = await client.apply({ changeId: randomUUID(), baseRevision: 0, operation });
+    await client.close();
+    if (answer.outcome !== "accepted" && answer.outcome !== "pending") {
+        throw new Error(`the catalogue was not applied: ${answer.outcome}: ${answer.detail}`);
+    }
+    console.log(`catalogue applied: ${answer.outcome}, revision ${answer.revision}`);
+}
+
 async function waitUntilServing(entryAddresses: readonly string[], services: readonly string[]): Promise<void> {
     const endAtMs = performance.now() + servingTimeoutMs;
     for (const address of entryAddresses) {
