Add the command control and use one declare function and one difference

The control state machine applies declarations with declareCatalogue, which keeps the state of entry VMs whose declarations name none; plan uses the same function and the same list of differences as the audit trail.

--- a/src/catalogue/declare.ts
+++ b/src/catalogue/declare.ts
@@ -5,8 +5,8 @@
 export type DeclareOperation = Extract<ChangeOperation, { kind: "declare"; }>;
 
 /** Returns the catalogue that an operation makes of `base`, at the same revision. */
-export function declareCatalogue(base: Catalogue, { declarations, keepStateOf = [] }: DeclareOperation): Catalogue {
-    const keptIds = new Set(keepStateOf);
+export function declareCatalogue(base: Catalogue, { declarations, keepStateOf }: DeclareOperation): Catalogue {
+    const keptIds = new Set(keepStateOf ?? []);
     const entryVms = declarations.entryVms.map((entryVm): EntryVm => {
         const known = Object.hasOwn(base.entryVms, entryVm.id) ? base.entryVms[entryVm.id] : undefined;
         return keptIds.has(entryVm.id) && known !== undefined ? { ...entryVm, state: known.state } : entryVm;
--- a/src/cli/commands.test.ts
+++ b/src/cli/commands.test.ts
@@ -211,7 +211,7 @@
         controls: [{ "catalogue.show": show }],
         exitCode: 0,
         stdout:
-            /bench-out.arguments: \["orders","\{1\}"\] -> .*[^]*services.orders: \(none\) -> \{"name":"orders"[^]*--base-revision 4/,
+            /services.orders: \(none\) -> \{"name":"orders"[^]*bench-out.arguments: \["orders","\{1\}"\] -> [^]*--base-revision 4/,
         applyCalls: 0,
     },
     {
--- a/src/cli/commands/catalogue.ts
+++ b/src/cli/commands/catalogue.ts
@@ -1,7 +1,7 @@
 import { Args, Command, Flags } from "@oclif/core";
 import { type DeclarationsFolder, declareOperation, readDeclarationsFolder } from "../../catalogue/declarations.js";
 import { declareCatalogue } from "../../catalogue/declare.js";
-import { diffCatalogues } from "../../catalogue/difference.js";
+import { listDifferences } from "../../control/difference.js";
 import { OperatorMethod } from "../../control/operatorApi.js";
 import { ProblemListError } from "../../core/errors.js";
 import { auditFilterFlags, toAuditFilter } from "../auditFlags.js";
@@ -70,7 +70,11 @@
         return withControl(flags.config, async (client, operator) => {
             const { catalogue } = await client.show();
             const baseRevision = catalogue.revision;
-            const differences = diffCatalogues(catalogue, declareCatalogue(catalogue, operation));
+            const differences = listDifferences(
+                catalogue,
+                declareCatalogue(catalogue, operation),
+                Number.POSITIVE_INFINITY,
+            );
             const words = [args.folder, "--base-revision", String(baseRevision)];
             const apply = commandLine("catalogue:apply", words, flags.config);
             const lines = differences.length === 0 ?
--- a/src/cli/commands/daemons.ts
+++ b/src/cli/commands/daemons.ts
@@ -1,7 +1,7 @@
 import { Command, Flags } from "@oclif/core";
 import { ProblemListError } from "../../core/errors.js";
-import { type Loaded, loadEntrySettings } from "../../settings/load.js";
-import { runEntry } from "../../wiring.js";
+import { loadControlSettings, type Loaded, loadEntrySettings } from "../../settings/load.js";
+import { runControl, runEntry } from "../../wiring.js";
 import { ExitCode } from "../exitCode.js";
 
 const settingsFlag = {
@@ -12,7 +12,7 @@
     }),
 };
 const daemonHelp =
-    "Exit codes: 0 drained after SIGTERM; 1 it could not start or go on; 2 invalid settings, nothing started.";
+    "Exit codes: 0 stopped by SIGTERM; 1 it could not start or go on; 2 invalid settings, nothing started.";
 
 /** Command that runs a daemon until a signal stops it. */
 abstract class DaemonCommand extends Command {
@@ -51,7 +51,20 @@
     }
 }
 
+export class Control extends DaemonCommand {
+    static summary = "Run a control VM: keep the catalogue with the other control VMs.";
+    static description = `SIGTERM stops it at once; changes go on while a majority of control VMs runs. ${daemonHelp}`;
+    static examples = ["<%= config.bin %> control --settings /etc/figwharf/control.jsonc"];
+    static flags = settingsFlag;
+
+    protected async start(): Promise<void> {
+        const { flags } = await this.parse(Control);
+        await runControl(requireValid(loadControlSettings(flags.settings)));
+    }
+}
+
 /** Commands that run daemons. */
 export const daemonCommands: Record<string, typeof Command> = {
+    control: Control,
     entry: Entry,
 };
--- a/src/control/difference.ts
+++ b/src/control/difference.ts
@@ -3,23 +3,33 @@
 
 const maxDifferences = 200;
 
-/** Returns the fields that differ between two catalogues, without the revision and the entry lists; at most 200. */
-export function listDifferences(before: Catalogue, after: Catalogue): readonly FieldDifference[] {
+/** Returns the fields that differ between two catalogues, without the revision and the entry lists; at most `limit`. */
+export function listDifferences(
+    before: Catalogue,
+    after: Catalogue,
+    limit = maxDifferences,
+): readonly FieldDifference[] {
     const found: FieldDifference[] = [];
     const keys = ["services", "entryVms", "upstreamOverrides", "runbookCommands"] as const;
     for (const key of keys) {
-        compareValues(key, before[key], after[key], found);
+        compareValues(key, before[key], after[key], found, limit);
     }
-    return found.slice(0, maxDifferences);
+    return found.slice(0, limit);
 }
 
-function compareValues(path: string, before: unknown, after: unknown, found: FieldDifference[]): void {
-    if (Object.is(before, after) || found.length >= maxDifferences) {
+function compareValues(
+    path: string,
+    before: unknown,
+    after: unknown,
+    found: FieldDifference[],
+    limit: number,
+): void {
+    if (Object.is(before, after) || found.length >= limit) {
         return;
     }
     if (isObject(before) && isObject(after)) {
         const names = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
-        names.forEach(name => compareValues(`${path}.${name}`, before[name], after[name], found));
+        names.forEach(name => compareValues(`${path}.${name}`, before[name], after[name], found, limit));
         return;
     }
     const texts = { before: toText(before), after: toText(after) };
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -1,6 +1,7 @@
+import { declareCatalogue, type DeclareOperation } from "../catalogue/declare.js";
 import type { Catalogue, EntryList, EntryVm, UpstreamOverride } from "../catalogue/model.js";
 import type { EntryId } from "../core/ids.js";
-import type { ChangeOperation, Declarations } from "./operatorApi.js";
+import type { ChangeOperation } from "./operatorApi.js";
 
 /** An operation that does not fit the catalogue. */
 export interface OperationProblem {
@@ -11,7 +12,7 @@
 export function applyOperation(catalogue: Catalogue, operation: ChangeOperation): Catalogue | OperationProblem {
     switch (operation.kind) {
         case "declare":
-            return declare(catalogue, operation.declarations);
+            return declare(catalogue, operation);
         case "set-upstream-override":
             return setOverride(catalogue, operation.override);
         case "clear-upstream-override":
@@ -48,29 +49,20 @@
     return first.length === second.length && first.every((value, position) => value === second[position]);
 }
 
-function declare(catalogue: Catalogue, declarations: Declarations): Catalogue | OperationProblem {
-    const duplicate = findDuplicate(declarations.services.map(row => row.name)) ??
-        findDuplicate(declarations.entryVms.map(row => row.id)) ??
-        findDuplicate(declarations.runbookCommands.map(row => row.name));
-    if (duplicate !== undefined) {
-        return { problem: `${duplicate} is declared twice` };
-    }
-    return {
-        ...catalogue,
-        services: keyBy(declarations.services, row => row.name),
-        entryVms: keyBy(declarations.entryVms, row => row.id),
-        runbookCommands: keyBy(declarations.runbookCommands, row => row.name),
-    };
+function declare(catalogue: Catalogue, operation: DeclareOperation): Catalogue | OperationProblem {
+    const { services, entryVms, runbookCommands } = operation.declarations;
+    const duplicate = findDuplicate(services.map(row => row.name)) ??
+        findDuplicate(entryVms.map(row => row.id)) ??
+        findDuplicate(runbookCommands.map(row => row.name));
+    return duplicate === undefined ?
+        declareCatalogue(catalogue, operation) :
+        { problem: `${duplicate} is declared twice` };
 }
 
 function findDuplicate(names: readonly string[]): string | undefined {
     return names.find((name, position) => names.indexOf(name) !== position);
 }
 
-function keyBy<Row>(rows: readonly Row[], getKey: (row: Row) => string): Record<string, Row> {
-    return Object.fromEntries(rows.map(row => [getKey(row), row]));
-}
-
 function setOverride(catalogue: Catalogue, override: UpstreamOverride): Catalogue | OperationProblem {
     if (!Object.hasOwn(catalogue.services, override.service)) {
         return { problem: `there is no service ${override.service}` };
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,11 +2,13 @@
 import { randomInt } from "node:crypto";
 import { Writable } from "node:stream";
 import { type ILogObj, Logger } from "tslog";
+import { startControl } from "./control/daemon.js";
+import type { ControlDaemon, ControlOptions } from "./control/options.js";
 import { SystemClock } from "./core/clock.js";
 import { SeededRandom } from "./core/random.js";
 import { type RunningEntry, startEntry } from "./entry/daemon.js";
 import type { EntryOptions, ListenAddress } from "./entry/options.js";
-import type { LoadedEntrySettings } from "./settings/load.js";
+import type { LoadedControlSettings, LoadedEntrySettings } from "./settings/load.js";
 import type { LogSettings, MetricsSettings } from "./settings/schemas.js";
 
 const maxSeed = 2 ** 31;
@@ -65,6 +67,32 @@
     return entry;
 }
 
+/** Returns the options of a control VM from its settings. */
+export function createControlOptions(settings: LoadedControlSettings): ControlOptions {
+    const { id, region, availabilityZone, members, dataFolder, clusterSecret, operatorTokens } = settings;
+    return {
+        id,
+        region,
+        availabilityZone,
+        members,
+        dataFolder,
+        clusterSecret,
+        operatorTokens,
+        operatorListen: toListenAddress(settings.operatorListen),
+        peerListen: toListenAddress(settings.peerListen),
+        logger: createLogger("control", settings.log, [clusterSecret, ...operatorTokens.map(row => row.token)]),
+        clock: new SystemClock(),
+        random: new SeededRandom(randomInt(maxSeed)),
+    };
+}
+
+/** Starts a control VM that stops on SIGTERM and SIGINT and then ends the process with status 0. */
+export async function runControl(settings: LoadedControlSettings): Promise<ControlDaemon> {
+    const control = await startControl(createControlOptions(settings));
+    onStopSignal(() => control.close());
+    return control;
+}
+
 function onStopSignal(stop: () => Promise<void>): void {
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
         process.once(signal, () => void stop().then(() => process.exit(0)));
