--- a/bench/system.ts
+++ b/bench/system.ts
@@ -110,6 +110,7 @@
         controlAddresses: [...controlAddresses],
         token: benchOperatorToken,
         totalTimeoutMs: servingTimeoutMs,
+        callTimeoutMs: servingTimeoutMs,
     });
     const declarations: Declarations = { services, entryVms, runbookCommands: [] };
     const operation = { kind: "declare", declarations } as const;
--- a/src/cli/controlClient.ts
+++ b/src/cli/controlClient.ts
@@ -21,6 +21,12 @@
 const unauthorizedStatuses = [401, 403];
 const leaderUnknownCode = "leader-unknown";
 
+/** The part of the operator's settings that a client uses. */
+export type ControlClientSettings = Pick<
+    LoadedOperatorSettings,
+    "controlAddresses" | "token" | "totalTimeoutMs" | "callTimeoutMs"
+>;
+
 /** How a call of one control VM ended. */
 type CallEnd =
     | { readonly kind: "answer"; readonly result: unknown; }
@@ -33,7 +39,7 @@
 export class ControlClient {
     private readonly agent = new Agent({ connect: { timeout: connectTimeoutMs } });
 
-    constructor(private readonly settings: LoadedOperatorSettings) {}
+    constructor(private readonly settings: ControlClientSettings) {}
 
     async show(): Promise<ShowAnswer> {
         return await this.callAny(OperatorMethod.show, {}) as ShowAnswer;
--- a/src/requests/claimCoordinator.ts
+++ b/src/requests/claimCoordinator.ts
@@ -171,7 +171,6 @@
     }
 
     private startRound(claim: ClaimRow, nowMs: number): void {
-        const { order } = claim;
         const { selfId, incarnation, lists } = this.options;
         claim.round++;
         claim.state = "collecting";
