Check changes with the catalogue's schema at the leader and replicate the finding

Replicas of different versions may check differently, so the state machine must not check again; a base revision that matches at application is the one that the leader checked against.

--- a/src/control/catalogueService.ts
+++ b/src/control/catalogueService.ts
@@ -6,7 +6,6 @@
 import {
     type ApplyAnswer,
     ApplyOutcome,
-    type ApplyParams,
     type AuditAnswer,
     type AuditFilter,
     type ConfigSyncAnswer,
@@ -15,7 +14,7 @@
     type ShowAnswer,
     type StatusAnswer,
 } from "./operatorApi.js";
-import { findParamsProblem } from "./validation.js";
+import { findChangeProblem, parseApplyParams } from "./validation.js";
 
 const entryWaitMs = 4000;
 const confirmTimeoutMs = 2000;
@@ -66,18 +65,27 @@
         };
     }
 
-    private async apply(params: unknown, caller: OperatorCaller): Promise<ApplyAnswer> {
-        const problem = findParamsProblem(params);
-        if (problem !== undefined) {
+    private async apply(given: unknown, caller: OperatorCaller): Promise<ApplyAnswer> {
+        const { params, problem } = parseApplyParams(given);
+        if (params === undefined) {
             return this.toAnswer(ApplyOutcome.rejected, this.log.state.revision, problem);
         }
-        const { changeId, baseRevision, operation } = params as ApplyParams;
+        const { changeId, baseRevision, operation } = params;
         const known = this.log.state.findResult(changeId, operation);
         if (known !== undefined) {
             return this.awaitEntries(known);
         }
-        const leaderTimeMs = this.clock.now().getTime();
-        const end = await this.log.propose({ changeId, baseRevision, operation, leaderTimeMs, ...caller });
+        if (baseRevision > this.log.state.revision) {
+            return this.answerHighBase(baseRevision);
+        }
+        const end = await this.log.propose({
+            changeId,
+            baseRevision,
+            operation,
+            ...caller,
+            leaderTimeMs: this.clock.now().getTime(),
+            problem: findChangeProblem(this.log.state.current, operation),
+        });
         switch (end.kind) {
             case "applied":
                 return this.awaitEntries(end.result);
@@ -92,6 +100,17 @@
         }
     }
 
+    /** Nothing is recorded, so that the change can be sent again once its base revision is in force. */
+    private async answerHighBase(baseRevision: number): Promise<ApplyAnswer> {
+        await this.requireQuorum();
+        const { revision } = this.log.state;
+        return this.toAnswer(
+            ApplyOutcome.conflict,
+            revision,
+            `the base revision ${baseRevision} is not in force; the current one is ${revision}`,
+        );
+    }
+
     /** Waits until the entries hold an accepted change, for a bounded time. */
     private async awaitEntries(result: ChangeResult): Promise<ApplyAnswer> {
         if (result.outcome !== ApplyOutcome.accepted) {
--- a/src/control/catalogueState.ts
+++ b/src/control/catalogueState.ts
@@ -11,7 +11,6 @@
     type ChangeOperation,
     type FieldDifference,
 } from "./operatorApi.js";
-import { findCatalogueProblem } from "./validation.js";
 
 /** Claims are retained for 10 min; the lists they were spread over are kept one minute longer. */
 const entryListRetentionMs = 11 * 60 * 1000;
@@ -100,7 +99,7 @@
             return this.recordConflict(command, digest);
         }
         const next = applyOperation(this.catalogue, command.operation);
-        const problem = "problem" in next ? next.problem : findCatalogueProblem(next);
+        const problem = command.problem ?? ("problem" in next ? next.problem : undefined);
         if ("problem" in next || problem !== undefined) {
             return this.record(command, digest, ApplyOutcome.rejected, problem ?? "", [], undefined);
         }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -24,6 +24,11 @@
     readonly from: string;
     /** Wall-clock time of the leader in Unix milliseconds; all replicas decide on retention by it. */
     readonly leaderTimeMs: number;
+    /**
+     * What the leader found when it checked the operation against the base revision. The finding is replicated, since
+     * replicas of different versions may check differently.
+     */
+    readonly problem: string | undefined;
 }
 
 /** What a log record does. */
