--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -21,24 +21,25 @@
 /** Integer with a unit and a range, both ends included. */
 export function integer(unit: Unit, min: number, max: number) {
     const error = `integer from ${min} to ${max} (${unit})`;
-    return z.int({ error }).min(min, { error }).max(max, { error });
+    return z.int({ error }).min(min, { error }).max(max, { error }).meta({ expected: error });
 }
 
 /** Number with a unit and a range, both ends included. */
 export function decimal(unit: Unit, min: number, max: number) {
     const error = `number from ${min} to ${max} (${unit})`;
-    return z.number({ error }).min(min, { error }).max(max, { error });
+    return z.number({ error }).min(min, { error }).max(max, { error }).meta({ expected: error });
 }
 
 /** Name of a service, VM, region or availability zone; usable in a URL path and in a metric tag. */
 export function identifier() {
     const error = `name of 1 to ${maxNameLength} letters, digits, "-", "." or "_", starting with a letter or digit`;
-    return z.string({ error }).regex(/^[A-Za-z0-9][A-Za-z0-9._-]*$/, { error }).max(maxNameLength, { error });
+    return z.string({ error }).regex(/^[A-Za-z0-9][A-Za-z0-9._-]*$/, { error }).max(maxNameLength, { error })
+        .meta({ expected: error });
 }
 
 /** Text that is not empty. */
 export function text(expected = "text that is not empty") {
-    return z.string({ error: expected }).min(1, { error: expected });
+    return z.string({ error: expected }).min(1, { error: expected }).meta({ expected });
 }
 
 /** True for `IPv4:port` with a port other than 0. */
@@ -51,17 +52,18 @@
 /** `IPv4:port`; VMs are addressed by IP address. */
 export function address() {
     const error = "IPv4 address and port, such as 10.0.1.5:7400";
-    return z.string({ error }).refine(isAddress, { error });
+    return z.string({ error }).refine(isAddress, { error }).meta({ expected: error });
 }
 
 /** One of a set of words. */
 export function oneOf<const Words extends readonly [string, ...string[]]>(...words: Words) {
-    return z.enum(words, { error: `one of ${words.join(", ")}` });
+    const error = `one of ${words.join(", ")}`;
+    return z.enum(words, { error }).meta({ expected: error });
 }
 
 /** True or false. */
 export function flag() {
-    return z.boolean({ error: "true or false" });
+    return z.boolean({ error: "true or false" }).meta({ expected: "true or false" });
 }
 
 /** List of items. */
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -7,13 +7,12 @@
     controlSettingsSchema,
     type EntrySettings,
     entrySettingsSchema,
+    minSecretLength,
     type OperatorSettings,
     operatorSettingsSchema,
     operatorTokensSchema,
 } from "./schemas.js";
 
-const minSecretLength = 16;
-
 /** Settings and the values of the files that they name, or all problems found. */
 export type Loaded<Value> =
     | { readonly isValid: true; readonly value: Value; }
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -5,9 +5,16 @@
 const mebibyte = 1024 * 1024;
 const maxTimeMs = 600_000;
 
+/** Length of the cluster secret and of tokens, in characters; shorter ones could be guessed. */
+export const minSecretLength = 16;
+
 const file = () => text("path of a file, relative to the folder of this file");
 const bytes = (maxBytes: number) => integer(Unit.bytes, 0, maxBytes);
 const time = () => integer(Unit.ms, 1, maxTimeMs);
+const token = () => {
+    const error = `token of at least ${minSecretLength} characters`;
+    return z.string({ error }).min(minSecretLength, { error }).meta({ expected: error });
+};
 const count = (max: number) => integer(Unit.count, 1, max);
 
 const logSchema = object({
@@ -54,10 +61,10 @@
 
 const common = {
     clusterSecretFile: file().describe(
-        "File with the secret that all processes of the system share, at least 16 characters. Its value is never logged.",
+        `File with the secret that all processes of the system share, at least ${minSecretLength} characters. ` +
+            "Its value is never logged.",
     ),
     log: logSchema.prefault({}).describe("Log lines on standard output."),
-    metrics: metricsSchema.optional().describe("Where metrics are sent; without it, none are sent."),
 };
 
 /** Settings of the daemon `figwharf entry`. */
@@ -69,6 +76,7 @@
     controlAddresses: list(address()).min(1, { error: "at least one address" })
         .describe("Peer addresses of the control VMs."),
     limits: entryLimitsSchema.prefault({}).describe("Limits that bound the memory of the entry."),
+    metrics: metricsSchema.optional().describe("Where metrics are sent; without it, none are sent."),
     ...common,
 });
 
@@ -97,7 +105,7 @@
 export const operatorTokensSchema = object({
     operatorTokens: list(object({
         operator: identifier().describe("Name of the operator; it appears in the audit trail."),
-        token: z.string({ error: tokenExpected() }).min(16, { error: tokenExpected() }).describe("Bearer token."),
+        token: token().describe("Bearer token."),
     })).min(1, { error: "at least one operator" }).describe("Operators and their bearer tokens."),
 });
 
@@ -112,10 +120,6 @@
     totalTimeoutMs: time().default(20_000).describe("Time to find a control VM that can answer."),
 });
 
-function tokenExpected(): string {
-    return "token of at least 16 characters";
-}
-
 /** Output of the schemas. */
 export type EntrySettings = z.output<typeof entrySettingsSchema>;
 export type ControlSettings = z.output<typeof controlSettingsSchema>;
--- /dev/null
+++ b/tools/writeConfigurationPage.ts
@@ -0,0 +1,4 @@
+import { writeFileSync } from "node:fs";
+import { configurationPageFile, renderConfigurationPage } from "./configurationPage.js";
+
+writeFileSync(configurationPageFile, renderConfigurationPage());
