--- a/src/cli/reports.ts
+++ b/src/cli/reports.ts
@@ -172,6 +172,7 @@
     return readReport(lines, catalogue);
 }
 
+/** A negative age means that nothing was heard. */
 function formatAge(ageMs: number): string {
-    return `${(ageMs / 1000).toFixed(1)} s ago`;
+    return ageMs < 0 ? "never" : `${(ageMs / 1000).toFixed(1)} s ago`;
 }
