--- a/bench/system.ts
+++ b/bench/system.ts
@@ -109,6 +109,9 @@
     const client = new ControlClient({
         controlAddresses: [...controlAddresses],
         token: benchOperatorToken,
+        operator: "bench",
+        tokenFile: "",
+        callTimeoutMs: servingTimeoutMs,
         totalTimeoutMs: servingTimeoutMs,
     });
     const declarations: Declarations = { services, entryVms, runbookCommands: [] };
