--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -10,7 +10,8 @@
 
 /** Where the response of an attempt goes once it is forwarded. */
 export interface ResponseSink {
-    writeHead(head: ResponseHead): void;
+    /** `isWhole` tells that the content follows at once. */
+    writeHead(head: ResponseHead, isWhole: boolean): void;
     /** Returns false when the caller is slower than the upstream; `onDrain` is called when it has caught up. */
     write(chunk: Buffer, onDrain: () => void): boolean;
     end(trailers: readonly HeaderField[]): void;
@@ -71,7 +72,7 @@
         this.sink = sink;
         clearTimeout(this.holdTimer);
         if (this.head !== undefined) {
-            sink.writeHead(this.head);
+            sink.writeHead(this.head, this.isComplete);
         }
         const { held } = this;
         this.held = [];
--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -21,6 +21,7 @@
 const instanceIdBytes = 6;
 const defaultDeadlineMs = 30_000;
 const memoryRetryMs = 1000;
+const emptyBodyHash = createHash("sha256").digest("hex");
 
 type EffectOf<Kind extends EntryEffect["kind"]> = Extract<EntryEffect, { readonly kind: Kind; }>;
 
@@ -299,5 +300,5 @@
 }
 
 function hashBody(body: Buffer): string {
-    return createHash("sha256").update(body).digest("hex");
+    return body.length === 0 ? emptyBodyHash : createHash("sha256").update(body).digest("hex");
 }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -63,7 +63,7 @@
         return headers;
     }
 
-    writeHead(head: ResponseHead): void {
+    writeHead(head: ResponseHead, isWhole: boolean): void {
         if (this.isOver) {
             return;
         }
@@ -75,8 +75,13 @@
             headers.push("Connection", "close");
         }
         this.outgoing.writeHead(head.status, headers);
-        // A response that is streamed shows its head before its first byte of content arrives.
-        if (!isWithoutContent(head.status)) {
+        if (isWhole) {
+            // One write for head and content.
+            this.outgoing.cork();
+            process.nextTick(() => this.outgoing.uncork());
+        }
+        else if (!isWithoutContent(head.status)) {
+            // A response that is streamed shows its head before its first byte of content arrives.
             this.outgoing.flushHeaders();
         }
     }
@@ -135,7 +140,7 @@
 
     /** Ends the request with a retained response. */
     replay(response: RetainedResponse): void {
-        this.writeHead(response);
+        this.writeHead(response, true);
         if (response.body !== undefined && response.body.length > 0) {
             this.outgoing.write(response.body);
         }
--- a/src/membership/upstreamTable.ts
+++ b/src/membership/upstreamTable.ts
@@ -146,7 +146,11 @@
     private isEligible(row: MutableRow, nowMs: number): boolean {
         const { state, service, id } = row.announcement;
         return state === UpstreamState.ready && nowMs - row.evidenceAtMs <= maxEvidenceAgeMs &&
-            !this.overridden.has(rowKey(service, id));
+            !this.isOverridden(service, id);
+    }
+
+    private isOverridden(service: ServiceName, id: UpstreamId): boolean {
+        return this.overridden.size > 0 && this.overridden.has(rowKey(service, id));
     }
 
     /** Returns the row after the announcement, or undefined when a newer incarnation is known. */
