Refuse ambiguous requests that Node's parser lets pass

Before the check, four of the eighteen forms in the table failed: two Host fields and two transfer codings were forwarded, an unknown transfer coding closed the connection without an answer, and a missing Host was answered without a verdict. A pipelined request behind a refused one is ignored.

--- /dev/null
+++ b/src/entry/framing.ts
@@ -0,0 +1,31 @@
+import type { IncomingMessage } from "node:http";
+
+/**
+ * Returns what is ambiguous in the head of a request, or undefined. Node's parser refuses most forms by itself; it lets
+ * several Host fields and several transfer codings pass, which another server can read differently.
+ */
+export function findAmbiguity(incoming: IncomingMessage): string | undefined {
+    const { rawHeaders } = incoming;
+    let hostCount = 0;
+    let codingCount = 0;
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index].toLowerCase();
+        if (name === "host") {
+            hostCount++;
+        }
+        else if (name === "transfer-encoding") {
+            codingCount++;
+            if (rawHeaders[index + 1].trim().toLowerCase() !== "chunked") {
+                return "The transfer coding is not chunked.";
+            }
+        }
+    }
+    const isHttp10 = incoming.httpVersion === "1.0";
+    if (hostCount > 1 || hostCount === 0 && !isHttp10) {
+        return "The request has no Host field or several.";
+    }
+    if (codingCount > 1 || codingCount === 1 && isHttp10) {
+        return "The request has several transfer codings, or one in HTTP/1.0.";
+    }
+    return incoming.url?.startsWith("/") ? undefined : "The request target is not a path.";
+}
--- a/src/entry/frontServer.ts
+++ b/src/entry/frontServer.ts
@@ -7,6 +7,7 @@
 import type { AddressAnswer } from "./addressAnswer.js";
 import { maxAnnouncementBytes } from "./announcements.js";
 import { refuse } from "./answers.js";
+import { findAmbiguity } from "./framing.js";
 import type { EntryLimits, ListenAddress } from "./options.js";
 import { formatProblem } from "./problem.js";
 
@@ -28,12 +29,15 @@
     readonly server: http.Server;
     /** Connections that carry a request; a malformed byte on them is not answered, since an answer may be under way. */
     private readonly busySockets = new Map<Socket, number>();
+    /** Connections on which an ambiguous request was refused; what follows on them is ignored. */
+    private readonly refusedSockets = new WeakSet<Socket>();
 
     constructor(limits: EntryLimits, private readonly handlers: FrontHandlers) {
         this.server = http.createServer({
             maxHeaderSize: limits.headBytes,
             headersTimeout: limits.headTimeoutMs,
             requestTimeout: 0,
+            requireHostHeader: false,
             keepAliveTimeout: limits.keepAliveTimeoutMs,
             connectionsCheckingInterval: connectionCheckIntervalMs,
             noDelay: true,
@@ -73,13 +77,19 @@
     }
 
     private routeByHost(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
+        if (this.refusedSockets.has(incoming.socket)) {
+            return true;
+        }
+        const ambiguity = findAmbiguity(incoming);
+        if (ambiguity !== undefined) {
+            this.refusedSockets.add(incoming.socket);
+            outgoing.shouldKeepAlive = false;
+            sendProblem(outgoing, refuse(400, "ambiguous-request", ambiguity));
+            return true;
+        }
         this.trackBusy(incoming.socket, outgoing);
         const host = (incoming.headers.host ?? "").split(":")[0];
         const url = incoming.url ?? "/";
-        if (!url.startsWith("/")) {
-            sendProblem(outgoing, refuse(400, "invalid-target", "The request target is not a path."));
-            return true;
-        }
         if (host === "" || !this.handlers.isService(host)) {
             return false;
         }
@@ -132,6 +142,10 @@
     }
 
     private onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+        if (this.refusedSockets.has(socket)) {
+            socket.destroySoon();
+            return;
+        }
         if (!socket.writable || this.busySockets.has(socket)) {
             socket.destroy();
             return;
