--- a/bench/system.ts
+++ b/bench/system.ts
@@ -113,6 +113,7 @@
         tokenFile: "",
         callTimeoutMs: servingTimeoutMs,
         totalTimeoutMs: servingTimeoutMs,
+        callTimeoutMs: servingTimeoutMs,
     });
     const declarations: Declarations = { services, entryVms, runbookCommands: [] };
     const operation = { kind: "declare", declarations } as const;
