--- a/bench/system.ts
+++ b/bench/system.ts
@@ -109,9 +109,6 @@
     const client = new ControlClient({
         controlAddresses: [...controlAddresses],
         token: benchOperatorToken,
-        operator: "bench",
-        tokenFile: "",
-        callTimeoutMs: servingTimeoutMs,
         totalTimeoutMs: servingTimeoutMs,
         callTimeoutMs: servingTimeoutMs,
     });
