--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -45,7 +45,7 @@
     const system = await startSystem(processes, {
         seed,
         entries: 3,
-        controls: 1,
+        controls: 3,
         folder,
         services: demoServices.map(({ name }) => benchService(name)),
     });
