--- a/src/cli/commands/operations.ts
+++ b/src/cli/commands/operations.ts
@@ -106,7 +106,10 @@
 
 export class EntryVmDrain extends ReportingCommand {
     static summary = "Stop sending callers to an entry VM.";
-    static description = `The process finishes its requests and exits. ${exitCodeHelp}`;
+    static description = [
+        "It is no longer listed in address answers and goes on serving callers that hold an older answer.",
+        `To end the process, send it SIGTERM: it finishes its requests first. ${exitCodeHelp}`,
+    ].join(" ");
     static examples = ["<%= config.bin %> entry-vm drain qc-east-entry-01 --config operator.jsonc"];
     static args = entryVmArgument;
     static flags = changeFlags;
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -77,8 +77,9 @@
         return this.lifecycle.inFlight;
     }
 
+    /** Whether this entry is not listed in address answers: its process drains, or the catalogue says so. */
     get isDraining(): boolean {
-        return this.isDrainingNow;
+        return this.isDrainingNow || this.config.catalogue.entryVms[this.options.id]?.state === "draining";
     }
 
     /** Whether new requests are accepted. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -41,8 +41,8 @@
     return new StatsD({ ...common, ...toListenAddress(settings.address), prefix: settings.prefix, errorHandler });
 }
 
-/** Returns the options of an entry from its settings. */
-export function createEntryOptions(settings: LoadedEntrySettings): EntryOptions {
+/** Returns the options of an entry from its settings; see the flag `--first-start` for `isFirstStart`. */
+export function createEntryOptions(settings: LoadedEntrySettings, isFirstStart: boolean): EntryOptions {
     const { id, region, availabilityZone, controlAddresses, clusterSecret, limits } = settings;
     return {
         id,
@@ -51,6 +51,7 @@
         controlAddresses,
         clusterSecret,
         limits,
+        claims: { isFirstStart },
         listen: toListenAddress(settings.listen),
         peerListen: toListenAddress(settings.peerListen),
         logger: createLogger("entry", settings.log, [clusterSecret]),
@@ -61,8 +62,8 @@
 }
 
 /** Starts an entry that drains on SIGTERM and SIGINT and then ends the process with status 0. */
-export async function runEntry(settings: LoadedEntrySettings): Promise<RunningEntry> {
-    const entry = await startEntry(createEntryOptions(settings));
+export async function runEntry(settings: LoadedEntrySettings, isFirstStart: boolean): Promise<RunningEntry> {
+    const entry = await startEntry(createEntryOptions(settings, isFirstStart));
     onStopSignal(() => entry.drain());
     return entry;
 }
