--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -82,6 +82,8 @@
 
     noteAppendAnswer(from: VoterId, answer: AppendAnswer): void {
         const row = this.noteAnswer(from, answer.round);
+        // A repeated answer must not cause another message, or duplicated messages would multiply without end.
+        const isNews = !answer.isMatch || answer.matchIndex > row.matchIndex;
         if (answer.isMatch) {
             row.matchIndex = Math.max(row.matchIndex, answer.matchIndex);
             row.nextIndex = Math.max(row.nextIndex, row.matchIndex + 1);
@@ -91,7 +93,7 @@
             row.nextIndex = Math.max(row.matchIndex + 1, Math.min(row.nextIndex - 1, answer.matchIndex + 1));
         }
         this.advance();
-        if (row.nextIndex <= this.state.log.lastIndex) {
+        if (isNews && row.nextIndex <= this.state.log.lastIndex) {
             this.replicateTo(from);
         }
     }
@@ -99,14 +101,18 @@
     noteSnapshotAnswer(from: VoterId, answer: SnapshotAnswer): void {
         const row = this.noteAnswer(from, answer.round);
         if (row.snapshot?.source.index === answer.snapshotIndex) {
+            const isNews = answer.nextOffset > row.snapshot.offset;
             row.snapshot.offset = Math.min(answer.nextOffset, row.snapshot.source.state.length);
-            this.sendChunk(from, row);
+            if (isNews) {
+                this.sendChunk(from, row);
+            }
         }
         this.advance();
     }
 
     /** Answers everything that waits, when leadership is lost. */
     resign(): void {
+        this.state.neededAfterIndex = Infinity;
         const waiting = [...this.proposals.values(), ...this.rounds.takeAll()];
         waiting.forEach(requestId => this.state.emit({ kind: "answer", requestId, answer: { kind: "lost" } }));
     }
@@ -186,6 +192,7 @@
     /** Commits what a majority holds, and answers proposals and reads. Sends again while that makes rounds necessary. */
     private advance(): void {
         const index = this.findMajorityIndex();
+        this.state.neededAfterIndex = this.findNeededIndex();
         if (index > this.state.commitIndex && this.state.log.termAt(index) === this.state.term) {
             this.state.commitUpTo(index).forEach(applied => this.answerProposal(applied));
         }
@@ -216,6 +223,10 @@
         return matches[Math.floor(matches.length / 2)] ?? 0;
     }
 
+    private findNeededIndex(): number {
+        return Math.min(...[...this.progress.values()].map(row => row.snapshot?.source.index ?? Infinity));
+    }
+
     private canChangeMembers(members: GroupMembers): boolean {
         const { commitIndex, membersIndex } = this.state;
         const isSettled = commitIndex >= this.termStartIndex && commitIndex >= membersIndex;
--- /dev/null
+++ b/src/control/replica.property.test.ts
@@ -0,0 +1,176 @@
+import test from "ava";
+import fc from "fast-check";
+import { ApplyOutcome, type AuditRecord } from "./operatorApi.js";
+import { FakeGroup } from "./testing/fakeGroup.js";
+import { FakeOperator, type Operation } from "./testing/operators.js";
+
+const faultKinds = [
+    "crash",
+    "crash-in-write",
+    "lose-disk",
+    "cut",
+    "cut-outgoing",
+    "cut-incoming",
+    "pause",
+    "delay",
+] as const;
+
+interface Fault {
+    readonly kind: typeof faultKinds[number];
+    readonly vm: number;
+    readonly afterMs: number;
+    readonly durationMs: number;
+}
+
+const faults = fc.array(
+    fc.record<Fault>({
+        kind: fc.constantFrom(...faultKinds),
+        vm: fc.nat(2),
+        afterMs: fc.integer({ min: 0, max: 1500 }),
+        durationMs: fc.integer({ min: 50, max: 4000 }),
+    }),
+    { minLength: 4, maxLength: 16 },
+);
+
+function inject(group: FakeGroup, fault: Fault): () => void {
+    const vm = group.vms[fault.vm];
+    const others = group.vms.filter(other => other !== vm);
+    const outgoing = others.map(other => `${vm.name}>${other.name}`);
+    const incoming = others.map(other => `${other.name}>${vm.name}`);
+    const cut = (links: readonly string[]) => {
+        links.forEach(link => group.cutLinks.add(link));
+        return () => links.forEach(link => group.cutLinks.delete(link));
+    };
+    switch (fault.kind) {
+        case "crash":
+            group.crash(vm);
+            return () => group.restart(vm);
+        case "crash-in-write":
+            vm.disk.crashAtOperation(1 + fault.durationMs % 7);
+            return () => {
+                vm.disk.crashAtOperation(Infinity);
+                group.restart(vm);
+            };
+        case "lose-disk":
+            return group.loseDisk(vm) ? () => group.restart(vm) : () => undefined;
+        case "cut":
+            return cut([...outgoing, ...incoming]);
+        case "cut-outgoing":
+            return cut(outgoing);
+        case "cut-incoming":
+            return cut(incoming);
+        case "pause":
+            vm.pausedUntilMs = group.nowMs + fault.durationMs;
+            return () => undefined;
+        case "delay":
+            group.extraDelayMs = fault.durationMs / 4;
+            return () => group.extraDelayMs = 0;
+    }
+}
+
+function runSchedule(seed: number, schedule: readonly Fault[]) {
+    const group = new FakeGroup(seed);
+    const operators = ["ann", "bob", "cleo"].map(name => new FakeOperator(group, name));
+    const step = () => operators.forEach(operator => operator.step());
+    const ends: { atMs: number; end: () => void; }[] = [];
+    const endFaults = () => {
+        ends.filter(row => row.atMs <= group.nowMs).forEach(row => row.end());
+        ends.splice(0, ends.length, ...ends.filter(row => row.atMs > group.nowMs));
+        step();
+    };
+    group.run(2500, step);
+    for (const fault of schedule) {
+        group.run(fault.afterMs, endFaults);
+        ends.push({ atMs: group.nowMs + fault.durationMs, end: inject(group, fault) });
+    }
+    group.run(4500, endFaults);
+    group.heal();
+    group.run(12_000, step);
+    // The last commit index reaches the followers.
+    group.run(2000);
+    return { group, operations: operators.flatMap(operator => operator.operations) };
+}
+
+function acceptedAudit(group: FakeGroup, position: number): readonly AuditRecord[] {
+    return group.vms[position].machine.listAudit({ outcome: ApplyOutcome.accepted });
+}
+
+function findAuditViolations(operations: readonly Operation[], audit: readonly AuditRecord[]): string[] {
+    const byRevision = new Map(audit.map(record => [record.revision, record.changeId]));
+    const violations = audit.flatMap((record, position) =>
+        record.revision === position + 1 ? [] : [`revision ${record.revision} stands at ${position + 1}`]
+    );
+    if (new Set(audit.map(record => record.changeId)).size !== audit.length) {
+        violations.push("a change was made twice");
+    }
+    for (const operation of operations.filter(row => row.endedAtMs !== undefined)) {
+        const { changeId, outcome, revision, baseRevision, seenChangeId } = operation;
+        if (seenChangeId !== undefined && byRevision.get(revision) !== seenChangeId) {
+            violations.push(`${changeId} saw ${seenChangeId} at ${revision}, which is ${byRevision.get(revision)}`);
+        }
+        if (outcome === ApplyOutcome.accepted && revision !== baseRevision + 1) {
+            violations.push(`${changeId} was accepted at ${revision} on base ${baseRevision}`);
+        }
+        if (outcome === ApplyOutcome.conflict && revision === baseRevision) {
+            violations.push(`${changeId} got a conflict with its own base ${baseRevision}`);
+        }
+    }
+    return violations;
+}
+
+/**
+ * Compare-and-set with a number that only rises: a history is linearizable when no operation that starts after another
+ * one ended proves a lower revision, and no operation proves a revision before the change that made it was sent.
+ */
+function findOrderViolations(operations: readonly Operation[], audit: readonly AuditRecord[]): string[] {
+    const violations: string[] = [];
+    const invokedAt = new Map(operations.map(row => [row.changeId, row.invokedAtMs]));
+    const ended = operations.filter(row => row.endedAtMs !== undefined);
+    for (const later of ended) {
+        for (const earlier of ended) {
+            if (Number(earlier.endedAtMs) < later.invokedAtMs && later.revision < earlier.revision) {
+                violations.push(
+                    `${later.changeId} proves ${later.revision} after ${earlier.changeId} did ${earlier.revision}`,
+                );
+            }
+        }
+        const made = audit[later.revision - 1];
+        if (made !== undefined && Number(invokedAt.get(made.changeId)) > Number(later.endedAtMs)) {
+            violations.push(`${later.changeId} proves revision ${later.revision} before it was sent`);
+        }
+    }
+    return violations;
+}
+
+function findGroupViolations(group: FakeGroup, audit: readonly AuditRecord[]): string[] {
+    const shared = [...group.leadersByTerm].filter(([, ids]) => ids.size > 1).map(([term]) => `two leaders in ${term}`);
+    const apart = [1, 2].filter(position => JSON.stringify(acceptedAudit(group, position)) !== JSON.stringify(audit))
+        .map(position => `VM ${position} holds ${acceptedAudit(group, position).length} changes, not ${audit.length}`);
+    const leader = group.vms.find(vm => vm.replica?.role === "leader");
+    const voters = leader?.replica?.members.voters.map(member => member.id).sort().join();
+    const ids = group.vms.map(vm => vm.id).join();
+    return [...shared, ...apart, ...voters === ids ? [] : [`the voters are ${voters}, not ${ids}`]];
+}
+
+test("guards against lost, doubled, reverted changes and stale reads under random faults", t => {
+    const totals = { changes: 0, ended: 0 };
+    const check = (seed: number, schedule: readonly Fault[]) => {
+        const { group, operations } = runSchedule(seed, schedule);
+        const audit = acceptedAudit(group, 0);
+        const violations = [
+            ...findGroupViolations(group, audit),
+            ...findAuditViolations(operations, audit),
+            ...findOrderViolations(operations, audit),
+        ];
+        if (violations.length > 0) {
+            throw new Error(violations.slice(0, 5).join("\n"));
+        }
+        totals.changes += audit.length;
+        totals.ended += operations.filter(row => row.endedAtMs !== undefined).length;
+    };
+    t.notThrows(() =>
+        fc.assert(fc.property(fc.nat(), faults, check), { seed: 20261204, numRuns: 60, includeErrorInReport: true })
+    );
+    t.log(`${totals.changes} changes accepted, ${totals.ended} operations ended`);
+    t.true(totals.changes > 1000);
+});
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -88,6 +88,11 @@
         return this.state.members;
     }
 
+    /** Returns whether the member list in force is held by a majority. */
+    get isSettled(): boolean {
+        return this.state.commitIndex >= this.state.membersIndex;
+    }
+
     get commitIndex(): number {
         return this.state.commitIndex;
     }
--- a/src/control/replicaState.ts
+++ b/src/control/replicaState.ts
@@ -38,6 +38,9 @@
     snapshotChunkBytes: 256 * 1024,
 };
 
+/** A member that takes longer than this many snapshots to receive one starts again with a newer one. */
+const maxNeededSnapshots = 8;
+
 const noMembers: GroupMembers = { voters: [], learners: [] };
 
 interface MembersAtIndex {
@@ -58,6 +61,8 @@
     readonly log: RecordList;
     commitIndex: number;
     snapshot: Snapshot | undefined;
+    /** Records after this index are kept for a member that is receiving an older snapshot. */
+    neededAfterIndex = Infinity;
     /** Member lists by index, oldest first; the last one is in force as soon as it is in the log. */
     private memberHistory: MembersAtIndex[];
     private effects: ControlEffect[] = [];
@@ -160,7 +165,7 @@
             const result = command.kind === "change" ? this.machine.apply(command.change) : undefined;
             applied.push({ record, result });
         }
-        if (this.log.length > this.limits.compactAfterRecords) {
+        if (this.commitIndex - (this.snapshot?.index ?? 0) >= this.limits.compactAfterRecords) {
             this.compact();
         }
         return applied;
@@ -203,7 +208,9 @@
             return;
         }
         this.snapshot = { index, term, members, state: this.machine.toBytes() };
-        this.log.dropUpTo(Math.max(this.log.base, index - this.limits.keepRecords));
+        const { keepRecords, compactAfterRecords } = this.limits;
+        const neededAfter = Math.max(this.neededAfterIndex, index - maxNeededSnapshots * compactAfterRecords);
+        this.log.dropUpTo(Math.max(this.log.base, Math.min(index - keepRecords, neededAfter)));
         this.memberHistory = this.memberHistory.slice(committed.length - 1);
         const records = this.log.slice(this.log.base + 1);
         this.emit({ kind: "save-snapshot", snapshot: this.snapshot, records });
--- /dev/null
+++ b/src/control/testing/fakeGroup.ts
@@ -0,0 +1,266 @@
+import { SeededRandom } from "../../core/random.js";
+import { ControlStore } from "../../storage/controlStore.js";
+import { FakeDisk, InjectedCrash } from "../../storage/fakeDisk.js";
+import { CatalogueState } from "../catalogueState.js";
+import type {
+    ChangeCommand,
+    ControlAnswer,
+    ControlEffect,
+    ControlEvent,
+    Member,
+    ReplicationMessage,
+} from "../messages.js";
+import { Replica } from "../replica.js";
+import { defaultReplicaLimits, type ReplicaLimits } from "../replicaState.js";
+
+const stepMs = 10;
+const tickMs = 50;
+const joinMs = 300;
+const maxDelayMs = 25;
+const lossShare = 0.02;
+const duplicationShare = 0.03;
+
+/** Small limits, so that short runs make snapshots and send them in several parts. */
+const testLimits: ReplicaLimits = {
+    ...defaultReplicaLimits,
+    compactAfterRecords: 24,
+    keepRecords: 6,
+    maxRecordsPerMessage: 5,
+    snapshotChunkBytes: 16 * 1024,
+};
+
+/** A control VM with a fake disk. */
+export interface FakeVm {
+    readonly name: string;
+    readonly disk: FakeDisk;
+    /** Rises with each loss of the disk. */
+    generation: number;
+    id: string;
+    machine: CatalogueState;
+    store: ControlStore;
+    /** Undefined while the VM is down. */
+    replica: Replica | undefined;
+    pausedUntilMs: number;
+}
+
+interface Delivery {
+    readonly atMs: number;
+    readonly from: FakeVm;
+    readonly fromId: string;
+    readonly to: FakeVm;
+    readonly toId: string;
+    readonly message: ReplicationMessage;
+}
+
+type OnAnswer = (answer: ControlAnswer, vm: FakeVm) => void;
+
+/** Three control VMs, their disks and their network, driven step by step in virtual time from one seed. */
+export class FakeGroup {
+    nowMs = 0;
+    /** Links on which messages are lost, as `from>to`. */
+    readonly cutLinks = new Set<string>();
+    extraDelayMs = 0;
+    readonly leadersByTerm = new Map<number, Set<string>>();
+    readonly vms: readonly FakeVm[];
+    readonly random: SeededRandom;
+    private deliveries: Delivery[] = [];
+    private readonly waiting = new Map<number, OnAnswer>();
+    private nextRequestId = 1;
+
+    constructor(seed: number, names: readonly string[] = ["a", "b", "c"]) {
+        this.random = new SeededRandom(seed);
+        this.vms = names.map(name => this.makeVm(name));
+        const voters = this.vms.map(vm => ({ id: vm.id, peerAddress: vm.name }));
+        this.submit(this.vms[0], { kind: "found", members: { voters, learners: [] } });
+    }
+
+    /** Advances virtual time. */
+    run(durationMs: number, onStep: () => void = () => undefined): void {
+        const endMs = this.nowMs + durationMs;
+        while (this.nowMs < endMs) {
+            this.nowMs += stepMs;
+            this.deliver();
+            this.vms.forEach(vm => this.tick(vm));
+            onStep();
+        }
+    }
+
+    /** Hands an event with an answer to a VM. Returns false when the VM is down or paused. */
+    ask(vm: FakeVm, makeEvent: (requestId: number) => ControlEvent, onAnswer: OnAnswer): boolean {
+        if (!this.isRunning(vm)) {
+            return false;
+        }
+        const requestId = this.nextRequestId++;
+        this.waiting.set(requestId, onAnswer);
+        this.submit(vm, makeEvent(requestId));
+        return true;
+    }
+
+    proposeChange(vm: FakeVm, change: ChangeCommand, onAnswer: OnAnswer): boolean {
+        return this.ask(
+            vm,
+            requestId => ({ kind: "propose", requestId, command: { kind: "change", change } }),
+            onAnswer,
+        );
+    }
+
+    isRunning(vm: FakeVm): boolean {
+        return vm.replica !== undefined && vm.pausedUntilMs <= this.nowMs;
+    }
+
+    crash(vm: FakeVm): void {
+        vm.replica = undefined;
+    }
+
+    restart(vm: FakeVm): void {
+        if (vm.replica === undefined) {
+            vm.disk.restart();
+            vm.pausedUntilMs = 0;
+            this.open(vm);
+        }
+    }
+
+    /** Lets a VM lose its disk. Returns false when the group could not bear it: a former loss is not repaired yet. */
+    loseDisk(vm: FakeVm): boolean {
+        const ids = new Set(this.vms.map(other => other.id));
+        const isRepaired = this.vms.some(other =>
+            other.replica?.role === "leader" && other.replica.members.voters.length === this.vms.length &&
+            other.replica.members.voters.every(member => ids.has(member.id)) && other.replica.isSettled
+        );
+        if (isRepaired) {
+            this.crash(vm);
+            vm.disk.wipe();
+            vm.generation++;
+            vm.id = "";
+        }
+        return isRepaired;
+    }
+
+    heal(): void {
+        this.cutLinks.clear();
+        this.extraDelayMs = 0;
+        this.vms.forEach(vm => {
+            vm.disk.crashAtOperation(Infinity);
+            vm.pausedUntilMs = 0;
+            this.restart(vm);
+        });
+    }
+
+    private makeVm(name: string): FakeVm {
+        const disk = new FakeDisk(this.random);
+        const vm: FakeVm = {
+            name,
+            disk,
+            generation: 1,
+            id: "",
+            machine: new CatalogueState(),
+            store: new ControlStore(disk),
+            replica: undefined,
+            pausedUntilMs: 0,
+        };
+        this.open(vm);
+        return vm;
+    }
+
+    private open(vm: FakeVm): void {
+        vm.machine = new CatalogueState();
+        vm.store = new ControlStore(vm.disk);
+        vm.id = vm.store.openIdentity(() => `${vm.name}${vm.generation}`);
+        const { id: selfId, machine } = vm;
+        const persisted = vm.store.load();
+        const { random, nowMs } = this;
+        vm.replica = new Replica({ selfId, persisted, machine, random, nowMs, limits: testLimits });
+    }
+
+    private submit(vm: FakeVm, event: ControlEvent): void {
+        this.perform(vm, vm.replica?.handle(event, this.nowMs) ?? []);
+    }
+
+    private tick(vm: FakeVm): void {
+        if (!this.isRunning(vm) || this.nowMs % tickMs !== 0) {
+            return;
+        }
+        this.perform(vm, vm.replica?.tick(this.nowMs) ?? []);
+        const replica = vm.replica;
+        const isMember = replica !== undefined &&
+            [...replica.members.voters, ...replica.members.learners].some(member => member.id === vm.id);
+        if (!isMember && this.nowMs % joinMs === 0) {
+            const member: Member = { id: vm.id, peerAddress: vm.name };
+            this.vms.filter(other => other !== vm && this.isRunning(other) && !this.isCut(vm, other)).forEach(other =>
+                this.submit(other, { kind: "join", member })
+            );
+        }
+    }
+
+    private perform(vm: FakeVm, effects: readonly ControlEffect[]): void {
+        try {
+            effects.forEach(effect => performOnDisk(vm.store, effect));
+        }
+        catch (error) {
+            if (error instanceof InjectedCrash) {
+                this.crash(vm);
+                return;
+            }
+            throw error;
+        }
+        if (vm.replica?.role === "leader") {
+            const { term } = vm.replica;
+            this.leadersByTerm.set(term, (this.leadersByTerm.get(term) ?? new Set()).add(vm.id));
+        }
+        effects.forEach(effect => this.performElsewhere(vm, effect));
+    }
+
+    private performElsewhere(vm: FakeVm, effect: ControlEffect): void {
+        if (effect.kind === "send") {
+            this.send(vm, effect.to, effect.message);
+        }
+        if (effect.kind === "answer") {
+            this.waiting.get(effect.requestId)?.(effect.answer, vm);
+            this.waiting.delete(effect.requestId);
+        }
+    }
+
+    private send(from: FakeVm, toId: string, message: ReplicationMessage): void {
+        const to = this.vms.find(vm => vm.id === toId);
+        if (to === undefined || this.isCut(from, to) || this.random.nextUnit() < lossShare) {
+            return;
+        }
+        const copies = this.random.nextUnit() < duplicationShare ? 2 : 1;
+        for (let copy = 0; copy < copies; copy++) {
+            const atMs = this.nowMs + 1 + this.random.nextInt(maxDelayMs) + this.random.nextInt(this.extraDelayMs + 1);
+            this.deliveries.push({ atMs, from, fromId: from.id, to, toId, message });
+        }
+    }
+
+    private deliver(): void {
+        const due = this.deliveries.filter(row => row.atMs <= this.nowMs && row.to.pausedUntilMs <= this.nowMs);
+        const dueSet = new Set(due);
+        this.deliveries = this.deliveries.filter(row => !dueSet.has(row));
+        for (const { fromId, from, to, toId, message } of due) {
+            if (to.id === toId && !this.isCut(from, to)) {
+                this.submit(to, { kind: "message", from: fromId, message });
+            }
+        }
+    }
+
+    private isCut(from: FakeVm, to: FakeVm): boolean {
+        return this.cutLinks.has(`${from.name}>${to.name}`);
+    }
+}
+
+function performOnDisk(store: ControlStore, effect: ControlEffect): void {
+    switch (effect.kind) {
+        case "save-vote":
+            store.saveVote(effect.term, effect.votedFor);
+            break;
+        case "append":
+            store.append(effect.records);
+            break;
+        case "save-snapshot":
+            store.saveSnapshot(effect.snapshot, effect.records);
+            break;
+        case "sync":
+            store.sync();
+            break;
+    }
+}
--- /dev/null
+++ b/src/control/testing/operators.ts
@@ -0,0 +1,141 @@
+import type { ChangeCommand } from "../messages.js";
+import { ApplyOutcome } from "../operatorApi.js";
+import type { FakeGroup, FakeVm } from "./fakeGroup.js";
+
+const resendMs = 700;
+const attemptLimit = 40;
+
+/** One operation of an operator, from its first sending to its answer. */
+export interface Operation {
+    readonly kind: "change" | "read";
+    readonly changeId: string;
+    readonly baseRevision: number;
+    readonly invokedAtMs: number;
+    endedAtMs: number | undefined;
+    outcome: ApplyOutcome | undefined;
+    /** Revision that the answer proves to have existed. */
+    revision: number;
+    /** Change that made this revision, where the answer says so. */
+    seenChangeId: string | undefined;
+}
+
+/** An operator who reads and changes the catalogue, and resends until there is an answer. */
+export class FakeOperator {
+    readonly operations: Operation[] = [];
+    private current: Operation | undefined;
+    private lastSentMs = -Infinity;
+    private attempts = 0;
+    private knownRevision = 0;
+
+    constructor(private readonly group: FakeGroup, private readonly name: string) {}
+
+    step(): void {
+        if (this.current === undefined) {
+            this.startOperation();
+        }
+        if (this.current !== undefined && this.group.nowMs - this.lastSentMs >= resendMs) {
+            this.send(this.current);
+        }
+    }
+
+    private startOperation(): void {
+        const { random, nowMs } = this.group;
+        if (random.nextUnit() > 0.08) {
+            return;
+        }
+        const kind = random.nextUnit() < 0.35 ? "read" : "change";
+        // Some operators work with a base that is out of date.
+        const baseRevision = Math.max(0, this.knownRevision - (random.nextUnit() < 0.1 ? 1 : 0));
+        this.current = {
+            kind,
+            changeId: `${this.name}-${this.operations.length}`,
+            baseRevision,
+            invokedAtMs: nowMs,
+            endedAtMs: undefined,
+            outcome: undefined,
+            revision: 0,
+            seenChangeId: undefined,
+        };
+        this.operations.push(this.current);
+        this.attempts = 0;
+        this.lastSentMs = -Infinity;
+    }
+
+    private send(operation: Operation): void {
+        const { group } = this;
+        this.lastSentMs = group.nowMs;
+        this.attempts++;
+        if (this.attempts > attemptLimit) {
+            this.current = undefined;
+            return;
+        }
+        const leader = group.vms.find(vm => vm.replica?.role === "leader");
+        const isGuess = leader === undefined || group.random.nextUnit() < 0.3;
+        const vm = isGuess ? group.vms[group.random.nextInt(group.vms.length)] : leader;
+        const isTaken = operation.kind === "read" ? this.sendRead(vm, operation) : this.sendChange(vm, operation);
+        if (!isTaken) {
+            this.retrySoon();
+        }
+    }
+
+    private sendRead(vm: FakeVm, operation: Operation): boolean {
+        return this.group.ask(vm, requestId => ({ kind: "read", requestId }), (answer, answering) => {
+            if (answer.kind === "confirmed") {
+                const { revision } = answering.machine;
+                const last = answering.machine.listAudit({ outcome: ApplyOutcome.accepted, limit: 1 }).at(0);
+                this.finish(operation, undefined, revision, last?.changeId);
+            }
+            else {
+                this.retrySoon();
+            }
+        });
+    }
+
+    private sendChange(vm: FakeVm, operation: Operation): boolean {
+        return this.group.proposeChange(vm, this.toCommand(operation), answer => {
+            if (answer.kind === "applied" && answer.result !== undefined) {
+                const { outcome, revision } = answer.result;
+                const seen = outcome === ApplyOutcome.accepted ? operation.changeId : undefined;
+                this.finish(operation, outcome, revision, seen);
+            }
+            else {
+                this.retrySoon();
+            }
+        });
+    }
+
+    private toCommand(operation: Operation): ChangeCommand {
+        const command = { name: operation.changeId, operation: "status", arguments: [] };
+        return {
+            changeId: operation.changeId,
+            baseRevision: operation.baseRevision,
+            operation: {
+                kind: "declare",
+                declarations: { services: [], entryVms: [], runbookCommands: [command] },
+            },
+            operator: this.name,
+            from: "127.0.0.1",
+            leaderTimeMs: this.group.nowMs,
+            problem: undefined,
+        };
+    }
+
+    private finish(
+        operation: Operation,
+        outcome: ApplyOutcome | undefined,
+        revision: number,
+        seenChangeId: string | undefined,
+    ): void {
+        this.knownRevision = Math.max(this.knownRevision, revision);
+        if (operation.endedAtMs === undefined) {
+            Object.assign(operation, { endedAtMs: this.group.nowMs, outcome, revision, seenChangeId });
+        }
+        if (this.current === operation) {
+            this.current = undefined;
+        }
+    }
+
+    private retrySoon(): void {
+        this.lastSentMs = this.group.nowMs - resendMs + 100;
+    }
+}
