--- a/src/routing/slotOwner.ts
+++ b/src/routing/slotOwner.ts
@@ -4,7 +4,7 @@
 import type { UpstreamRow } from "../membership/view.js";
 import type { RouteDecision } from "../requests/router.js";
 import { InstanceHealth, SampleKind } from "./instanceHealth.js";
-import type { InstanceRow } from "./instanceRow.js";
+import { EjectionCause, type InstanceRow } from "./instanceRow.js";
 import { effectiveSlots } from "./ramp.js";
 import { RateBucket } from "./rateBucket.js";
 import { type Candidate, pickLowest } from "./routingPolicy.js";
@@ -23,8 +23,11 @@
 const takeoverMs = 2000;
 const queueRefreshMs = 50;
 const overheadSmoothing = 0.05;
-/** A request travels as far from the entry to the upstream and back as its grant and release travel to the owner. */
-const legsPerOverhead = 2;
+/**
+ * A request travels as far from the entry to the upstream and back as its grant and release travel to the owner. Twice
+ * that keeps slots busy when service times scatter.
+ */
+const extraPerOverhead = 4;
 /** An instance that has refused work gets no more than its slots for this long. */
 const shedMemoryMs = 1000;
 
@@ -154,8 +157,7 @@
         if (waitMs > 0) {
             return { kind: "refuse", reason: "limit", detail: "requests per second", retryAfterMs: Math.ceil(waitMs) };
         }
-        const slots = Math.max(1, this.grants.size);
-        const queueMs = this.queue.size * this.health.medianMs(nowMs) / slots;
+        const queueMs = this.queueMs(nowMs);
         if (queueMs > params.remainingMs) {
             const detail = "the wait for a slot exceeds the deadline";
             return { kind: "refuse", reason: "deadline", detail, retryAfterMs: Math.ceil(queueMs) };
@@ -225,7 +227,23 @@
         const allowed = others.length > 0 ? others : all;
         const available = allowed.filter(candidate => this.health.isAvailable(candidate.instance, nowMs));
         const extra = this.extraShare(nowMs);
-        return (available.length > 0 ? available : allowed).filter(candidate => isFree(candidate, extra, nowMs));
+        const free = (available.length > 0 ? available : allowed).filter(one => isFree(one, extra, nowMs));
+        return free.length > 0 || this.queue.size === 0 ? free : this.worthwhileSlow(allowed, nowMs);
+    }
+
+    /** Ejected slow instances that would end a request sooner than the wait for a slot of another one. */
+    private worthwhileSlow(candidates: readonly Candidate[], nowMs: number): readonly Candidate[] {
+        const queueMs = this.queueMs(nowMs);
+        return candidates.filter(candidate => {
+            const { ejectedUntilMs, ejectionCause, latencyMs } = candidate.instance;
+            const isSlow = ejectedUntilMs > 0 && ejectionCause === EjectionCause.slow;
+            return isSlow && latencyMs < queueMs && isFree(candidate, 0, nowMs);
+        });
+    }
+
+    /** Time that a request which joins the queue now will wait. */
+    private queueMs(nowMs: number): number {
+        return this.queue.size * this.health.medianMs(nowMs) / Math.max(1, this.grants.size);
     }
 
     /**
@@ -234,7 +252,7 @@
      */
     private extraShare(nowMs: number): number {
         const medianMs = this.health.medianMs(nowMs);
-        return medianMs > 0 ? legsPerOverhead * this.overheadMs / medianMs : 0;
+        return medianMs > 0 ? extraPerOverhead * this.overheadMs / medianMs : 0;
     }
 
     private tryAhead(_entryId: EntryId, _params: AcquireParams, _nowMs: number): AheadGrant | undefined {
