Add bench:routing with real processes

Runs policies against moving slowness, bursts, a failing instance and a lost availability zone, and compares them with two-choices and a central queue that knows each instance's present speed. Cause found on the way: an attempt that asks the same owner twice, after its entry's view of the owner went back and forth, stood twice in the wait queue and broke its order (TypeError in WaitQueue.positionOf). The queue and the grants now replace the older one.

--- /dev/null
+++ b/bench/routing.ts
@@ -0,0 +1,272 @@
+import fs from "node:fs";
+import os from "node:os";
+import path from "node:path";
+import { request } from "undici";
+import { PolicyName } from "../src/catalogue/model.js";
+import { availabilityZones, benchService } from "./benchCatalogue.js";
+import type { LoadResult } from "./loadProcess.js";
+import { type BenchProcess, Processes } from "./processes.js";
+import { reportRows, type RoutingRow } from "./routingReport.js";
+import * as scenario from "./routingScenario.js";
+import { type BenchSystem, startSystem } from "./system.js";
+import type { StandInCommand, StandInCounts } from "./upstream.js";
+
+const seed = Number(process.env.SEED ?? 1);
+const runMs = Number(process.env.RUN_MS ?? 6000);
+const warmUpMs = 1500;
+const entryCount = 9;
+const loadProcesses = 4;
+const leadMs = 700;
+const probeMs = 6;
+const measuringBudgetMsPerSecond = 200;
+const workMs = Number(process.env.WORK_MS ?? scenario.meanWorkMs);
+const service = "orders";
+
+interface Scenario {
+    readonly name: string;
+    readonly load: number;
+    readonly slowness?: scenario.Slowness;
+    readonly failing?: number;
+    /** The processes of one availability zone are killed halfway. */
+    readonly isZoneLost?: boolean;
+}
+
+const oneSlow = { factor: 10, periodMs: 200, instances: 1 };
+const bursts = { factor: 3, periodMs: 20, instances: 4 };
+// The scenario with the lost availability zone is the last one, because it ends processes.
+const scenarios: readonly Scenario[] = [
+    { name: "steady-50", load: 0.5 },
+    { name: "steady-70", load: 0.7 },
+    { name: "steady-85", load: 0.85 },
+    { name: "slow-50", load: 0.5, slowness: oneSlow },
+    { name: "slow-70", load: 0.7, slowness: oneSlow },
+    { name: "slow-85", load: 0.85, slowness: oneSlow },
+    { name: "bursts-70", load: 0.7, slowness: bursts },
+    { name: "failing-70", load: 0.7, failing: 3 },
+    { name: "lost-zone-50", load: 0.5, isZoneLost: true },
+];
+const fleets: readonly scenario.Fleet[] = [{ instances: 17, slots: 3 }, { instances: 15, slots: 2 }];
+
+/** Sums over the upstreams of a fleet. */
+interface FleetCounts {
+    readonly atMs: number;
+    readonly probeMs: number;
+    readonly connections: number;
+}
+
+/** A running system and what it needs for one policy. */
+class PolicyRun {
+    private constructor(
+        private readonly processes: Processes,
+        private readonly system: BenchSystem,
+        private readonly upstreams: readonly BenchProcess[],
+        private readonly fleet: scenario.Fleet,
+        private readonly policy: PolicyName,
+        private readonly folder: string,
+    ) {}
+
+    static async start(
+        processes: Processes,
+        fleet: scenario.Fleet,
+        policy: PolicyName,
+        folder: string,
+    ): Promise<PolicyRun> {
+        const services = [benchService(service, { policy, measuringBudgetMsPerSecond, probeCostMs: probeMs })];
+        const system = await startSystem(processes, { seed, entries: entryCount, services, folder });
+        const upstreams = await Promise.all(
+            Array.from({ length: fleet.instances }, (_unused, index) =>
+                system.startUpstream({
+                    service,
+                    id: `${service}-${index}`,
+                    availabilityZone: availabilityZones[index % availabilityZones.length],
+                    slots: fleet.slots,
+                    meanServiceMs: workMs,
+                    seed: seed * 10_000 + index,
+                    probeMs,
+                    incarnation: 1,
+                })),
+        );
+        await system.waitUntilServing([service]);
+        return new PolicyRun(processes, system, upstreams, fleet, policy, folder);
+    }
+
+    async measure(current: Scenario): Promise<RoutingRow[]> {
+        const durationMs = warmUpMs + runMs;
+        const rate = this.fleet.instances * this.fleet.slots * current.load / workMs;
+        const startAtEpochMs = Date.now() + leadMs;
+        const loads = await Promise.all(
+            Array.from(
+                { length: loadProcesses },
+                (_unused, index) =>
+                    this.processes.start("loadProcess.js", `load-${index}`, {
+                        service,
+                        entryAddresses: this.system.entryAddresses,
+                        requestsPerSecond: rate * 1000 / loadProcesses,
+                        durationMs,
+                        seed: seed * 100 + index,
+                        startAtEpochMs,
+                        resultFile: this.resultFile(index),
+                    }),
+            ),
+        );
+        const before = await this.readCounts();
+        const periodMs = current.slowness?.periodMs ?? durationMs;
+        const slow = current.slowness &&
+            scenario.slowInstances(this.fleet, current.slowness, Math.ceil(durationMs / periodMs), seed);
+        const faults = this.runFaults(current, slow ?? [], startAtEpochMs, durationMs);
+        await Promise.all(loads.map(load => this.processes.waitForExit(load)));
+        await faults;
+        const after = await this.readCounts();
+        const results = loads.map((_load, index) => this.readResult(index));
+        return this.toRows(current, slow, results, before, after);
+    }
+
+    async stop(): Promise<void> {
+        await this.processes.stopAll();
+        await this.system.close();
+    }
+
+    private async runFaults(
+        current: Scenario,
+        slow: readonly number[][],
+        startAtEpochMs: number,
+        durationMs: number,
+    ): Promise<void> {
+        const periodMs = current.slowness?.periodMs ?? 0;
+        for (const [period, instances] of slow.entries()) {
+            await sleepUntil(startAtEpochMs + period * periodMs);
+            this.command(slow[period - 1] ?? [], { slowFactor: 1 });
+            this.command(instances, { slowFactor: current.slowness?.factor });
+        }
+        await sleepUntil(startAtEpochMs + warmUpMs + (slow.length > 0 ? durationMs : runMs / 4));
+        if (current.failing !== undefined) {
+            this.command([current.failing], { failsFast: true });
+        }
+        if (current.isZoneLost === true) {
+            const isLost = (_unused: BenchProcess, index: number) => index % availabilityZones.length === 2;
+            [...this.system.entries.filter(isLost), ...this.upstreams.filter(isLost)].forEach(lost =>
+                this.processes.signal(lost, "SIGKILL")
+            );
+        }
+        await sleepUntil(startAtEpochMs + durationMs);
+        this.command(slow.at(-1) ?? [], { slowFactor: 1 });
+        this.command(current.failing === undefined ? [] : [current.failing], { failsFast: false });
+    }
+
+    private command(instances: readonly number[], command: StandInCommand): void {
+        for (const instance of instances) {
+            const { address } = this.upstreams[instance].ready;
+            const body = JSON.stringify(command);
+            void request(`http://${address}/stand-in/command`, { method: "POST", body })
+                .then(response => response.body.dump(), () => undefined);
+        }
+    }
+
+    private async readCounts(): Promise<FleetCounts> {
+        const counts = await Promise.all(this.upstreams.map(upstream => readCounts(upstream.ready.address)));
+        return {
+            atMs: performance.now(),
+            probeMs: counts.reduce((sum, count) => sum + count.probeMs, 0),
+            connections: counts.reduce((sum, count) => sum + count.connections, 0),
+        };
+    }
+
+    private toRows(
+        current: Scenario,
+        slow: readonly number[][] | undefined,
+        results: readonly LoadResult[],
+        before: FleetCounts,
+        after: FleetCounts,
+    ): RoutingRow[] {
+        const samples = results.flatMap(result => result.samples).filter(([atMs]) => atMs >= warmUpMs);
+        const failed = results.flatMap(result => Object.values(result.failures)).reduce((sum, count) => sum + count, 0);
+        const common = { scenario: current.name, fleet: this.fleet };
+        const row: RoutingRow = {
+            ...common,
+            name: this.policy,
+            latenciesMs: samples.map(([, latencyMs]) => latencyMs),
+            failed,
+            measuringMsPerSecond: (after.probeMs - before.probeMs) * 1000 / (after.atMs - before.atMs),
+            connections: after.connections - before.connections,
+        };
+        return [row, { ...common, ...this.bound(current, slow), failed: 0, measuringMsPerSecond: 0, connections: 0 }];
+    }
+
+    private bound(current: Scenario, slow: readonly number[][] | undefined) {
+        const faults = slow !== undefined && current.slowness !== undefined
+            ? scenario.movingSlowness(slow, current.slowness)
+            : current.failing !== undefined
+            ? scenario.fastFailure(current.failing, warmUpMs + runMs / 4)
+            : scenario.noFaults;
+        const one = { instances: 1, slots: 1 };
+        const rate = this.fleet.instances * this.fleet.slots * current.load / loadProcesses * 1000 / workMs;
+        // The load processes draw their arrivals from the same seeds and scale.
+        const arrivals = Array.from(
+            { length: loadProcesses },
+            (_unused, index) => scenario.makeArrivals(one, rate, warmUpMs + runMs, seed * 100 + index, 1000),
+        ).flat().sort((a, b) => a.atMs - b.atMs).map(({ atMs, workMs: drawn }) => ({
+            atMs,
+            workMs: drawn * workMs / 1000,
+        }));
+        const latenciesMs = scenario.perfectKnowledge(this.fleet, arrivals, faults)
+            .filter((_latency, index) => arrivals[index].atMs >= warmUpMs);
+        return { name: "perfect-knowledge", latenciesMs };
+    }
+
+    private resultFile(index: number): string {
+        return path.join(this.folder, `load-${index}.json`);
+    }
+
+    private readResult(index: number): LoadResult {
+        const text = fs.readFileSync(this.resultFile(index), "utf8");
+        fs.rmSync(this.resultFile(index));
+        return JSON.parse(text) as LoadResult;
+    }
+}
+
+async function readCounts(address: string): Promise<Pick<StandInCounts, "probeMs" | "connections">> {
+    try {
+        const response = await request(`http://${address}/stand-in/counts`);
+        return await response.body.json() as StandInCounts;
+    }
+    catch {
+        // The process was killed with its availability zone.
+        return { probeMs: 0, connections: 0 };
+    }
+}
+
+async function sleepUntil(epochMs: number): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, Math.max(0, epochMs - Date.now())));
+}
+
+function listOf<T extends string>(variable: string | undefined, all: readonly T[]): readonly T[] {
+    return variable === undefined ? all : all.filter(name => variable.split(",").includes(name));
+}
+
+async function main(): Promise<number> {
+    const names = listOf(process.env.SCENARIOS, scenarios.map(it => it.name));
+    const policies = listOf(process.env.POLICIES, Object.values(PolicyName));
+    const rows: RoutingRow[] = [];
+    console.log(`bench:routing seed=${seed}: ${entryCount} entries in 3 availability zones, ${runMs} ms per row,`);
+    console.log(`service time ${workMs} ms, probe ${probeMs} ms, budget ${measuringBudgetMsPerSecond} ms/s`);
+    const chosenFleets = fleets.slice(0, Number(process.env.FLEETS ?? fleets.length));
+    for (const fleet of chosenFleets) {
+        for (const policy of policies) {
+            const processes = new Processes();
+            const folder = fs.mkdtempSync(path.join(os.tmpdir(), "figwharf-routing-"));
+            const run = await PolicyRun.start(processes, fleet, policy, folder);
+            try {
+                for (const current of scenarios.filter(it => names.includes(it.name))) {
+                    rows.push(...await run.measure(current));
+                }
+            }
+            finally {
+                await run.stop();
+                fs.rmSync(folder, { recursive: true });
+            }
+        }
+    }
+    return reportRows(rows);
+}
+
+process.exit(await main());
--- a/bench/routingScenario.ts
+++ b/bench/routingScenario.ts
@@ -20,16 +20,26 @@
     readonly slots: number;
 }
 
+/** Mean service time of a request at full speed. */
 export const meanWorkMs = 5;
 
-/** Poisson arrivals with exponential service times at a share of the fleet's slot capacity. */
-export function makeArrivals(fleet: Fleet, load: number, durationMs: number, seed: number): Arrival[] {
+/**
+ * Poisson arrivals at a share of the fleet's slot capacity. Half of a service time is fixed and the other half is
+ * distributed exponentially, as at the upstream stand-ins.
+ */
+export function makeArrivals(
+    fleet: Fleet,
+    load: number,
+    durationMs: number,
+    seed: number,
+    workMs = meanWorkMs,
+): Arrival[] {
     const random = new SeededRandom(seed);
-    const meanGapMs = meanWorkMs / (fleet.instances * fleet.slots * load);
+    const meanGapMs = workMs / (fleet.instances * fleet.slots * load);
     const exponential = (meanMs: number) => -meanMs * Math.log(1 - random.nextUnit());
     const arrivals: Arrival[] = [];
     for (let atMs = exponential(meanGapMs); atMs < durationMs; atMs += exponential(meanGapMs)) {
-        arrivals.push({ atMs, workMs: exponential(meanWorkMs) });
+        arrivals.push({ atMs, workMs: workMs / 2 + exponential(workMs / 2) });
     }
     return arrivals;
 }
@@ -37,19 +47,30 @@
 /** No instance is slow or failing. */
 export const noFaults: Faults = { slowdown: () => 1, isFailing: () => false };
 
-/** One instance is `factor` times slower; which one changes every `periodMs`, by the seed. */
-export function movingSlowness(fleet: Fleet, factor: number, periodMs: number, seed: number): Faults {
+/** Instances that are slow together; which ones changes every period, by the seed. */
+export interface Slowness {
+    readonly factor: number;
+    readonly periodMs: number;
+    readonly instances: number;
+}
+
+/** Returns the slow instances of each period. */
+export function slowInstances(fleet: Fleet, slowness: Slowness, periods: number, seed: number): number[][] {
     const random = new SeededRandom(seed);
-    const slowByPeriod: number[] = [];
-    const slowAt = (atMs: number) => {
-        const period = Math.floor(atMs / periodMs);
-        while (slowByPeriod.length <= period) {
-            slowByPeriod.push(random.nextInt(fleet.instances));
+    return Array.from({ length: periods }, () => {
+        const chosen = new Set<number>();
+        while (chosen.size < slowness.instances) {
+            chosen.add(random.nextInt(fleet.instances));
         }
-        return slowByPeriod[period];
-    };
+        return [...chosen];
+    });
+}
+
+/** Faults of moving slowness; the last period goes on. */
+export function movingSlowness(slow: readonly number[][], slowness: Slowness): Faults {
+    const slowAt = (atMs: number) => slow[Math.min(slow.length - 1, Math.floor(atMs / slowness.periodMs))];
     return {
-        slowdown: (instance, atMs) => slowAt(atMs) === instance ? factor : 1,
+        slowdown: (instance, atMs) => slowAt(atMs).includes(instance) ? slowness.factor : 1,
         isFailing: () => false,
     };
 }
--- a/bench/routingTrial.ts
+++ b/bench/routingTrial.ts
@@ -276,7 +276,10 @@
 const fleet = { instances: 17, slots: 3 };
 const faultsByKind: Record<string, () => scenario.Faults> = {
     steady: () => scenario.noFaults,
-    slow: () => scenario.movingSlowness(fleet, 10, 200, seed),
+    slow: () => {
+        const slowness = { factor: 10, periodMs: 200, instances: 1 };
+        return scenario.movingSlowness(scenario.slowInstances(fleet, slowness, 110, seed), slowness);
+    },
     failing: () => scenario.fastFailure(3, 8000),
 };
 const arrivals = scenario.makeArrivals(fleet, load, durationMs, seed);
--- a/src/routing/slotOwner.ts
+++ b/src/routing/slotOwner.ts
@@ -270,6 +270,8 @@
     }
 
     private addGrant(key: string, grant: Grant): void {
+        // An entry asks again for the same attempt when its view of the owner has gone back and forth.
+        this.endGrant(key, SampleKind.unused, 0, grant.grantedAtMs);
         this.aheadCount += grant.isAhead ? 1 : 0;
         this.grants.set(key, grant);
         this.health.start(key, grant.row, grant.grantedAtMs);
--- a/src/routing/waitQueue.ts
+++ b/src/routing/waitQueue.ts
@@ -17,7 +17,9 @@
         return this.items.size;
     }
 
+    /** Adds a waiter; one that waits already, e.g. because its request was sent again, loses its old place. */
     add(key: string, waiter: T): void {
+        this.remove(key);
         const position = this.positionOf(waiter);
         this.order.splice(position, 0, key);
         this.items.set(key, waiter);
