--- a/src/requests/claimCoordinator.ts
+++ b/src/requests/claimCoordinator.ts
@@ -1,5 +1,4 @@
 import type { EntryId } from "../core/ids.js";
-import type { RandomSource } from "../core/random.js";
 import type { PeerMessage } from "../entry/messages.js";
 import {
     backoffMs,
@@ -13,6 +12,7 @@
     makeRound,
 } from "./claim.js";
 import { ClaimBook, describeClaim } from "./claimBook.js";
+import type { ClaimCoordinatorOptions } from "./claimCoordinatorOptions.js";
 import {
     type ClaimAnswer,
     type ClaimId,
@@ -21,35 +21,13 @@
     type ClaimReference,
     type OutcomeAnswer,
 } from "./claimMessages.js";
-import type { ClaimRecorder } from "./claimRecorder.js";
-import type { ClaimReplica } from "./claimReplica.js";
 import { ClaimSender } from "./claimSender.js";
-import type { ClaimTable } from "./claimTable.js";
-import type { CountingEntryLists } from "./entryLists.js";
-import type { Outbox } from "./outbox.js";
 
 const resendIntervalMs = 100;
 const roundTimeoutMs = 400;
 const askIntervalMs = 50;
 const holderSilenceMs = 1000;
 
-/** Options of `ClaimCoordinator`. */
-export interface ClaimCoordinatorOptions {
-    readonly selfId: EntryId;
-    readonly incarnation: number;
-    /** A claim is not dispatched when it is older. */
-    readonly maxClaimAgeMs: number;
-    /** Claims that were dispatched here and are remembered. */
-    readonly maxFinished: number;
-    readonly random: RandomSource;
-    readonly lists: CountingEntryLists;
-    readonly peerIncarnation: (id: EntryId) => number | undefined;
-    readonly table: ClaimTable;
-    readonly replica: ClaimReplica;
-    readonly recorder: ClaimRecorder;
-    readonly outbox: Outbox;
-}
-
 /** Claimant side of the claim protocol: the claims that this entry's requests want or hold. */
 export class ClaimCoordinator {
     private readonly claims = new ClaimBook();
@@ -171,7 +149,6 @@
     }
 
     private startRound(claim: ClaimRow, nowMs: number): void {
-        const { order } = claim;
         const { selfId, incarnation, lists } = this.options;
         claim.round++;
         claim.state = "collecting";
