--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -5,7 +5,21 @@
     "channel-closed": "the connection to {peer} closed before the answer arrived",
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
+    "problems-found": "{count} problems found",
+    "control-unavailable": "no control VM could answer: {reason}",
+    "operator-unauthorized": "{address} does not accept the token of the settings file",
+    "runbook-command-unknown": "there is no runbook command {name}; the catalogue has {known}",
+    "runbook-arguments": "{name} takes {expected} arguments, got {actual}",
+    "body-too-large": "the body of the request exceeds the limit of {limitBytes} bytes",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
+    "leader-unknown": "no control VM leads at the moment; nothing was changed",
+    "leader-refused": "the leading control VM did not take the call: {reason}",
+    "leader-unconfirmed": "no quorum of control VMs confirmed the leader within {timeoutMs} ms",
+    "method-unknown": "there is no method {method}",
+    "storage-corrupt": "{file}: the record at byte {offsetBytes} is corrupt and is followed by valid records",
+    "storage-damaged": "{file}: the file is damaged",
+    "storage-incomplete": "{file}: the file is missing while other files of the data folder exist",
+    "storage-failed": "{file}: {operation} failed: {reason}",
 } as const;
 
 export type ErrorCode = keyof typeof errorMessages;
@@ -24,9 +38,25 @@
 /** Settings or declarations that cannot be used. */
 export class SettingsError extends FigwharfError {}
 
+/** Settings or declarations with one or more problems. */
+export class ProblemListError extends FigwharfError {
+    constructor(readonly problems: readonly SettingsError[]) {
+        super("problems-found", { count: problems.length });
+    }
+}
+
+/** A command of an operator that cannot be carried out. */
+export class OperatorError extends FigwharfError {}
+
 /** A message between two processes of the system that could not be delivered or answered. */
 export class ChannelError extends FigwharfError {}
 
+/** A call that a control VM cannot answer at the moment. */
+export class ControlError extends FigwharfError {}
+
+/** A file that cannot be read or written, or whose content is damaged. */
+export class StorageError extends FigwharfError {}
+
 /** Returns the message of an error code with its placeholders filled. */
 export function formatErrorMessage(code: ErrorCode, details: ErrorDetails): string {
     return errorMessages[code].replace(
--- a/src/entry/messages.ts
+++ b/src/entry/messages.ts
@@ -54,7 +54,12 @@
     | { readonly kind: "attempt-failed"; readonly attemptId: AttemptId; readonly failure: AttemptFailure; }
     /** Answers `check-connection`: whether the address accepted a connection in time. */
     | { readonly kind: "connection-checked"; readonly checkId: string; readonly isAccepted: boolean; }
-    | { readonly kind: "announcement"; readonly announcement: Announcement; }
+    | {
+        readonly kind: "announcement";
+        readonly announcement: Announcement;
+        /** Upper bound of the time since the upstream sent it; 0 when absent. */
+        readonly ageMs?: number;
+    }
     | {
         readonly kind: "probe-ended";
         readonly service: ServiceName;
--- /dev/null
+++ b/src/routing/serviceRouter.ts
@@ -0,0 +1,169 @@
+import type { Catalogue } from "../catalogue/model.js";
+import type { AttemptId, EntryId, ServiceName, UpstreamId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import type { EntryEffect, PeerMessage } from "../entry/messages.js";
+import type { PeerView, UpstreamView } from "../membership/view.js";
+import type { LoadReport, RequestFacts } from "../requests/model.js";
+import { type AttemptOutcome, type DelayedDecision, type RouteDecision, Router } from "../requests/router.js";
+import { rosterOf } from "./ownership.js";
+import { refuse } from "./serviceRoute.js";
+import { ServiceSlots } from "./serviceSlots.js";
+import type { SlotMethod } from "./slotMessages.js";
+
+const rosterLifetimeMs = 20;
+
+/** What a service router is built from. */
+export interface ServiceRouterOptions {
+    readonly selfId: EntryId;
+    readonly peers: PeerView;
+    readonly upstreams: UpstreamView;
+    readonly catalogue: () => Catalogue;
+    readonly random: RandomSource;
+}
+
+/** Routes the attempts of all services with the policy that the catalogue names for each. */
+export class ServiceRouter extends Router {
+    private readonly services = new Map<ServiceName, ServiceSlots>();
+    private readonly serviceByAttempt = new Map<AttemptId, ServiceName>();
+    private effects: EntryEffect[] = [];
+    private decisions: DelayedDecision[] = [];
+    private roster: readonly EntryId[] = [];
+    private rosterAtMs = Number.NEGATIVE_INFINITY;
+    private startedAtMs: number | undefined;
+
+    constructor(private readonly options: ServiceRouterOptions) {
+        super();
+    }
+
+    route(attemptId: AttemptId, request: RequestFacts, avoid: readonly UpstreamId[], nowMs: number): RouteDecision {
+        if (this.options.catalogue().services[request.service] === undefined) {
+            return refuse("unknown-service", `service ${request.service} is not in the catalogue`);
+        }
+        if (nowMs >= request.deadlineAtMs) {
+            return refuse("deadline", "the deadline has passed", 0);
+        }
+        const decision = this.slotsOf(request.service, nowMs).route(attemptId, request, avoid, nowMs);
+        if (decision.kind !== "refuse") {
+            this.serviceByAttempt.set(attemptId, request.service);
+        }
+        return decision;
+    }
+
+    abandon(attemptId: AttemptId, nowMs: number): void {
+        const service = this.serviceByAttempt.get(attemptId);
+        if (service !== undefined) {
+            this.slotsOf(service, nowMs).abandon(attemptId, nowMs);
+            this.serviceByAttempt.delete(attemptId);
+        }
+    }
+
+    finish(outcome: AttemptOutcome, nowMs: number): void {
+        if (this.serviceByAttempt.delete(outcome.attemptId)) {
+            this.slotsOf(outcome.service, nowMs).finish(outcome, nowMs);
+        }
+    }
+
+    takeRetry(service: ServiceName, nowMs: number): boolean {
+        return this.slotsOf(service, nowMs).local.retries.take();
+    }
+
+    hedgeDelayMs(request: RequestFacts, nowMs: number): number | undefined {
+        return this.slotsOf(request.service, nowMs).local.hedgeDelayMs(request, nowMs);
+    }
+
+    handlePeerMessage(from: EntryId, message: PeerMessage, nowMs: number): void {
+        const params = message.params as { readonly service: ServiceName; };
+        if (this.options.catalogue().services[params.service] !== undefined) {
+            this.slotsOf(params.service, nowMs).handle(from, message.method as SlotMethod, params, nowMs);
+        }
+    }
+
+    finishProbe(
+        service: ServiceName,
+        upstreamId: UpstreamId,
+        _latencyMs: number,
+        load: LoadReport | undefined,
+        nowMs: number,
+    ): void {
+        this.slotsOf(service, nowMs).finishProbe(upstreamId, load, nowMs);
+    }
+
+    tick(nowMs: number): void {
+        this.startedAtMs ??= nowMs;
+        const { services } = this.options.catalogue();
+        Object.keys(services).forEach(name => this.slotsOf(name, nowMs).tick(nowMs));
+        for (const [name, slots] of this.services) {
+            if (services[name] === undefined && slots.isIdle()) {
+                this.services.delete(name);
+            }
+        }
+    }
+
+    takeDecisions(): readonly DelayedDecision[] {
+        const taken = this.decisions;
+        this.decisions = [];
+        return taken;
+    }
+
+    takeEffects(): readonly EntryEffect[] {
+        const taken = this.effects;
+        this.effects = [];
+        return taken;
+    }
+
+    /** Upstream milliseconds per second that this entry spent on probes of a service, over the last 10 s. */
+    measuringSpentMsPerSecond(service: ServiceName, nowMs: number): number {
+        return this.services.get(service)?.measuringSpentMsPerSecond(nowMs) ?? 0;
+    }
+
+    /** The entry that owns the service, as seen here. */
+    ownerOf(service: ServiceName, nowMs: number): EntryId | undefined {
+        return this.slotsOf(service, nowMs).ownerId(nowMs);
+    }
+
+    private slotsOf(service: ServiceName, nowMs: number): ServiceSlots {
+        let slots = this.services.get(service);
+        if (slots === undefined) {
+            this.startedAtMs ??= nowMs;
+            slots = this.createSlots(service, nowMs);
+            this.services.set(service, slots);
+        }
+        return slots;
+    }
+
+    private createSlots(service: ServiceName, nowMs: number): ServiceSlots {
+        const { selfId, peers, upstreams, catalogue, random } = this.options;
+        return new ServiceSlots(
+            service,
+            {
+                selfId,
+                availabilityZone: peers.availabilityZone,
+                random,
+                catalogue,
+                roster: atMs => this.currentRoster(atMs),
+                eligible: (name, atMs) => upstreams.eligibleUpstreams(name, atMs),
+                livePeerIds: atMs => peers.livePeers(atMs).map(peer => peer.id),
+                findUpstream: (name, id) => upstreams.findUpstream(name, id),
+                emit: effect => this.effects.push(effect),
+                decide: (attemptId, decision) => this.decide(attemptId, decision),
+            },
+            this.startedAtMs ?? nowMs,
+            nowMs,
+        );
+    }
+
+    private decide(attemptId: AttemptId, decision: RouteDecision): void {
+        if (decision.kind === "refuse") {
+            this.serviceByAttempt.delete(attemptId);
+        }
+        this.decisions.push({ attemptId, decision });
+    }
+
+    private currentRoster(nowMs: number): readonly EntryId[] {
+        if (nowMs - this.rosterAtMs >= rosterLifetimeMs) {
+            this.roster = rosterOf(this.options.peers, this.options.catalogue(), nowMs);
+            this.rosterAtMs = nowMs;
+        }
+        return this.roster;
+    }
+}
