--- a/test/fakeEntries.ts
+++ b/test/fakeEntries.ts
@@ -65,7 +65,7 @@
 
     startEntry(id: string, isFirstStart = false): void {
         const incarnation = (this.entries.get(id)?.incarnation ?? 0) + 1;
-        const router = new FakeRouter(this.upstreams);
+        const router = new FakeRouter(this.upstreams, this.random);
         const heard = new Map<string, number>();
         const lifecycle = new RequestLifecycle({
             selfId: id,
--- a/test/fakeRouter.ts
+++ b/test/fakeRouter.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from "../src/core/random.js";
 import type { EntryEffect } from "../src/entry/messages.js";
 import type { RequestFacts } from "../src/requests/model.js";
 import { type AttemptOutcome, type DelayedDecision, type RouteDecision, Router } from "../src/requests/router.js";
@@ -13,14 +14,14 @@
     readonly running: Set<() => void>;
 }
 
-/** Router that picks an upstream by turns and grants every retry. */
+/** Router that picks an upstream at random, or by turns without a source of random numbers, and grants every retry. */
 export class FakeRouter extends Router {
     readonly finished: AttemptOutcome[] = [];
     hedgeAfterMs: number | undefined;
     retriesLeft = Infinity;
     private turn = 0;
 
-    constructor(private readonly upstreams: ReadonlyMap<string, FakeUpstream>) {
+    constructor(private readonly upstreams: ReadonlyMap<string, FakeUpstream>, private readonly random?: RandomSource) {
         super();
     }
 
@@ -31,7 +32,8 @@
         if (choices.length === 0) {
             return { kind: "refuse", reason: "no-upstream", detail: "none", retryAfterMs: 100 };
         }
-        const { id, incarnation } = choices[this.turn++ % choices.length];
+        const turn = this.random?.nextInt(choices.length) ?? this.turn++ % choices.length;
+        const { id, incarnation } = choices[turn];
         return { kind: "upstream", upstreamId: id, address: id, incarnation };
     }
     takeRetry(): boolean {
