Await the slow response of a keyed request whose caller has gone

The shell reports an overflow also when a response takes long, and the lifecycle cancelled the attempt then: the outcome was kept without its body. The new test failed with a cancel-attempt; the deadline still bounds the wait.

--- a/src/requests/lifecycle.test.ts
+++ b/src/requests/lifecycle.test.ts
@@ -135,6 +135,18 @@
     t.is(driver.inFlight, 0);
 });
 
+test("guards against a lost outcome: a slow response of a keyed request without a caller is still awaited", t => {
+    const driver = new LifecycleDriver();
+    driver.request(keyed);
+    driver.advance("r1/1", "sent");
+    driver.handle({ kind: "caller-gone", requestId: "r1" });
+    driver.handle({ kind: "attempt-head", attemptId: "r1/1", head: okHead, load: undefined });
+    t.deepEqual(driver.handle({ kind: "attempt-overflow", attemptId: "r1/1" }), []);
+    const retained = { ...okHead, body: Buffer.from("x") };
+    driver.handle({ kind: "attempt-complete", attemptId: "r1/1", retained });
+    t.deepEqual(driver.request({ ...keyed, id: "r2" }), ["replay r2"]);
+});
+
 for (const facts of [get, post, keyed]) {
     test(`guards against a leaked or doubled slot: the caller goes early, ${JSON.stringify(facts)}`, t => {
         const driver = new LifecycleDriver();
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -194,11 +194,9 @@
     }
 
     private onOverflow(attempt: AttemptRow, nowMs: number): void {
-        if (attempt.request.isCallerGone) {
-            this.runner.cancel(attempt, nowMs);
-            return this.closer.complete(attempt, undefined, nowMs);
-        }
-        if (attempt.request.forwardedId === undefined && attempt.head !== undefined) {
+        const { forwardedId, isCallerGone } = attempt.request;
+        // Without a caller, the response is awaited until the deadline, since a slow one can still be retained.
+        if (forwardedId === undefined && !isCallerGone && attempt.head !== undefined) {
             this.closer.forward(attempt, nowMs);
         }
     }
