--- /dev/null
+++ b/bench/slopes/requests.ts
@@ -0,0 +1,174 @@
+import { Packr } from "msgpackr";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { type Catalogue, emptyCatalogue, type EntryList } from "../../src/catalogue/model.js";
+import { SeededRandom } from "../../src/core/random.js";
+import type { EntryEffect } from "../../src/entry/messages.js";
+import { HeldPolicy } from "../../src/requests/claim.js";
+import type { ClaimRequest } from "../../src/requests/claimMessages.js";
+import { ClaimStack, defaultClaimSettings } from "../../src/requests/claimStack.js";
+import { ClaimTable } from "../../src/requests/claimTable.js";
+import { Outbox } from "../../src/requests/outbox.js";
+import { chooseReplicas } from "../../src/requests/replicaSet.js";
+
+/** Total cost of a number of rows, messages or entries; the slope over the sizes is the cost of one. */
+export interface SlopeRow {
+    readonly name: string;
+    readonly size: number;
+    readonly cost: number;
+    readonly unit: "bytes" | "us" | "messages";
+}
+
+const rowCounts = [2000, 4000, 8000, 16_000, 32_000];
+const claimCounts = [500, 1000, 2000, 4000, 8000];
+const entryCounts = [5, 16, 64, 256];
+const choicesPerEntryCount = 5000;
+const retainedBodyBytes = 200;
+const firstEntryIds = ["entry-01", "entry-02", "entry-03", "entry-04", "entry-05"];
+
+/** Measures memory and CPU time of claims; takes a few seconds. */
+export function measureClaimSlopes(): SlopeRow[] {
+    return [
+        ...rowCounts.map(size => measureMemory("claim row, pending", size, false)),
+        ...rowCounts.map(size => measureMemory(`claim row, outcome of ${retainedBodyBytes} bytes`, size, true)),
+        ...claimCounts.flatMap(measureClaims),
+        ...entryCounts.map(measureChoice),
+    ];
+}
+
+function measureMemory(name: string, size: number, isRecorded: boolean): SlopeRow {
+    const packr = new Packr();
+    const table = new ClaimTable({ retentionMs: 600_000, maxRows: size, maxRetainedBytes: Number.MAX_SAFE_INTEGER });
+    const before = usedBytes();
+    for (let index = 0; index < size; index++) {
+        // Rows keep what was decoded from a frame, as in production.
+        const request = packr.unpack(packr.pack(makeRequest(index))) as ClaimRequest;
+        table.request(request, false, 0);
+        if (isRecorded) {
+            const response = {
+                status: 200,
+                headers: [["content-type", "application/json"]] as const,
+                body: makeBody(),
+            };
+            const record = packr.unpack(packr.pack({ ...request, outcome: { kind: "response", response } }));
+            table.record(record, 0);
+        }
+    }
+    const cost = usedBytes() - before;
+    return { name, size: table.size, cost, unit: "bytes" };
+}
+
+function makeBody(): Uint8Array {
+    return Buffer.alloc(retainedBodyBytes);
+}
+
+function makeRequest(index: number): ClaimRequest {
+    return {
+        key: `key:orders:8f14e45f-ceea-467f-a830-${String(index).padStart(12, "0")}`,
+        claimId: `entry-01:1764800000000:${index}`,
+        holder: "entry-01",
+        requestHash: Buffer.alloc(32, index % 251).toString("base64"),
+        lifetimeMs: 610_000,
+        replicaSets: [firstEntryIds],
+    };
+}
+
+function usedBytes(): number {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    collect();
+    collect();
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
+}
+
+/** Claims with recorded outcomes over five entries: CPU time of all five together, and messages with their answers. */
+function measureClaims(size: number): SlopeRow[] {
+    const cluster = new ClaimCluster();
+    cluster.claim("warm-up", 200);
+    const messagesBefore = cluster.messageCount;
+    const startedAt = process.hrtime.bigint();
+    cluster.claim("measured", size);
+    const cost = Number(process.hrtime.bigint() - startedAt) / 1000;
+    return [
+        { name: "keyed request, all five entries, without transport", size, cost, unit: "us" },
+        { name: "messages of a keyed request", size, cost: cluster.messageCount - messagesBefore, unit: "messages" },
+    ];
+}
+
+class ClaimCluster {
+    messageCount = 0;
+    private readonly stacks = new Map<string, { stack: ClaimStack; outbox: Outbox; }>();
+
+    constructor() {
+        const catalogue: Catalogue = { ...emptyCatalogue, revision: 1, entryLists: [makeList(firstEntryIds)] };
+        for (const [index, selfId] of firstEntryIds.entries()) {
+            const outbox = new Outbox();
+            const stack = new ClaimStack({
+                selfId,
+                incarnation: 1,
+                catalogue: () => catalogue,
+                peers: { selfId, availabilityZone: "a", livePeers: () => [], findPeer: () => undefined },
+                random: new SeededRandom(index),
+                settings: { ...defaultClaimSettings, isFirstStart: true },
+                outbox,
+            });
+            this.stacks.set(selfId, { stack, outbox });
+        }
+        this.stacks.forEach(({ stack }) => stack.tick(0));
+        this.deliver();
+    }
+
+    claim(prefix: string, count: number): void {
+        const response = { status: 200, headers: [], body: makeBody() };
+        for (let index = 0; index < count; index++) {
+            const { stack } = this.stackOf(firstEntryIds[index % firstEntryIds.length]);
+            const ownerId = `${prefix}-${index}`;
+            const { key, requestHash, lifetimeMs } = makeRequest(index);
+            const order = { ownerId, key: prefix + key, requestHash, lifetimeMs, deadlineAtMs: 10_000 };
+            stack.coordinator.start({ ...order, heldPolicy: HeldPolicy.awaitOutcome }, 1);
+            this.deliver();
+            stack.coordinator.finish(ownerId, { kind: "response", response }, 1);
+            this.deliver();
+            stack.coordinator.takeDecided();
+        }
+    }
+
+    private deliver(): void {
+        for (let hasMessages = true; hasMessages;) {
+            hasMessages = false;
+            for (const [from, { outbox }] of this.stacks) {
+                for (const effect of outbox.take()) {
+                    hasMessages = true;
+                    this.pass(from, effect);
+                }
+            }
+        }
+    }
+
+    private pass(from: string, effect: EntryEffect): void {
+        if (effect.kind === "send-peer") {
+            this.messageCount++;
+            this.stackOf(effect.to).stack.handle(from, effect.message, 1);
+        }
+    }
+
+    private stackOf(id: string): { stack: ClaimStack; outbox: Outbox; } {
+        return this.stacks.get(id) as { stack: ClaimStack; outbox: Outbox; };
+    }
+}
+
+function makeList(entryIds: readonly string[]): EntryList {
+    return { revision: 1, entryIds, availabilityZones: entryIds.map((_, index) => `zone-${index % 3}`) };
+}
+
+function measureChoice(entryCount: number): SlopeRow {
+    const list = makeList(Array.from({ length: entryCount }, (_, index) => `entry-${index}`));
+    chooseReplicas(list, "warm-up");
+    const startedAt = process.hrtime.bigint();
+    for (let index = 0; index < choicesPerEntryCount; index++) {
+        chooseReplicas(list, `key-${index}`);
+    }
+    const cost = Number(process.hrtime.bigint() - startedAt) / 1000 / choicesPerEntryCount;
+    return { name: "choice of a replica set among entries", size: entryCount, cost, unit: "us" };
+}
