--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -72,7 +72,7 @@
         folder: string,
     ): Promise<PolicyRun> {
         const services = [benchService(service, { policy, measuringBudgetMsPerSecond, probeCostMs: probeMs })];
-        const system = await startSystem(processes, { seed, entries: entryCount, services, folder });
+        const system = await startSystem(processes, { seed, entries: entryCount, controls: 1, services, folder });
         const upstreams = await Promise.all(
             Array.from({ length: fleet.instances }, (_unused, index) =>
                 system.startUpstream({
@@ -123,7 +123,6 @@
 
     async stop(): Promise<void> {
         await this.processes.stopAll();
-        await this.system.close();
     }
 
     private async runFaults(
