--- a/src/requests/claimCoordinator.ts
+++ b/src/requests/claimCoordinator.ts
@@ -1,5 +1,4 @@
 import type { EntryId } from "../core/ids.js";
-import type { RandomSource } from "../core/random.js";
 import type { PeerMessage } from "../entry/messages.js";
 import {
     backoffMs,
@@ -13,6 +12,7 @@
     makeRound,
 } from "./claim.js";
 import { ClaimBook, describeClaim } from "./claimBook.js";
+import type { ClaimCoordinatorOptions } from "./claimCoordinatorOptions.js";
 import {
     type ClaimAnswer,
     type ClaimId,
@@ -21,43 +21,24 @@
     type ClaimReference,
     type OutcomeAnswer,
 } from "./claimMessages.js";
-import type { ClaimRecorder } from "./claimRecorder.js";
-import type { ClaimReplica } from "./claimReplica.js";
 import { ClaimSender } from "./claimSender.js";
-import type { ClaimTable } from "./claimTable.js";
-import type { CountingEntryLists } from "./entryLists.js";
-import type { Outbox } from "./outbox.js";
 
 const resendIntervalMs = 100;
 const roundTimeoutMs = 400;
 const askIntervalMs = 50;
 const holderSilenceMs = 1000;
 
-/** Options of `ClaimCoordinator`. */
-export interface ClaimCoordinatorOptions {
-    readonly selfId: EntryId;
-    readonly incarnation: number;
-    /** A claim is not dispatched when it is older. */
-    readonly maxClaimAgeMs: number;
-    /** Claims that were dispatched here and are remembered. */
-    readonly maxFinished: number;
-    readonly random: RandomSource;
-    readonly lists: CountingEntryLists;
-    readonly peerIncarnation: (id: EntryId) => number | undefined;
-    readonly table: ClaimTable;
-    readonly replica: ClaimReplica;
-    readonly recorder: ClaimRecorder;
-    readonly outbox: Outbox;
-}
-
 /** Claimant side of the claim protocol: the claims that this entry's requests want or hold. */
 export class ClaimCoordinator {
     private readonly claims = new ClaimBook();
     private decided: DecidedClaim[] = [];
 
     private readonly sender: ClaimSender;
+    private readonly ownPrefix: string;
+    private roundCount = 0;
 
     constructor(private readonly options: ClaimCoordinatorOptions) {
+        this.ownPrefix = `${options.selfId}:${options.incarnation}:`;
         this.sender = new ClaimSender(options.selfId, options.table, options.outbox);
     }
 
@@ -171,13 +152,12 @@
     }
 
     private startRound(claim: ClaimRow, nowMs: number): void {
-        const { order } = claim;
-        const { selfId, incarnation, lists } = this.options;
+        const { selfId, lists } = this.options;
         claim.round++;
         claim.state = "collecting";
         claim.roundStartedAtMs = nowMs;
         claim.answers = new Map();
-        claim.request = makeRound(claim, selfId, incarnation, lists.list(nowMs));
+        claim.request = makeRound(claim, selfId, this.nextClaimId(), lists.list(nowMs));
         claim.members = [...new Set(claim.request.replicaSets.flat())];
         this.claims.nameRound(claim);
         if (claim.members.length === 0) {
@@ -189,6 +169,12 @@
         }
     }
 
+    // Replicas refuse a claim id that was released, so no id comes twice, not even for another claim of one request.
+    private nextClaimId(): ClaimId {
+        this.roundCount++;
+        return `${this.ownPrefix}${this.roundCount}`;
+    }
+
     private startLastRound(claim: ClaimRow, nowMs: number): void {
         claim.isLastRound = true;
         this.startRound(claim, nowMs);
@@ -256,8 +242,7 @@
     }
 
     private describe(reference: ClaimReference): OutcomeAnswer {
-        const { selfId, incarnation, recorder } = this.options;
-        return describeClaim(reference, `${selfId}:${incarnation}:`, this.claims, recorder);
+        return describeClaim(reference, this.ownPrefix, this.claims, this.options.recorder);
     }
 
     private onOutcomeAnswer(answer: OutcomeAnswer, nowMs: number): void {
