Keep retained outcomes packed

An outcome kept as decoded objects took 2,077 bytes per row with a body of 200 bytes, since its body is a view of the frame it came in.

--- a/src/requests/claimTable.ts
+++ b/src/requests/claimTable.ts
@@ -9,6 +9,7 @@
     ClaimRequest,
     SyncRow,
 } from "./claimMessages.js";
+import { type PackedOutcome, packOutcome, unpackOutcome } from "./packedOutcome.js";
 
 const expiryIntervalMs = 1000;
 const tombstoneMs = 30_000;
@@ -20,7 +21,7 @@
     /** Time for which an outcome is kept after it was recorded. */
     readonly retentionMs: number;
     readonly maxRows: number;
-    /** Bodies of all retained outcomes together; beyond it, outcomes are kept without their bodies. */
+    /** All retained outcomes together; beyond it, outcomes are kept without their bodies. */
     readonly maxRetainedBytes: number;
 }
 
@@ -31,7 +32,7 @@
     holder: EntryId;
     readonly requestHash: string;
     readonly replicaSets: readonly (readonly EntryId[])[];
-    outcome: ClaimOutcome | undefined;
+    outcome: PackedOutcome | undefined;
     expiresAtMs: number;
     /**
      * Undecided claims of the same key that other replicas reported to this one after a restart. Any of them may have
@@ -108,7 +109,7 @@
             this.removeRow(row);
         }
         if (this.rows.size < this.options.maxRows) {
-            this.addRow(record, this.limitOutcome(record.outcome), nowMs + this.options.retentionMs);
+            this.addRow(record, this.pack(record.outcome), nowMs + this.options.retentionMs);
         }
     }
 
@@ -124,7 +125,7 @@
         if (present !== undefined) {
             this.removeRow(present);
         }
-        const outcome = row.outcome === undefined ? undefined : this.limitOutcome(row.outcome);
+        const outcome = row.outcome === undefined ? undefined : this.pack(row.outcome);
         this.addRow(row, outcome, nowMs + row.lifetimeMs);
     }
 
@@ -142,7 +143,7 @@
             }
             if (row.expiresAtMs > nowMs) {
                 rows.push(toSyncRow(row, nowMs));
-                bytes += bodyBytesOf(row.outcome);
+                bytes += row.outcome?.byteLength ?? 0;
             }
             lastSequence = row.sequence;
         }
@@ -177,7 +178,7 @@
         return row;
     }
 
-    private addRow(request: ClaimRequest, outcome: ClaimOutcome | undefined, expiresAtMs: number): void {
+    private addRow(request: ClaimRequest, outcome: PackedOutcome | undefined, expiresAtMs: number): void {
         this.lastSequence++;
         this.rows.set(request.key, {
             key: request.key,
@@ -190,12 +191,12 @@
             expiresAtMs,
             rivals: undefined,
         });
-        this.retainedBytes += bodyBytesOf(outcome);
+        this.retainedBytes += outcome?.byteLength ?? 0;
     }
 
     private removeRow(row: ClaimRow): void {
         this.rows.delete(row.key);
-        this.retainedBytes -= bodyBytesOf(row.outcome);
+        this.retainedBytes -= row.outcome?.byteLength ?? 0;
     }
 
     private addTombstone(claimId: ClaimId, nowMs: number): void {
@@ -207,11 +208,12 @@
         }
     }
 
-    private limitOutcome(outcome: ClaimOutcome): ClaimOutcome {
-        if (outcome.kind === "verdict" || this.retainedBytes + bodyBytesOf(outcome) <= this.options.maxRetainedBytes) {
-            return outcome;
+    private pack(outcome: ClaimOutcome): PackedOutcome {
+        const packed = packOutcome(outcome);
+        if (outcome.kind === "verdict" || this.retainedBytes + packed.byteLength <= this.options.maxRetainedBytes) {
+            return packed;
         }
-        return { kind: "response", response: { ...outcome.response, body: undefined } };
+        return packOutcome({ kind: "response", response: { ...outcome.response, body: undefined } });
     }
 
     // Rows share few distinct sets; sharing the arrays saves about 200 bytes per row.
@@ -241,7 +243,7 @@
         return { kind: "mismatch" };
     }
     if (row.outcome !== undefined) {
-        return { kind: "outcome", outcome: row.outcome };
+        return { kind: "outcome", outcome: unpackOutcome(row.outcome) };
     }
     if (row.claimId === request.claimId) {
         return { kind: "granted" };
@@ -250,10 +252,7 @@
 }
 
 function toSyncRow(row: ClaimRow, nowMs: number): SyncRow {
-    const { key, claimId, holder, requestHash, replicaSets, outcome, expiresAtMs } = row;
+    const { key, claimId, holder, requestHash, replicaSets, expiresAtMs } = row;
+    const outcome = row.outcome === undefined ? undefined : unpackOutcome(row.outcome);
     return { key, claimId, holder, requestHash, replicaSets, outcome, lifetimeMs: expiresAtMs - nowMs };
 }
-
-function bodyBytesOf(outcome: ClaimOutcome | undefined): number {
-    return outcome?.kind === "response" ? outcome.response.body?.byteLength ?? 0 : 0;
-}
