--- a/src/requests/claims.property.test.ts
+++ b/src/requests/claims.property.test.ts
@@ -62,7 +62,7 @@
     const newest = [...cluster.catalogues.values()].reduce((a, b) => a.revision > b.revision ? a : b);
     const ids = [...Array(entryCount).keys()].filter(it => it !== entry && it !== other).map(it => `e${it}`);
     const next = makeCatalogue(newest.revision + 1, [...newest.entryLists.map(list => list.entryIds), ids]);
-    [...cluster.entries.keys()].forEach((id, index) => cluster.after(index * 60, () => cluster.learn(id, next)));
+    [...cluster.entries.keys()].forEach((id, index) => cluster.schedule(index * 60, () => cluster.learn(id, next)));
 }
 
 function runSteps(seed: number, all: readonly Step[]): FakeCluster {
--- a/test/fakeEntries.ts
+++ b/test/fakeEntries.ts
@@ -4,12 +4,21 @@
 import type { PeerRow, PeerView, UpstreamRow, UpstreamView } from "../src/membership/view.js";
 import type { ClaimSettings } from "../src/requests/claimStack.js";
 import { RequestLifecycle } from "../src/requests/lifecycle.js";
-import type { AttemptTarget, GeneratedAnswer, RequestFacts } from "../src/requests/model.js";
+import type { AttemptTarget, RequestFacts } from "../src/requests/model.js";
 import { FakeRouter, type FakeUpstream } from "./fakeRouter.js";
 
 const tickMs = 5;
 const zones = ["a", "b", "c"];
 
+interface FakeAnswer {
+    readonly verdict: string;
+    readonly reason: string;
+    readonly status: number;
+    readonly body: string;
+}
+
+const ran = { verdict: "ran", status: 200 };
+
 interface FakeEntry {
     readonly id: string;
     readonly lifecycle: RequestLifecycle;
@@ -39,7 +48,7 @@
     nowMs = 0;
     readonly upstreams = new Map<string, FakeUpstream>();
     readonly entries = new Map<string, FakeEntry>();
-    readonly answers = new Map<string, { verdict: string; reason: string; status: number; body: string; }>();
+    readonly answers = new Map<string, FakeAnswer>();
     readonly executions: { requestId: string; body: string; upstreamId: string; }[] = [];
     readonly effects: EntryEffect[] = [];
     readonly cutLinks = new Set<string>();
@@ -115,10 +124,6 @@
         this.deliver(entryId, this.entry(entryId).incarnation, { kind: "request", request });
     }
 
-    after(delayMs: number, run: () => void): void {
-        this.schedule(delayMs, run);
-    }
-
     learn(id: string, catalogue: Catalogue): void {
         if (catalogue.revision > (this.catalogues.get(id)?.revision ?? 0)) {
             this.catalogues.set(id, catalogue);
@@ -156,22 +161,18 @@
     }
 
     private runQueue(): void {
-        for (let due = this.takeDue(); due !== undefined; due = this.takeDue()) {
-            due.run();
-        }
-    }
-
-    private takeDue() {
-        let first = -1;
-        this.queue.forEach((it, index) => {
-            if (it.atMs <= this.nowMs && (first < 0 || it.atMs < this.queue[first].atMs)) {
-                first = index;
+        for (;;) {
+            // Sorting is stable, so what is due at one time runs in the order in which it was scheduled.
+            this.queue.sort((first, second) => first.atMs - second.atMs);
+            if (this.queue.length === 0 || this.queue[0].atMs > this.nowMs) {
+                return;
             }
-        });
-        return first < 0 ? undefined : this.queue.splice(first, 1)[0];
+            this.queue.shift()?.run();
+        }
     }
 
-    private schedule(delayMs: number, run: () => void): void {
+    /** Runs a step later. */
+    schedule(delayMs: number, run: () => void): void {
         this.queue.push({ atMs: this.nowMs + delayMs, run });
     }
 
@@ -189,19 +190,19 @@
                     this.dispatch(entry, effect.requestId, effect.target);
                     break;
                 case "forward":
-                    this.answer(effect.requestId, "ran", "forwarded", 200, entry.ended.get(effect.attemptId) ?? "");
+                    this.answer(effect.requestId, {
+                        ...ran,
+                        reason: "forwarded",
+                        body: entry.ended.get(effect.attemptId) ?? "",
+                    });
                     break;
-                case "replay":
-                    this.answer(
-                        effect.requestId,
-                        "ran",
-                        "replay",
-                        200,
-                        Buffer.from(effect.response.body ?? []).toString(),
-                    );
+                case "replay": {
+                    const body = Buffer.from(effect.response.body ?? []).toString();
+                    this.answer(effect.requestId, { ...ran, reason: "replay", body });
                     break;
+                }
                 case "answer":
-                    this.answerGenerated(effect.requestId, effect.answer);
+                    this.answer(effect.requestId, { ...effect.answer, body: "" });
                     break;
                 case "check-connection": {
                     const { checkId, address } = effect;
@@ -280,15 +281,11 @@
         running.forEach(fail => fail());
     }
 
-    private answerGenerated(requestId: string, { verdict, reason, status }: GeneratedAnswer): void {
-        this.answer(requestId, verdict, reason, status, "");
-    }
-
-    private answer(requestId: string, verdict: string, reason: string, status: number, body: string): void {
+    private answer(requestId: string, answer: FakeAnswer): void {
         if (this.answers.has(requestId)) {
-            throw new Error(`second answer to ${requestId}: ${reason}`);
+            throw new Error(`second answer to ${requestId}: ${answer.reason}`);
         }
-        this.answers.set(requestId, { verdict, reason, status, body });
+        this.answers.set(requestId, answer);
     }
 
     private hearPeers(entry: FakeEntry): void {
