--- a/src/requests/slowAttempts.ts
+++ b/src/requests/slowAttempts.ts
@@ -5,6 +5,7 @@
 import type { Router } from "./router.js";
 
 const resetIntervalMs = 1000;
+const maxResets = 1000;
 
 /**
  * Second attempts of idempotent requests whose first one is slow: hedges, and failovers from attempts that have gone
@@ -70,7 +71,12 @@
         if (lastAtMs !== undefined && nowMs - lastAtMs < resetIntervalMs) {
             return;
         }
+        this.resetAtMs.delete(address);
         this.resetAtMs.set(address, nowMs);
+        if (this.resetAtMs.size > maxResets) {
+            const [oldest] = this.resetAtMs.keys();
+            this.resetAtMs.delete(oldest);
+        }
         this.outbox.push({ kind: "reset-pool", address });
     }
 }
