--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -38,6 +38,8 @@
     /** Value of `Bench-Request` in this try. */
     readonly name: string;
     readonly entryAddress: string;
+    readonly startedAtMs: number;
+    readonly endedAtMs: number;
     readonly outcome: TryOutcome;
     readonly detail: string;
 }
@@ -137,6 +139,7 @@
     }
 
     private async tryOnce(call: Call, entryAddress: string, name: string): Promise<CallTry> {
+        const startedAtMs = performance.now();
         const headers: Record<string, string> = { "bench-request": name };
         if (call.hasIdempotencyKey) {
             headers["idempotency-key"] = call.name;
@@ -152,10 +155,19 @@
             });
             const text = await response.body.text();
             const [outcome, detail] = classify(call, response.statusCode, response.headers, text);
-            return { name, entryAddress, outcome, detail };
+            return { name, entryAddress, startedAtMs, endedAtMs: performance.now(), outcome, detail };
         }
         catch (error) {
-            return { name, entryAddress, outcome: TryOutcome.dropped, detail: String(error) };
+            const { code, message } = error as NodeJS.ErrnoException;
+            const detail = `${code ?? ""} ${message}`;
+            return {
+                name,
+                entryAddress,
+                startedAtMs,
+                endedAtMs: performance.now(),
+                outcome: TryOutcome.dropped,
+                detail,
+            };
         }
     }
 }
--- a/bench/executionLog.ts
+++ b/bench/executionLog.ts
@@ -6,7 +6,7 @@
     readonly byTry: ReadonlyMap<string, number>;
     /** Number of executions by the name of the call. */
     readonly byCall: ReadonlyMap<string, number>;
-    /** Tries that began more than 3 s after an entry had acknowledged the drain of the upstream. */
+    /** Tries that arrived and ran more than 3 s after an entry had acknowledged the drain of the upstream. */
     readonly late: readonly string[];
 }
 
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -129,8 +129,18 @@
         }
         this.tickedAtMs = nowMs;
         this.shell.run({ kind: "tick" });
-        this.core.peers.allPeers().forEach(peer => this.peerLinks.setAddress(peer.id, peer.peerAddress));
-        this.peerLinks.setEntryVms(Object.values(this.core.config.catalogue.entryVms));
+        this.openPeerLinks();
+    }
+
+    /** The catalogue's address of an entry goes before the one in its heartbeats. */
+    private openPeerLinks(): void {
+        const { entryVms } = this.core.config.catalogue;
+        for (const peer of this.core.peers.allPeers()) {
+            this.peerLinks.setAddress(peer.id, entryVms[peer.id]?.peerAddress ?? peer.peerAddress);
+        }
+        for (const id of this.core.config.regionEntryIds()) {
+            this.peerLinks.setAddress(id, entryVms[id].peerAddress);
+        }
     }
 
     /** Longest time that an event of this moment can have waited in this process's buffers. */
--- a/src/entry/links.ts
+++ b/src/entry/links.ts
@@ -1,4 +1,3 @@
-import type { EntryVm } from "../catalogue/model.js";
 import type { ConfigSyncAnswer, ConfigSyncParams } from "../control/operatorApi.js";
 import type { EntryId } from "../core/ids.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
@@ -22,10 +21,6 @@
         this.clients.set(id, new ChannelClient(peerAddress, this.options));
     }
 
-    setEntryVms(entryVms: readonly EntryVm[]): void {
-        entryVms.forEach(vm => this.setAddress(vm.id, vm.peerAddress));
-    }
-
     /** Sends a message; dropped while there is no connection. */
     send(to: EntryId, message: PeerMessage): void {
         const { method, params, correlationId } = message;
