--- /dev/null
+++ b/bench/outcomeChecks.ts
@@ -0,0 +1,56 @@
+import type { CallResult, CallTry } from "./caller.js";
+import type { Executions } from "./executionLog.js";
+import { FaultKind, type FaultRecord } from "./faults.js";
+
+/** Violations of the invariants, by name. Each line describes one. */
+export interface Violations {
+    readonly incompleteOrForeign: readonly string[];
+    readonly falseNotRun: readonly string[];
+    readonly doubled: readonly string[];
+    readonly cutByShutdown: readonly string[];
+    readonly lateWork: readonly string[];
+}
+
+/** Faults of an entry that may drop its callers' connections. */
+const droppingKinds: readonly FaultKind[] = [FaultKind.killEntry, FaultKind.pauseEntry];
+
+/** Compares what callers were told with what the upstreams ran. */
+export function findViolations(
+    results: readonly CallResult[],
+    executions: Executions,
+    history: readonly FaultRecord[],
+): Violations {
+    const tries = results.flatMap(result => result.tries);
+    return {
+        incompleteOrForeign: tries.filter(it => it.outcome === "incomplete" || it.outcome === "foreign").map(describe),
+        falseNotRun: tries.filter(it => it.outcome === "not-run" && executions.byTry.has(it.name)).map(describe),
+        doubled: results.filter(result => result.call.method === "POST")
+            .filter(result => (executions.byCall.get(result.call.name) ?? 0) > 1)
+            .map(result => result.tries.map(describe).join("; ")),
+        cutByShutdown: tries.filter(it => isCutByShutdown(it, history)).map(describe),
+        lateWork: executions.late.map(name => `${name} arrived more than 3 s after the drain`),
+    };
+}
+
+/** Returns the history of faults around a time, one per line. */
+export function describeHistory(history: readonly FaultRecord[]): string {
+    return history.map(fault => `${fault.fromMs.toFixed(0)}..${fault.toMs.toFixed(0)} ms ${fault.kind} ${fault.target}`)
+        .join("\n");
+}
+
+/** A connection that was dropped by an entry that was draining and had no other fault. A refused one was not cut. */
+function isCutByShutdown(it: CallTry, history: readonly FaultRecord[]): boolean {
+    if (it.outcome !== "dropped" || /ECONNREFUSED|UND_ERR_CONNECT_TIMEOUT/.test(it.detail)) {
+        return false;
+    }
+    const during = history.filter(fault =>
+        fault.target === it.entryAddress && fault.fromMs <= it.endedAtMs && fault.toMs >= it.startedAtMs
+    );
+    const isDropped = during.some(fault => droppingKinds.includes(fault.kind));
+    return !isDropped && during.some(fault => fault.kind === FaultKind.drainEntry);
+}
+
+function describe(it: CallTry): string {
+    const times = `${it.startedAtMs.toFixed(0)}..${it.endedAtMs.toFixed(0)} ms`;
+    return `${it.name} at ${it.entryAddress}, ${times}: ${it.outcome} ${it.detail}`;
+}
--- a/bench/upstream.ts
+++ b/bench/upstream.ts
@@ -89,7 +89,7 @@
         await new Promise<void>(resolve => this.server.listen(this.options.port ?? 0, "127.0.0.1", resolve));
         const { port } = this.server.address() as AddressInfo;
         this.loop.start(this.options.announcedAddress ?? `127.0.0.1:${port}`);
-        console.log(`ready ${JSON.stringify({ address: `127.0.0.1:${port}` })}`);
+        console.log(`ready ${JSON.stringify({ address: `127.0.0.1:${port}`, port: String(port) })}`);
     }
 
     private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
