--- a/src/control/testing/operators.ts
+++ b/src/control/testing/operators.ts
@@ -2,8 +2,8 @@
 import { ApplyOutcome } from "../operatorApi.js";
 import type { FakeGroup, FakeVm } from "./fakeGroup.js";
 
-const resendMs = 700;
-const attemptLimit = 40;
+const resendMs = 400;
+const attemptLimit = 80;
 
 /** One operation of an operator, from its first sending to its answer. */
 export interface Operation {
@@ -40,7 +40,7 @@
 
     private startOperation(): void {
         const { random, nowMs } = this.group;
-        if (random.nextUnit() > 0.08) {
+        if (random.nextUnit() > 0.2) {
             return;
         }
         const kind = random.nextUnit() < 0.35 ? "read" : "change";
@@ -69,9 +69,11 @@
             this.current = undefined;
             return;
         }
-        const leader = group.vms.find(vm => vm.replica?.role === "leader");
-        const isGuess = leader === undefined || group.random.nextUnit() < 0.3;
-        const vm = isGuess ? group.vms[group.random.nextInt(group.vms.length)] : leader;
+        // A partitioned VM can believe for a while that it still leads.
+        const leaders = group.vms.filter(vm => vm.replica?.role === "leader");
+        const isGuess = leaders.length === 0 || group.random.nextUnit() < 0.3;
+        const candidates = isGuess ? group.vms : leaders;
+        const vm = candidates[group.random.nextInt(candidates.length)];
         const isTaken = operation.kind === "read" ? this.sendRead(vm, operation) : this.sendChange(vm, operation);
         if (!isTaken) {
             this.retrySoon();
