--- a/src/measuring/serviceMeasuring.ts
+++ b/src/measuring/serviceMeasuring.ts
@@ -1,5 +1,5 @@
 import type { Catalogue, Service } from "../catalogue/model.js";
-import type { EntryId, ServiceName } from "../core/ids.js";
+import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { EntryEffect } from "../entry/messages.js";
 import type { UpstreamRow } from "../membership/view.js";
 import type { InstanceHealth } from "../routing/instanceHealth.js";
@@ -49,6 +49,11 @@
         this.budget.add(probeMs, tokenLifetimeMs(service), nowMs);
     }
 
+    /** Records the answer of a probe. */
+    finish(upstreamId: UpstreamId, isGood: boolean, nowMs: number): void {
+        this.probedHealth?.recordProbe(upstreamId, isGood, nowMs);
+    }
+
     /** Sends the probes that are due. Called at the owner only. */
     probe(service: Service, health: InstanceHealth, usesReports: boolean, nowMs: number): void {
         if (this.prober === undefined || this.probedHealth !== health) {
--- a/src/routing/ownership.ts
+++ b/src/routing/ownership.ts
@@ -19,6 +19,22 @@
     return owner;
 }
 
+/** Owner of one service; computed again only for another roster. */
+export class OwnerLookup {
+    private roster: readonly EntryId[] | undefined;
+    private owner: EntryId | undefined;
+
+    constructor(private readonly service: ServiceName) {}
+
+    ownerId(roster: readonly EntryId[]): EntryId | undefined {
+        if (roster !== this.roster) {
+            this.roster = roster;
+            this.owner = ownerOf(this.service, roster);
+        }
+        return this.owner;
+    }
+}
+
 /** Ids of the entries that may own services: this one and its live peers, without draining ones. */
 export function rosterOf(peers: PeerView, catalogue: Catalogue, nowMs: number): readonly EntryId[] {
     const isActive = (id: EntryId) => catalogue.entryVms[id]?.state !== "draining";
--- a/src/routing/rateBucket.ts
+++ b/src/routing/rateBucket.ts
@@ -1,9 +1,12 @@
-/** Share of a second's requests that may pass in one burst; it bounds the excess over the limit in any second. */
-const burstSeconds = 0.04;
+/**
+ * Share of a second's requests that may pass in one burst. A bucket starts full, since a new owner would refuse requests
+ * below the limit otherwise; with a second burst after a takeover, the excess in any second stays below 5%.
+ */
+const burstSeconds = 0.02;
 
 /** Token bucket for requests per second. The rate is given with each call, so a change holds at once. */
 export class RateBucket {
-    private tokens = 1;
+    private tokens = Number.POSITIVE_INFINITY;
     private filledAtMs: number;
 
     constructor(nowMs: number) {
--- a/src/routing/serviceRouter.ts
+++ b/src/routing/serviceRouter.ts
@@ -93,7 +93,7 @@
         const { services } = this.options.catalogue();
         Object.keys(services).forEach(name => this.slotsOf(name, nowMs).tick(nowMs));
         for (const [name, slots] of this.services) {
-            if (services[name] === undefined && slots.isIdle()) {
+            if (services[name] === undefined && slots.local.heldSlots().length === 0) {
                 this.services.delete(name);
             }
         }
--- a/src/routing/serviceSlots.ts
+++ b/src/routing/serviceSlots.ts
@@ -1,15 +1,16 @@
 import type { Service } from "../catalogue/model.js";
 import type { AttemptId, EntryId, ServiceName, UpstreamId } from "../core/ids.js";
-import type { EntryEffect, PeerMessage } from "../entry/messages.js";
+import type { EntryEffect } from "../entry/messages.js";
 import { ServiceMeasuring } from "../measuring/serviceMeasuring.js";
 import type { UpstreamRow } from "../membership/view.js";
 import type { LoadReport, RequestFacts } from "../requests/model.js";
 import type { AttemptOutcome, RouteDecision } from "../requests/router.js";
 import { SampleKind } from "./instanceHealth.js";
-import { ownerOf } from "./ownership.js";
+import { OwnerLookup } from "./ownership.js";
 import { refuse, ServiceRoute, type ServiceRouteContext } from "./serviceRoute.js";
 import { SharedReports } from "./sharedReports.js";
 import { type PendingAttempt, SlotClient } from "./slotClient.js";
+import { acquireParamsOf, SlotLink } from "./slotLink.js";
 import {
     type AcquireParams,
     type GrantParams,
@@ -37,6 +38,8 @@
     private client: SlotClient | undefined;
     private readonly measuring: ServiceMeasuring;
     private readonly reports: SharedReports;
+    private readonly link: SlotLink;
+    private readonly ownerLookup: OwnerLookup;
     private heldSentAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(
@@ -48,15 +51,13 @@
         this.local = new ServiceRoute(name, context, nowMs);
         this.measuring = new ServiceMeasuring(name, context, startedAtMs);
         this.reports = new SharedReports(name, this.local);
+        this.link = new SlotLink(context.emit);
+        this.ownerLookup = new OwnerLookup(name);
     }
 
     /** The entry that owns the service, as seen here. */
     ownerId(nowMs: number): EntryId | undefined {
-        return ownerOf(this.name, this.context.roster(nowMs));
-    }
-
-    isIdle(): boolean {
-        return this.local.heldSlots().length === 0;
+        return this.ownerLookup.ownerId(this.context.roster(nowMs));
     }
 
     measuringSpentMsPerSecond(nowMs: number): number {
@@ -89,8 +90,7 @@
     }
 
     finishProbe(upstreamId: UpstreamId, load: LoadReport | undefined, nowMs: number): void {
-        const health = this.owner?.health ?? this.local.health;
-        health.recordProbe(upstreamId, load !== undefined, nowMs);
+        this.measuring.finish(upstreamId, load !== undefined, nowMs);
         if (load !== undefined) {
             this.local.recordReport(upstreamId, load.inFlight, nowMs, nowMs);
         }
@@ -100,7 +100,7 @@
         this.updateOwner(nowMs);
         switch (method) {
             case SlotMethod.acquire:
-                this.handleAcquire(from, params as AcquireParams, nowMs);
+                this.deliverGrant(from, this.owner?.acquire(from, params as AcquireParams, nowMs), nowMs);
                 break;
             case SlotMethod.grant:
                 this.handleGrant(from, params as GrantParams, nowMs);
@@ -145,9 +145,9 @@
             return this.decideLocally(service, attempt, nowMs);
         }
         client.add(attempt);
-        const params = this.acquireParamsOf(service, attempt, nowMs);
+        const params = acquireParamsOf(service, attempt, this.context.availabilityZone, nowMs);
         if (this.owner === undefined) {
-            this.send(client.ownerId, SlotMethod.acquire, params, attempt.attemptId);
+            this.link.acquire(client.ownerId, params);
             return { kind: "wait" };
         }
         const grant = this.owner.acquire(this.context.selfId, params, nowMs);
@@ -168,30 +168,29 @@
         if (decision.kind === "refuse" && decision.reason === "limit") {
             this.client?.noteLimit(this.context.catalogue().revision, nowMs);
         }
-        if (decision.kind === "none") {
+        const isLost = decision.kind === "upstream" && !this.beginGranted(attemptId, decision.upstreamId, nowMs);
+        if (isLost || decision.kind === "none") {
             return this.decideLocally(this.local.service!, attempt, nowMs);
         }
-        return decision.kind === "upstream" ? this.useGrant(attempt, decision, nowMs) : decision as RouteDecision;
+        return decision as RouteDecision;
     }
 
-    private useGrant(
-        attempt: PendingAttempt,
-        decision: RouteDecision & { readonly kind: "upstream"; },
-        nowMs: number,
-    ): RouteDecision {
-        const upstream = this.context.findUpstream(this.name, decision.upstreamId);
+    /** Uses a granted slot; false when the upstream is gone or draining. */
+    private beginGranted(attemptId: AttemptId, upstreamId: UpstreamId, nowMs: number): boolean {
+        const upstream = this.context.findUpstream(this.name, upstreamId);
         if (upstream === undefined || upstream.announcement.state === "draining") {
-            this.sendRelease(attempt.attemptId, SampleKind.unused, 0, nowMs);
-            return this.decideLocally(this.local.service!, attempt, nowMs);
+            this.sendRelease(attemptId, SampleKind.unused, 0, nowMs);
+            return false;
         }
-        this.local.begin(attempt.attemptId, upstream, nowMs);
-        return decision;
+        this.local.begin(attemptId, upstream, nowMs);
+        return true;
     }
 
     private decideLocally(service: Service, attempt: PendingAttempt, nowMs: number): RouteDecision {
         return this.local.chooseLocally(service, attempt.attemptId, attempt.avoid, attempt.avoid.length > 0, nowMs);
     }
 
+    /** Decides for an attempt that the owner did not answer. */
     private fallBack(attempt: PendingAttempt, nowMs: number): void {
         const service = this.local.service;
         if (service !== undefined) {
@@ -200,12 +199,6 @@
         }
     }
 
-    private handleAcquire(from: EntryId, params: AcquireParams, nowMs: number): void {
-        if (this.owner !== undefined) {
-            this.send(from, SlotMethod.grant, this.owner.acquire(from, params, nowMs), params.attemptId);
-        }
-    }
-
     private handleGrant(from: EntryId, grant: GrantParams, nowMs: number): void {
         if (from !== this.client?.ownerId) {
             return;
@@ -217,8 +210,7 @@
     }
 
     private handleHeld(from: EntryId, held: HeldParams, nowMs: number): void {
-        const service = this.local.service!;
-        this.measuring.receive(service, held.probeMs, nowMs);
+        this.measuring.receive(this.local.service!, held.probeMs, nowMs);
         this.owner?.reconcile(from, held, nowMs);
     }
 
@@ -231,14 +223,14 @@
         const waiting = this.client?.takeAll() ?? [];
         this.client = ownerId === undefined ? undefined : new SlotClient(ownerId);
         this.owner = ownerId === this.context.selfId ? this.createOwner(nowMs) : undefined;
-        if (ownerId !== undefined) {
-            this.sendHeld(ownerId, true, nowMs);
+        const service = this.local.service;
+        if (ownerId === undefined || service === undefined) {
+            return;
         }
+        this.sendHeld(ownerId, true, nowMs);
         for (const attempt of waiting) {
-            const service = this.local.service;
-            const again = { ...attempt, askedAtMs: nowMs, isQueued: false };
-            const decision = service && this.routeByOwner(service, again, nowMs);
-            if (decision !== undefined && decision.kind !== "wait") {
+            const decision = this.routeByOwner(service, { ...attempt, askedAtMs: nowMs, isQueued: false }, nowMs);
+            if (decision.kind !== "wait") {
                 this.context.decide(attempt.attemptId, decision);
             }
         }
@@ -253,16 +245,16 @@
             livePeerIds: this.context.livePeerIds,
             isSelf: id => id === selfId,
             sendGrant: (to, grant, atMs) => this.deliverGrant(to, grant, atMs),
-            sendSync: to => this.send(to, SlotMethod.sync, { service: this.name }),
+            sendSync: to => this.link.sync(to, { service: this.name }),
         }, nowMs);
     }
 
-    private deliverGrant(to: EntryId, grant: GrantParams, nowMs: number): void {
-        if (to === this.context.selfId) {
+    private deliverGrant(to: EntryId, grant: GrantParams | undefined, nowMs: number): void {
+        if (grant !== undefined && to === this.context.selfId) {
             this.handleGrant(to, grant, nowMs);
         }
-        else {
-            this.send(to, SlotMethod.grant, grant, grant.attemptId);
+        else if (grant !== undefined) {
+            this.link.grant(to, grant);
         }
     }
 
@@ -274,22 +266,10 @@
         }
         const reports = usesSharedReports ? this.reports.takeNew(nowMs) : undefined;
         if (reports !== undefined) {
-            this.context.livePeerIds(nowMs).forEach(id => this.send(id, SlotMethod.report, reports));
+            this.context.livePeerIds(nowMs).forEach(id => this.link.report(id, reports));
         }
     }
 
-    private acquireParamsOf(service: Service, attempt: PendingAttempt, nowMs: number): AcquireParams {
-        return {
-            service: this.name,
-            attemptId: attempt.attemptId,
-            class: service.class,
-            remainingMs: attempt.request.deadlineAtMs - nowMs,
-            avoid: attempt.avoid,
-            availabilityZone: this.context.availabilityZone,
-            isRetry: attempt.avoid.length > 0,
-        };
-    }
-
     /** Tells an entry which slots are in use here; the owner also gets the share of the measuring budget. */
     private sendHeld(to: EntryId, isOwnerAccepted: boolean, nowMs: number): void {
         const service = this.local.service;
@@ -304,7 +284,7 @@
             this.handleHeld(to, held, nowMs);
         }
         else {
-            this.send(to, SlotMethod.held, held);
+            this.link.held(to, held);
         }
     }
 
@@ -318,12 +298,7 @@
             this.owner.release(this.context.selfId, params, nowMs);
         }
         else {
-            this.send(this.client.ownerId, SlotMethod.release, params);
+            this.link.release(this.client.ownerId, params);
         }
     }
-
-    private send(to: EntryId, method: SlotMethod, params: unknown, correlationId?: AttemptId): void {
-        const message: PeerMessage = { method, params, correlationId };
-        this.context.emit({ kind: "send-peer", to, message });
-    }
 }
--- a/src/routing/slotMessages.ts
+++ b/src/routing/slotMessages.ts
@@ -29,8 +29,6 @@
     readonly availabilityZone: string;
     /** Retries and hedges do not count against requests per second. */
     readonly isRetry: boolean;
-    /** The attempt already uses this grant, which was made ahead of demand. */
-    readonly usesAhead?: string;
 }
 
 /** The owner's answer. `queued` says that a decision follows. */
@@ -38,15 +36,6 @@
     readonly service: ServiceName;
     readonly attemptId: AttemptId;
     readonly decision: RouteDecision | { readonly kind: "queued"; } | { readonly kind: "none"; };
-    /** A grant for the entry's next attempt. */
-    readonly ahead?: AheadGrant;
-}
-
-/** A slot granted ahead of demand; it is given back when it is not used in time. */
-export interface AheadGrant {
-    readonly grantId: string;
-    readonly upstreamId: UpstreamId;
-    readonly incarnation: number;
 }
 
 /** Gives a slot back, with what the attempt showed of the instance. */
@@ -63,7 +52,7 @@
     readonly upstreamId: UpstreamId;
 }
 
-/** All slots that an entry uses, or holds ahead, of a service. */
+/** All slots that an entry uses of a service. */
 export interface HeldParams {
     readonly service: ServiceName;
     readonly slots: readonly HeldSlot[];
