--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -24,6 +24,11 @@
     readonly from: string;
     /** Wall-clock time of the leader in Unix milliseconds; all replicas decide on retention by it. */
     readonly leaderTimeMs: number;
+    /**
+     * What the leader found when it checked the operation against the base revision. The finding is replicated, since
+     * replicas of different versions may check differently.
+     */
+    readonly problem: string | undefined;
 }
 
 /** What a log record does. */
@@ -132,6 +137,8 @@
     | { readonly kind: "propose"; readonly requestId: number; readonly command: Command; }
     /** Asks for a quorum round that starts after this event. */
     | { readonly kind: "read"; readonly requestId: number; }
+    /** Starts a new group; ignored by a VM that already has one. */
+    | { readonly kind: "found"; readonly members: GroupMembers; }
     /** A VM that is not a member asks to become one. */
     | { readonly kind: "join"; readonly member: Member; };
 
