--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -93,7 +93,7 @@
             }
             await new Promise(resolve => setTimeout(resolve, retryDelayMs * this.random.nextUnit()));
         }
-        const { outcome } = tries[tries.length - 1];
+        const outcome = combineOutcomes(tries.map(it => it.outcome));
         return { call, outcome, latencyMs: performance.now() - startedAtMs, tries };
     }
 
@@ -186,6 +186,13 @@
     }
 }
 
+/** A call that ends with `not-run` may have run in an earlier try that got no answer. */
+function combineOutcomes(outcomes: readonly TryOutcome[]): TryOutcome {
+    const last = outcomes[outcomes.length - 1];
+    const isUnclear = outcomes.some(it => it === TryOutcome.dropped || it === TryOutcome.mayHaveRun);
+    return last === TryOutcome.notRun && isUnclear ? TryOutcome.mayHaveRun : last;
+}
+
 function classify(
     call: Call,
     status: number,
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -35,7 +35,14 @@
     sentAtMs: number | undefined;
 }
 
-const unconfirmedRetryMs = 500;
+/** Answer of an entry that cannot confirm its configuration; it says nothing about which services exist. */
+export const unconfirmedAnswer: GeneratedAnswer = {
+    status: 503,
+    verdict: Verdict.notRun,
+    reason: "configuration-unconfirmed",
+    detail: "This entry cannot confirm that its configuration is in force.",
+    retryAfterMs: 500,
+};
 
 /** All decisions of an entry. Reads no clock and performs no I/O; effects are returned as values. */
 export class EntryCore {
@@ -185,14 +192,7 @@
         if (this.isServing(nowMs)) {
             return this.lifecycle.handle({ kind: "request", request }, nowMs);
         }
-        const answer: GeneratedAnswer = {
-            status: 503,
-            verdict: Verdict.notRun,
-            reason: "configuration-unconfirmed",
-            detail: "This entry cannot confirm that its configuration is in force.",
-            retryAfterMs: unconfirmedRetryMs,
-        };
-        return [{ kind: "answer", requestId: request.id, answer }];
+        return [{ kind: "answer", requestId: request.id, answer: unconfirmedAnswer }];
     }
 
     /**
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -3,7 +3,7 @@
 import type { ServiceName } from "../core/ids.js";
 import { ChannelServer } from "../transport/channel.js";
 import { type AnnouncementAnswer, formatEcho, parseAnnouncement, renewIntervalMs } from "./announcements.js";
-import { EntryCore } from "./core.js";
+import { EntryCore, unconfirmedAnswer } from "./core.js";
 import { EntryShell } from "./entryShell.js";
 import { FrontServer } from "./frontServer.js";
 import { ControlLinks, PeerLinks, toPeerMessage } from "./links.js";
@@ -61,6 +61,7 @@
         this.incarnation = options.clock.now().getTime();
         this.front = new FrontServer(options.limits, {
             isService: name => this.core.config.catalogue.services[name] !== undefined,
+            refusal: () => this.core.isServing(this.nowMs()) ? undefined : unconfirmedAnswer,
             onRequest: (service, path, incoming, outgoing) => this.onRequest(service, path, incoming, outgoing),
             onAnnouncement: text => this.onAnnouncement(text),
             listEntries: service => this.listEntries(service),
@@ -169,7 +170,8 @@
     }
 
     private listEntries(service: ServiceName | undefined) {
-        const isKnown = service === undefined || this.core.config.catalogue.services[service] !== undefined;
+        const isKnown = service === undefined || !this.core.isServing(this.nowMs()) ||
+            this.core.config.catalogue.services[service] !== undefined;
         return isKnown ? this.core.listEntries(this.nowMs()) : undefined;
     }
 
--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -8,7 +8,7 @@
 import { Attempt } from "./attempt.js";
 import { BufferBudget } from "./bufferBudget.js";
 import { checkConnection } from "./connectionCheck.js";
-import type { EntryCore } from "./core.js";
+import { type EntryCore, unconfirmedAnswer } from "./core.js";
 import { Exchange } from "./exchange.js";
 import { parseCount, parseLoadReport } from "./headers.js";
 import type { PeerLinks } from "./links.js";
@@ -79,6 +79,9 @@
         if (deadlineMs === undefined) {
             exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
         }
+        else if (!this.core.isServing(receivedAtMs)) {
+            exchange.answer(unconfirmedAnswer);
+        }
         else if (row === undefined) {
             exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
         }
--- a/src/entry/frontServer.ts
+++ b/src/entry/frontServer.ts
@@ -17,6 +17,8 @@
 /** What the HTTP front passes on. */
 export interface FrontHandlers {
     isService(name: ServiceName): boolean;
+    /** Returns the answer to all requests while the entry does not serve. */
+    refusal(): GeneratedAnswer | undefined;
     /** `path` is the path and query for the upstream. */
     onRequest(service: ServiceName, path: string, incoming: IncomingMessage, outgoing: ServerResponse): void;
     /** Returns the JSON answer, or a description of what is wrong. */
@@ -101,7 +103,8 @@
         const match = servicePathPattern.exec(incoming.url ?? "");
         const service = match === null ? undefined : decodeName(match[1]);
         if (match === null || service === undefined) {
-            sendProblem(outgoing, refuse(404, "unknown-path", "The path names no service."));
+            const answer = this.handlers.refusal() ?? refuse(404, "unknown-path", "The path names no service.");
+            sendProblem(outgoing, answer);
             return;
         }
         const rest = match[2];
