--- a/bench/slopes/transport.ts
+++ b/bench/slopes/transport.ts
@@ -3,7 +3,7 @@
 import { benchSecret } from "../benchCatalogue.js";
 import type { SlopeRow } from "./requests.js";
 
-const messageCounts = [1000, 2000, 4000, 8000];
+const messageCounts = [5000, 10_000, 20_000, 40_000, 80_000];
 const pollMs = 2;
 /** Messages that are sent in one turn of the event loop; heartbeats to 15 peers leave in one turn. */
 const burst = 15;
--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -16,6 +16,7 @@
 import type { EntryLimits, EntryOptions } from "./options.js";
 import { probeUpstream } from "./probe.js";
 import { readBody, statedLength } from "./requestBody.js";
+import { measureRequest } from "./requestMetrics.js";
 import { UpstreamPools } from "./upstreamPools.js";
 
 const instanceIdBytes = 6;
@@ -74,6 +75,7 @@
         outgoing.on("error", () => undefined);
         outgoing.on("close", () => this.onCallerClosed(exchange));
         const receivedAtMs = this.nowMs();
+        exchange.receivedAtMs = receivedAtMs;
         const deadlineMs = this.deadlineMs(exchange);
         const row = this.core.config.catalogue.services[service];
         if (deadlineMs === undefined) {
@@ -149,6 +151,7 @@
     }
 
     private onEnded(exchange: Exchange): void {
+        measureRequest(exchange, this.options.metrics, this.nowMs());
         this.exchanges.delete(exchange.id);
         this.budget.release(exchange.reservedBytes);
         exchange.admitted?.release();
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -29,6 +29,8 @@
     reservedBytes = 0;
     /** Whether the connection is closed after the response. */
     mustClose = false;
+    /** When the head of the request arrived, in monotonic milliseconds. */
+    receivedAtMs = 0;
     private isOver = false;
     private fields: readonly HeaderField[] | undefined;
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -12,6 +12,8 @@
 import type { LogSettings, MetricsSettings } from "./settings/schemas.js";
 
 const maxSeed = 2 ** 31;
+/** Metrics are sent together in datagrams up to this size, which fits an Ethernet frame. */
+const datagramBytes = 1400;
 const secretKeys = ["clusterSecret", "token", "authorization"];
 
 /** Makes the logger of a daemon. Secrets are masked by key and wherever one of their values occurs in a text. */
@@ -38,7 +40,8 @@
     }
     // A lost metric is not worth a log line; without a handler the library would throw.
     const errorHandler = () => undefined;
-    return new StatsD({ ...common, ...toListenAddress(settings.address), prefix: settings.prefix, errorHandler });
+    const { host, port } = toListenAddress(settings.address);
+    return new StatsD({ ...common, host, port, prefix: settings.prefix, maxBufferSize: datagramBytes, errorHandler });
 }
 
 /** Returns the options of an entry from its settings; see the flag `--first-start` for `isFirstStart`. */
