--- /dev/null
+++ b/bench/catalogue.ts
@@ -0,0 +1,182 @@
+import fs from "node:fs/promises";
+import os from "node:os";
+import path from "node:path";
+import { parseArgs } from "node:util";
+import type { EntryVm } from "../src/catalogue/model.js";
+import { SeededRandom } from "../src/core/random.js";
+import { availabilityZones } from "./benchCatalogue.js";
+import { findViolations, listInForceMs } from "./catalogueChecks.js";
+import { CatalogueFaults } from "./catalogueFaults.js";
+import { CatalogueOperators } from "./catalogueOperators.js";
+import { ControlGroup } from "./controlGroup.js";
+import { Processes } from "./processes.js";
+import { StandInEntry } from "./standInEntry.js";
+
+const controlCount = 3;
+const entryCount = 6;
+const operatorCount = 6;
+const changesUnderFaults = 300;
+const changesBehind = 500;
+const oldRevisionLimitMs = 3000;
+const sampleIntervalMs = 50;
+const phaseLimitMs = 120_000;
+const maxInForceP99Ms = 1000;
+const maxRecoveryMs = 2000;
+
+/** Figures of one seed. */
+interface RunResult {
+    readonly seed: number;
+    readonly accepted: number;
+    readonly inForceMs: readonly number[];
+    readonly lost: number;
+    readonly reverted: number;
+    readonly doubled: number;
+    readonly oldServing: number;
+    readonly recoveryMs: number;
+    readonly bytesPerChange: number;
+    readonly cpuMsPerChange: number;
+    readonly isWhole: boolean;
+    readonly faults: string;
+}
+
+function makeEntryVms(): readonly EntryVm[] {
+    return Array.from({ length: entryCount }, (_unused, index): EntryVm => ({
+        id: `entry-${index + 1}`,
+        region: index % 2 === 0 ? "east" : "west",
+        availabilityZone: availabilityZones[index % availabilityZones.length],
+        address: `127.0.0.1:${2000 + index * 2}`,
+        peerAddress: `127.0.0.1:${2001 + index * 2}`,
+        state: "active",
+    }));
+}
+
+/** Counts samples in which an entry serves an older revision than one accepted longer ago than the limit. */
+function watchServing(operators: CatalogueOperators, entries: readonly StandInEntry[]) {
+    const watch = { violations: 0, stop: () => clearInterval(timer) };
+    const timer = setInterval(() => {
+        const limitMs = performance.now() - oldRevisionLimitMs;
+        const due = operators.changes.filter(change => Number(change.acceptedAtMs) <= limitMs);
+        const revision = Math.max(0, ...due.map(change => change.answers.at(-1)?.revision ?? 0));
+        watch.violations += entries.filter(entry => entry.isServing && entry.revision < revision).length;
+    }, sampleIntervalMs);
+    return watch;
+}
+
+async function changeUnderFaults(operators: CatalogueOperators, faults: CatalogueFaults): Promise<void> {
+    const running = Array.from({ length: operatorCount }, (_unused, index) => operators.run(`operator-${index + 1}`));
+    const injecting = faults.run();
+    const endMs = performance.now() + phaseLimitMs;
+    while (operators.acceptedCount < changesUnderFaults && performance.now() < endMs) {
+        await new Promise(resolve => setTimeout(resolve, sampleIntervalMs));
+    }
+    faults.stop();
+    await injecting;
+    operators.stop();
+    await Promise.all(running);
+}
+
+/** Returns how long a VM takes to hold the current revision after it was down for 500 changes, start included. */
+async function measureRecovery(group: ControlGroup, operators: CatalogueOperators) {
+    const vm = group.vms[controlCount - 1];
+    await group.kill(vm);
+    const [startBytes, startCpuMs] = [group.relayedBytes(), await group.cpuMs()];
+    await operators.pipeline(changesBehind);
+    const bytesPerChange = (group.relayedBytes() - startBytes) / changesBehind;
+    const cpuMsPerChange = (await group.cpuMs() - startCpuMs) / changesBehind;
+    const startMs = performance.now();
+    await group.startVm(vm);
+    let isCurrent = false;
+    while (!isCurrent && performance.now() - startMs < phaseLimitMs) {
+        const status = await group.status(group.vms[0]).catch(() => undefined);
+        const row = status?.voters.find(voter => voter.id.startsWith(`${vm.options.id}.`));
+        isCurrent = row !== undefined && row.heardAgoMs < 500 && row.revision === status?.revision;
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    return { recoveryMs: performance.now() - startMs, bytesPerChange, cpuMsPerChange };
+}
+
+async function runSeed(seed: number, processes: Processes): Promise<RunResult> {
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), "figwharf-catalogue-"));
+    const random = new SeededRandom(seed);
+    const group = await ControlGroup.start(processes, controlCount, folder, seed);
+    const entryVms = makeEntryVms();
+    const addresses = group.vms.map(vm => vm.peerAddress);
+    const entries = entryVms.map(vm => new StandInEntry(vm, addresses));
+    const operators = new CatalogueOperators(group, random, entryVms);
+    const faults = new CatalogueFaults(group, random);
+    await operators.declare();
+    const watch = watchServing(operators, entries);
+    await changeUnderFaults(operators, faults);
+    const isWhole = await group.waitUntilWhole(phaseLimitMs / 4) !== undefined;
+    const faultAudit = (await group.audit(group.vms[0])).records;
+    const recovery = await measureRecovery(group, operators);
+    watch.stop();
+    const { records } = await group.audit(group.vms[0]);
+    const violations = findViolations(operators.changes, records, entries);
+    const lines = [...violations.lost, ...violations.reverted, ...violations.doubled];
+    if (lines.length > 0 || watch.violations > 0) {
+        console.log([`violations with seed ${seed}:`, ...lines.slice(0, 20), ...faults.history].join("\n"));
+    }
+    entries.forEach(entry => entry.close());
+    await group.close();
+    await fs.rm(folder, { recursive: true, force: true });
+    return {
+        seed,
+        accepted: operators.acceptedCount,
+        inForceMs: listInForceMs(faultAudit, entries),
+        lost: violations.lost.length,
+        reverted: violations.reverted.length,
+        doubled: violations.doubled.length,
+        oldServing: watch.violations,
+        ...recovery,
+        isWhole,
+        faults: Object.entries(faults.counts).map(([kind, count]) => `${kind} ${count}`).join(", "),
+    };
+}
+
+function quantile(values: readonly number[], share: number): number {
+    const sorted = [...values].sort((first, second) => first - second);
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
+}
+
+function toRow(result: RunResult): Record<string, string | number> {
+    const { inForceMs } = result;
+    return {
+        "seed": result.seed,
+        "accepted": result.accepted,
+        "in force p50 ms": Math.round(quantile(inForceMs, 0.5)),
+        "p99 ms": Math.round(quantile(inForceMs, 0.99)),
+        "max ms": Math.round(quantile(inForceMs, 1)),
+        "lost": result.lost,
+        "reverted": result.reverted,
+        "doubled": result.doubled,
+        "old revision served": result.oldServing,
+        "recovery ms": Math.round(result.recoveryMs),
+        "bytes per change": Math.round(result.bytesPerChange),
+        "CPU ms per change": Number(result.cpuMsPerChange.toFixed(2)),
+        "all vote again": result.isWhole ? "yes" : "no",
+        "faults": result.faults,
+    };
+}
+
+function isPassed(result: RunResult): boolean {
+    const isClean = result.lost + result.reverted + result.doubled + result.oldServing === 0;
+    const isFast = quantile(result.inForceMs, 0.99) <= maxInForceP99Ms && result.recoveryMs <= maxRecoveryMs;
+    return isClean && isFast && result.isWhole && result.accepted >= changesUnderFaults;
+}
+
+const { values } = parseArgs({
+    options: { seed: { type: "string", default: "1" }, seeds: { type: "string", default: "1" } },
+});
+const firstSeed = Number(values.seed);
+console.log(`seeds ${firstSeed} to ${firstSeed + Number(values.seeds) - 1}`);
+const processes = new Processes();
+const results: RunResult[] = [];
+for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
+    const result = await runSeed(seed, processes);
+    results.push(result);
+    console.log(Object.entries(toRow(result)).map(([name, value]) => `${name}: ${value}`).join("; "));
+}
+await processes.stopAll();
+console.table(results.map(toRow));
+process.exit(results.every(isPassed) ? 0 : 1);
--- /dev/null
+++ b/bench/catalogueFaults.ts
@@ -0,0 +1,86 @@
+import type { RandomSource } from "../src/core/random.js";
+import { SwallowDirection } from "../src/transport/relay.js";
+import type { ControlGroup, ControlVm } from "./controlGroup.js";
+
+const faultKinds = ["kill", "pause", "wipe", "cut", "swallow", "delay"] as const;
+const minDownMs = 300;
+const maxExtraDownMs = 2500;
+const relayDelayMs = 60;
+const repairLimitMs = 15_000;
+
+/** Injects faults into control VMs, some at the same time, until it is stopped. */
+export class CatalogueFaults {
+    readonly counts: Record<string, number> = Object.fromEntries(faultKinds.map(kind => [kind, 0]));
+    readonly history: string[] = [];
+    private isStopped = false;
+
+    constructor(private readonly group: ControlGroup, private readonly random: RandomSource) {}
+
+    /** Ends when `stop` was called and the last fault is over. */
+    async run(): Promise<void> {
+        while (!this.isStopped) {
+            const kind = faultKinds[this.random.nextInt(faultKinds.length)];
+            const vm = this.group.vms[this.random.nextInt(this.group.vms.length)];
+            const durationMs = minDownMs + this.random.nextInt(maxExtraDownMs);
+            await this.inject(kind, vm, durationMs);
+            await sleep(this.random.nextInt(700));
+        }
+    }
+
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    private async inject(kind: typeof faultKinds[number], vm: ControlVm, durationMs: number): Promise<void> {
+        this.history.push(`${new Date().toISOString()} ${kind} ${vm.options.id} ${durationMs} ms`);
+        this.counts[kind]++;
+        switch (kind) {
+            case "kill":
+                await this.group.kill(vm);
+                await sleep(durationMs);
+                await this.group.startVm(vm);
+                break;
+            case "pause":
+                this.group.signal(vm, "SIGSTOP");
+                await sleep(durationMs);
+                this.group.signal(vm, "SIGCONT");
+                break;
+            case "wipe":
+                await this.wipe(vm, durationMs);
+                break;
+            case "cut":
+                vm.relay.cut();
+                await sleep(durationMs);
+                vm.relay.restore();
+                break;
+            case "swallow":
+                vm.relay.swallow(SwallowDirection.both);
+                await sleep(durationMs);
+                break;
+            case "delay":
+                vm.relay.delay(relayDelayMs);
+                await sleep(durationMs);
+                vm.relay.restore();
+                break;
+        }
+    }
+
+    /** A group of three bears the loss of one disk at a time, so each loss waits for the repair of the former one. */
+    private async wipe(vm: ControlVm, durationMs: number): Promise<void> {
+        if (await this.group.waitUntilWhole(repairLimitMs) === undefined) {
+            this.history.push("the group was not whole in time; no disk was wiped");
+            this.counts.wipe--;
+            return;
+        }
+        await this.group.kill(vm);
+        await this.group.wipe(vm);
+        await sleep(durationMs);
+        await this.group.startVm(vm);
+        // The next fault, often another VM's, comes right after the repair.
+        await this.group.waitUntilWhole(repairLimitMs);
+    }
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/bench/catalogueOperators.ts
@@ -0,0 +1,126 @@
+import type { EntryVm } from "../src/catalogue/model.js";
+import type { ApplyAnswer, ApplyParams, ChangeOperation } from "../src/control/operatorApi.js";
+import type { RandomSource } from "../src/core/random.js";
+import { benchService } from "./benchCatalogue.js";
+import type { ControlGroup, ControlVm } from "./controlGroup.js";
+
+const resendPauseMs = 100;
+const settleLimitMs = 30_000;
+const firstMark = 1000;
+
+/** A change and the answers that its operator got. */
+export interface SentChange {
+    readonly changeId: string;
+    readonly baseRevision: number;
+    /** Value of `maxInFlight` that names the change in the catalogue. */
+    readonly mark: number;
+    sends: number;
+    /** Answers other than `unknown`, in order. */
+    readonly answers: ApplyAnswer[];
+    /** When the first `accepted` answer arrived, on the monotonic clock. */
+    acceptedAtMs: number | undefined;
+}
+
+/** Operators that race with each other and resend until they know how their change ended. */
+export class CatalogueOperators {
+    readonly changes: SentChange[] = [];
+    private isStopped = false;
+
+    constructor(
+        private readonly group: ControlGroup,
+        private readonly random: RandomSource,
+        private readonly entryVms: readonly EntryVm[],
+    ) {}
+
+    get acceptedCount(): number {
+        return this.changes.filter(change => change.acceptedAtMs !== undefined).length;
+    }
+
+    /** Declares the entries and one service. */
+    async declare(): Promise<SentChange> {
+        const change = this.makeChange("declare", 0);
+        const service = benchService("orders");
+        const limits = { ...service.limits, maxInFlight: change.mark };
+        const declarations = {
+            services: [{ ...service, limits }],
+            entryVms: this.entryVms,
+            runbookCommands: [],
+        };
+        return this.send(change, { kind: "declare", declarations });
+    }
+
+    /** Makes changes one after the other until `stop` is called. */
+    async run(name: string): Promise<void> {
+        while (!this.isStopped) {
+            const revision = await this.readRevision();
+            if (revision !== undefined) {
+                await this.changeLimit(name, revision);
+            }
+        }
+    }
+
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Makes `count` changes, each as soon as the one before is durable; ends when all are answered. */
+    async pipeline(count: number): Promise<readonly SentChange[]> {
+        const pending: Promise<SentChange>[] = [];
+        let revision = await this.readRevision() ?? 0;
+        for (let done = 0; done < count; done++) {
+            pending.push(this.changeLimit("pipeline", revision));
+            const wanted = revision + 1;
+            while (revision < wanted) {
+                revision = await this.readRevision() ?? revision;
+            }
+        }
+        return Promise.all(pending);
+    }
+
+    private changeLimit(name: string, baseRevision: number): Promise<SentChange> {
+        const change = this.makeChange(name, baseRevision);
+        return this.send(change, {
+            kind: "set-service-limit",
+            service: "orders",
+            limit: "maxInFlight",
+            value: change.mark,
+        });
+    }
+
+    private makeChange(name: string, baseRevision: number): SentChange {
+        const mark = firstMark + this.changes.length;
+        const changeId = `${name}-${mark}`;
+        const change = { changeId, baseRevision, mark, sends: 0, answers: [], acceptedAtMs: undefined };
+        this.changes.push(change);
+        return change;
+    }
+
+    private async send(change: SentChange, operation: ChangeOperation): Promise<SentChange> {
+        const params: ApplyParams = { changeId: change.changeId, baseRevision: change.baseRevision, operation };
+        const endMs = performance.now() + settleLimitMs;
+        while (performance.now() < endMs) {
+            change.sends++;
+            const answer = await this.group.apply(this.pickVm(), params).catch(() => undefined);
+            if (answer !== undefined && answer.outcome !== "unknown") {
+                change.answers.push(answer);
+            }
+            if (answer?.outcome === "accepted") {
+                change.acceptedAtMs ??= performance.now();
+            }
+            if (answer !== undefined && answer.outcome !== "unknown" && answer.outcome !== "pending") {
+                break;
+            }
+            await new Promise(resolve => setTimeout(resolve, resendPauseMs));
+        }
+        return change;
+    }
+
+    private async readRevision(): Promise<number | undefined> {
+        const answer = await this.group.show(this.pickVm()).catch(() => undefined);
+        return answer?.catalogue.revision;
+    }
+
+    private pickVm(): ControlVm {
+        return this.group.vms[this.random.nextInt(this.group.vms.length)];
+    }
+}
--- a/src/control/testing/fakeGroup.ts
+++ b/src/control/testing/fakeGroup.ts
@@ -23,6 +23,8 @@
 /** Small limits, so that short runs make snapshots and send them in several parts. */
 const testLimits: ReplicaLimits = {
     ...defaultReplicaLimits,
+    // Safety must not depend on a leader stepping down in time.
+    quorumLossMs: 5000,
     compactAfterRecords: 24,
     keepRecords: 6,
     maxRecordsPerMessage: 5,
--- a/src/transport/relay.ts
+++ b/src/transport/relay.ts
@@ -19,6 +19,8 @@
 
 /** TCP relay for tests and benchmarks that injects faults between two processes. */
 export class TcpRelay {
+    /** Bytes forwarded in both directions. */
+    forwardedBytes = 0;
     private readonly server: net.Server;
     private readonly pairs = new Set<RelayedPair>();
     private isCut = false;
@@ -109,6 +111,7 @@
     }
 
     private write(from: net.Socket, to: net.Socket, chunk: Buffer): void {
+        this.forwardedBytes += chunk.length;
         if (!to.destroyed && !to.write(chunk)) {
             from.pause();
             to.once("drain", () => from.resume());
