Let a VM without a log learn its peers' addresses from their answers

After its disk was lost, a VM got the leader's records but did not know where to send its answers, so it never caught up.

--- a/src/control/formation.ts
+++ b/src/control/formation.ts
@@ -89,7 +89,13 @@
 
     private async ask(address: string, method: string): Promise<HelloAnswer | undefined> {
         try {
-            return await this.links.call(address, method, this.self, callTimeoutMs) as HelloAnswer;
+            const answer = await this.links.call(address, method, this.self, callTimeoutMs) as HelloAnswer | null;
+            if (answer === null) {
+                return undefined;
+            }
+            // A VM without a log needs the address to answer the leader's messages.
+            this.links.learn({ id: answer.id, peerAddress: address });
+            return answer;
         }
         catch {
             // An unreachable VM is asked again in the next step.
