--- /dev/null
+++ b/src/control/catalogueService.test.ts
@@ -0,0 +1,232 @@
+import test from "ava";
+import type { EntryVm, Service } from "../catalogue/model.js";
+import { ManualClock } from "../core/clock.js";
+import { CatalogueLog, type ProposalEnd } from "./catalogueLog.js";
+import { CatalogueService } from "./catalogueService.js";
+import { CatalogueState } from "./catalogueState.js";
+import { EntryTable } from "./entryTable.js";
+import type { ChangeCommand } from "./messages.js";
+import type { ApplyAnswer, ChangeOperation, ConfigSyncParams, VoterStatus } from "./operatorApi.js";
+
+/** Log that takes changes at once, or loses them as the table says. */
+class FakeLog extends CatalogueLog {
+    readonly state = new CatalogueState();
+    readonly selfId = "a1";
+    isLeader = true;
+    leaderAddress: string | undefined;
+    ends: ProposalEnd["kind"][] = [];
+    confirmations = 0;
+
+    propose(change: ChangeCommand): Promise<ProposalEnd> {
+        const kind = this.ends.shift() ?? "applied";
+        const result = kind === "refused" ? undefined : this.state.apply(change);
+        return Promise.resolve(kind === "applied" && result !== undefined ? { kind, result } : { kind } as ProposalEnd);
+    }
+
+    confirmLeadership(): Promise<boolean> {
+        this.confirmations++;
+        return Promise.resolve(this.isLeader);
+    }
+
+    listVoters(): readonly VoterStatus[] {
+        return [];
+    }
+}
+
+const service: Service = {
+    name: "orders",
+    owner: "ann",
+    class: "interactive",
+    limits: {
+        maxInFlight: 100,
+        requestsPerSecond: 100,
+        maxQueuedPerEntry: 10,
+        maxPerCallerPerEntry: 10,
+        maxBodyBytes: 1024,
+        defaultDeadlineMs: 1000,
+    },
+    policy: "random",
+    measuringBudgetMsPerSecond: 10,
+    probeCostMs: 1,
+    retryRatio: 0.1,
+    hedging: { enabled: false, afterQuantile: 0.99 },
+    idempotentMethods: ["GET"],
+    rampMs: 0,
+};
+
+function makeVm(id: string, region: string): EntryVm {
+    const port = 2000 + [...id].reduce((sum, letter) => sum * 2 + letter.charCodeAt(0), 0);
+    const availabilityZone = `${region}-1`;
+    const address = `127.0.0.1:${port}`;
+    return { id, region, availabilityZone, address, peerAddress: `127.0.0.2:${port}`, state: "active" };
+}
+
+function declare(...entryVms: readonly EntryVm[]): ChangeOperation {
+    return { kind: "declare", declarations: { services: [service], entryVms, runbookCommands: [] } };
+}
+
+function setLimit(value: number): ChangeOperation {
+    return { kind: "set-service-limit", service: "orders", limit: "maxInFlight", value };
+}
+
+function syncParams(entryId: string, revision: number): ConfigSyncParams {
+    return {
+        entryId,
+        availabilityZone: "east-1",
+        region: "east",
+        incarnation: 1,
+        revision,
+        isDraining: false,
+        isConfirmed: true,
+        measuringSpentMsPerSecond: {},
+        upstreams: [],
+        problems: [],
+    };
+}
+
+const eastVms = ["e1", "e2", "e3"].map(id => makeVm(id, "east"));
+const westVms = ["w1", "w2", "w3"].map(id => makeVm(id, "west"));
+
+function setUp() {
+    const log = new FakeLog();
+    const entries = new EntryTable();
+    const service = new CatalogueService(log, entries, new ManualClock(), 50);
+    const apply = (changeId: string, baseRevision: number, operation: ChangeOperation, operator = "ann") =>
+        service.answer("catalogue.apply", { changeId, baseRevision, operation }, { operator, from: "::1" }) as Promise<
+            ApplyAnswer
+        >;
+    const hold = (ids: readonly string[], revision: number) =>
+        ids.forEach(id => entries.record(syncParams(id, revision), 0));
+    return { log, entries, service, apply, hold };
+}
+
+/** Which entries hold the change, and what its operator is told. */
+const holders: readonly { name: string; holding: readonly string[]; expected: ApplyAnswer["outcome"]; }[] = [
+    { name: "no entry", holding: [], expected: "pending" },
+    { name: "a majority of one region only", holding: ["e1", "e2", "e3", "w1"], expected: "pending" },
+    { name: "a majority of all without one of each region", holding: ["e1", "e2", "e3"], expected: "pending" },
+    { name: "a majority of each region", holding: ["e1", "e2", "w2", "w3"], expected: "accepted" },
+];
+
+for (const { name, holding, expected } of holders) {
+    test(`guards against acceptance before the entries hold the change: ${name}`, async t => {
+        const { apply, hold } = setUp();
+        t.is(
+            (await apply("first", 0, declare(...eastVms, ...westVms))).outcome,
+            "accepted",
+            "no entry was listed before",
+        );
+        const answer = apply("second", 1, setLimit(7));
+        hold(holding, 2);
+        const { outcome, revision, entriesTotal } = await answer;
+        t.deepEqual([outcome, revision, entriesTotal], [expected, 2, 6]);
+    });
+}
+
+test("a pending change is settled by the same command, with its first revision", async t => {
+    const { log, apply, hold } = setUp();
+    await apply("first", 0, declare(...eastVms));
+    t.is((await apply("second", 1, setLimit(7))).outcome, "pending");
+    hold(["e1", "e2"], 3);
+    await apply("third", 2, setLimit(8));
+    const settled = await apply("second", 1, setLimit(7));
+    t.deepEqual([settled.outcome, settled.revision], ["accepted", 2]);
+    t.is(log.state.revision, 3);
+});
+
+test("guards against entries that a change adds or removes deciding wrongly", async t => {
+    const { apply, hold } = setUp();
+    await apply("first", 0, declare(...eastVms));
+    const grown = apply("second", 1, declare(...eastVms, makeVm("e4", "east"), makeVm("e5", "east")));
+    hold(["e1", "e2"], 2);
+    t.is((await grown).outcome, "accepted", "added entries are not waited for");
+    const shrunk = apply("third", 2, declare(eastVms[0]));
+    hold(["e1"], 3);
+    t.is((await shrunk).outcome, "pending", "removed entries still confirm the old revision among themselves");
+});
+
+/** Commands after a first change of another operator, and their answers. */
+const races: readonly {
+    name: string;
+    changeId: string;
+    base: number;
+    operation: ChangeOperation;
+    expected: ApplyAnswer["outcome"];
+    winner?: string;
+}[] = [
+    { name: "a racing change", changeId: "b", base: 0, operation: setLimit(1), expected: "conflict", winner: "a" },
+    { name: "a resend", changeId: "a", base: 0, operation: declare(), expected: "accepted" },
+    { name: "a used change id", changeId: "a", base: 1, operation: setLimit(1), expected: "rejected" },
+    { name: "a base that is not in force", changeId: "c", base: 9, operation: setLimit(1), expected: "conflict" },
+    { name: "an invalid value", changeId: "d", base: 1, operation: setLimit(-1), expected: "rejected" },
+    {
+        name: "an unknown entry",
+        changeId: "e",
+        base: 1,
+        operation: { kind: "set-entry-vm-state", entryId: "x", state: "draining" },
+        expected: "rejected",
+    },
+    { name: "a malformed operation", changeId: "f", base: 1, operation: { kind: "x" } as never, expected: "rejected" },
+];
+
+for (const { name, changeId, base, operation, expected, winner } of races) {
+    test(`guards against a lost update: ${name} is ${expected}`, async t => {
+        const { log, apply } = setUp();
+        t.is((await apply("a", 0, declare())).outcome, "accepted");
+        const answer = await apply(changeId, base, operation, "bob");
+        t.is(answer.outcome, expected, answer.detail);
+        t.is(answer.winner?.changeId, winner);
+        t.is(answer.winner?.operator, winner === undefined ? undefined : "ann");
+        t.is(log.state.revision, 1);
+        t.deepEqual(await apply(changeId, base, operation, "bob"), answer, "a resend gets the same answer");
+    });
+}
+
+test("guards against a doubled change: an unknown outcome is settled by a resend", async t => {
+    const { log, apply } = setUp();
+    log.ends = ["unknown"];
+    t.is((await apply("a", 0, declare())).outcome, "unknown");
+    t.is((await apply("a", 0, declare())).outcome, "accepted");
+    t.is(log.state.revision, 1);
+    log.ends = ["refused"];
+    await t.throwsAsync(apply("b", 1, setLimit(3)), { message: /no control VM leads/ });
+    t.is(log.state.revision, 1);
+});
+
+test("config.sync carries the catalogue to an entry that is behind, and names the leader elsewhere", async t => {
+    const { log, service, apply } = setUp();
+    await apply("a", 0, declare());
+    const behind = await service.sync(syncParams("e1", 0));
+    t.deepEqual([behind.isQuorumConfirmed, behind.revision, behind.catalogue?.revision], [true, 1, 1]);
+    t.is((await service.sync(syncParams("e1", 1))).catalogue, undefined);
+    log.isLeader = false;
+    log.leaderAddress = "127.0.0.1:7";
+    const elsewhere = await service.sync(syncParams("e1", 1));
+    t.deepEqual([elsewhere.isQuorumConfirmed, elsewhere.leaderAddress], [false, "127.0.0.1:7"]);
+});
+
+test("guards against claims spread over a forgotten list: entry lists are kept for 11 min of leader time", t => {
+    const state = new CatalogueState();
+    const minuteMs = 60_000;
+    const apply = (minute: number, operation: ChangeOperation) =>
+        state.apply({
+            changeId: `at-${minute}`,
+            baseRevision: state.revision,
+            operation,
+            operator: "ann",
+            from: "::1",
+            leaderTimeMs: minute * minuteMs,
+            problem: undefined,
+        });
+    apply(0, declare(eastVms[0]));
+    apply(1, declare(eastVms[0], eastVms[1]));
+    apply(12, declare(...eastVms));
+    t.deepEqual(state.current.entryLists.map(list => list.revision), [1, 2, 3]);
+    const restored = new CatalogueState();
+    restored.restore(state.toBytes());
+    t.deepEqual(restored.toBytes(), state.toBytes(), "a snapshot keeps the whole state");
+    apply(13, setLimit(5));
+    t.deepEqual(state.current.entryLists.map(list => list.revision), [2, 3]);
+    apply(3, setLimit(6));
+    t.deepEqual(state.current.entryLists.map(list => list.revision), [2, 3], "a leader whose clock is behind");
+});
--- a/src/control/catalogueService.ts
+++ b/src/control/catalogueService.ts
@@ -16,7 +16,7 @@
 } from "./operatorApi.js";
 import { findChangeProblem, parseApplyParams } from "./validation.js";
 
-const entryWaitMs = 4000;
+const defaultEntryWaitMs = 4000;
 const confirmTimeoutMs = 2000;
 
 /** Who sent an operator's call. */
@@ -32,6 +32,8 @@
         private readonly log: CatalogueLog,
         private readonly entries: EntryTable,
         private readonly clock: Clock,
+        /** How long a call waits for the entries. */
+        private readonly entryWaitMs = defaultEntryWaitMs,
     ) {}
 
     /** Answers an operator's call. Throws ControlError when it cannot be answered at the moment. */
@@ -131,7 +133,7 @@
             };
             const check = () => this.entries.isHeldByMajorities(groups, revision) && finish(true);
             const unwatch = this.entries.watch(check);
-            const timer = setTimeout(() => finish(false), entryWaitMs);
+            const timer = setTimeout(() => finish(false), this.entryWaitMs);
             check();
         });
     }
--- /dev/null
+++ b/src/control/quorumRounds.test.ts
@@ -0,0 +1,19 @@
+import test from "ava";
+import { QuorumRounds } from "./quorumRounds.js";
+
+const isMajority = (hasAnswered: (id: string) => boolean) => hasAnswered("b") || hasAnswered("c");
+
+test("guards against a stale read: a read asked for during a round waits for the next one", t => {
+    const rounds = new QuorumRounds();
+    t.true(rounds.addRead(1), "the first read starts a round");
+    t.false(rounds.addRead(2), "a round is running");
+    rounds.noteAnswer("b", 1);
+    t.true(rounds.advance(isMajority), "the next round is needed");
+    t.deepEqual(rounds.takeConfirmed(), [1]);
+    rounds.noteAnswer("c", 1);
+    t.false(rounds.advance(isMajority), "a late answer to the first round does not end the second one");
+    t.deepEqual(rounds.takeConfirmed(), []);
+    rounds.noteAnswer("c", 2);
+    t.false(rounds.advance(isMajority), "no read waits for a third round");
+    t.deepEqual(rounds.takeConfirmed(), [2]);
+});
