Free the slot of an attempt that is abandoned after its grant

An attempt that was abandoned between the decision and its delivery kept its slot at the entry, and the periodic report kept it at the owner, so the slot was lost for good. Found by the cold-start test, whose second burst got no slot.

--- a/src/routing/serviceRoute.ts
+++ b/src/routing/serviceRoute.ts
@@ -98,6 +98,12 @@
         this.attempts.set(attemptId, row.id);
     }
 
+    /** Frees the slot of an attempt that was never sent; false when it has none. */
+    giveBack(attemptId: AttemptId, nowMs: number): boolean {
+        this.health.finish(attemptId, SampleKind.unused, 0, 0, nowMs);
+        return this.attempts.delete(attemptId);
+    }
+
     /** Records how an attempt ended; undefined when it used no slot. */
     end(outcome: AttemptOutcome, nowMs: number): SampleKind | undefined {
         const service = this.service;
--- a/src/routing/serviceRouter.test.ts
+++ b/src/routing/serviceRouter.test.ts
@@ -77,6 +77,20 @@
     t.is(fake.granted(second).length, 3);
 });
 
+test("guards against a slot that is never freed: the attempt is abandoned after its slot was granted", t => {
+    const fake = new FakeRouters({ entries: 3, upstreams: 1, slots: 1 });
+    fake.run(settleMs);
+    for (const entry of fake.ids) {
+        fake.route(entry, `given-up-${entry}`);
+        fake.run(10);
+        fake.abandon(entry, `given-up-${entry}`);
+        fake.run(10);
+    }
+    fake.route("e0", "next");
+    fake.run(10);
+    t.is(fake.upstreamOf("next"), "u0");
+});
+
 test("guards against slots lost for good: grants of an entry that died and lost releases become free", t => {
     const fake = new FakeRouters({ entries: 3, upstreams: 1, slots: 2 });
     fake.run(settleMs);
--- a/src/routing/serviceRouter.ts
+++ b/src/routing/serviceRouter.ts
@@ -54,6 +54,7 @@
         if (service !== undefined) {
             this.slotsOf(service, nowMs).abandon(attemptId, nowMs);
             this.serviceByAttempt.delete(attemptId);
+            this.decisions = this.decisions.filter(delayed => delayed.attemptId !== attemptId);
         }
     }
 
--- a/src/routing/serviceSlots.ts
+++ b/src/routing/serviceSlots.ts
@@ -77,7 +77,8 @@
     }
 
     abandon(attemptId: AttemptId, nowMs: number): void {
-        if (this.client?.remove(attemptId)) {
+        // The attempt may have got a slot that its request has not learned of yet.
+        if (this.client?.remove(attemptId) || this.local.giveBack(attemptId, nowMs)) {
             this.sendRelease(attemptId, SampleKind.unused, 0, nowMs);
         }
     }
--- a/test/fakeRouters.ts
+++ b/test/fakeRouters.ts
@@ -118,6 +118,12 @@
         this.flush(entry);
     }
 
+    /** The attempt no longer waits. */
+    abandon(entry: EntryId, attemptId: string): void {
+        this.routers.get(entry)?.abandon(attemptId, this.nowMs);
+        this.flush(entry);
+    }
+
     upstreamOf(attemptId: string): string | undefined {
         const decision = this.decisions.get(attemptId);
         return decision?.kind === "upstream" ? decision.upstreamId : undefined;
