Measure the slopes of routing decisions, grants and upstream rows

bench:routing gets a warm-up scenario that is not reported, since in the first runs the first scenario of each policy fell behind while code was compiled and connections were opened.

--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -14,6 +14,8 @@
 const seed = Number(process.env.SEED ?? 1);
 const runMs = Number(process.env.RUN_MS ?? 6000);
 const warmUpMs = 1500;
+/** Entries and upstreams need compiled code and open connections before they are measured. */
+const warmUp: Scenario = { name: "warm-up", load: 0.3 };
 const entryCount = 9;
 const loadProcesses = 4;
 const leadMs = 700;
@@ -255,6 +257,7 @@
             const folder = fs.mkdtempSync(path.join(os.tmpdir(), "figwharf-routing-"));
             const run = await PolicyRun.start(processes, fleet, policy, folder);
             try {
+                await run.measure(warmUp);
                 for (const current of scenarios.filter(it => names.includes(it.name))) {
                     rows.push(...await run.measure(current));
                 }
--- /dev/null
+++ b/bench/slopes/routing.ts
@@ -0,0 +1,167 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { type Catalogue, emptyCatalogue, PolicyName } from "../../src/catalogue/model.js";
+import { SeededRandom } from "../../src/core/random.js";
+import type { UpstreamRow } from "../../src/membership/view.js";
+import type { RequestFacts } from "../../src/requests/model.js";
+import { ServiceRouter } from "../../src/routing/serviceRouter.js";
+import { SlotMethod } from "../../src/routing/slotMessages.js";
+import { benchService } from "../benchCatalogue.js";
+import type { SlopeRow } from "./requests.js";
+
+const instanceCounts = [15, 30, 60, 120, 240];
+const messageCounts = [5000, 10_000, 20_000, 40_000];
+const rowCounts = [1000, 2000, 4000, 8000];
+const decisionsPerCount = 5000;
+const warmUpDecisions = 2000;
+const slots = 3;
+const messageInstances = 15;
+const inFlight = 20;
+const peerId = "entry-2";
+
+/** Measures CPU time of routing decisions and grants, and memory of upstream rows; takes a few seconds. */
+export function measureRoutingSlopes(): SlopeRow[] {
+    return [
+        ...instanceCounts.map(size => measureDecision(PolicyName.leastOutstanding, size)),
+        ...instanceCounts.map(size => measureDecision(PolicyName.slotGrants, size)),
+        ...messageCounts.map(measureGrants),
+        ...rowCounts.map(measureRows),
+    ];
+}
+
+/** Mean time of a decision and the end of its attempt by number of instances, with some attempts in flight. */
+function measureDecision(policy: PolicyName, size: number): SlopeRow {
+    const router = makeRouter(policy, size, false);
+    const decide = (from: number, count: number) => {
+        for (let index = from; index < from + count; index++) {
+            router.route(`a${index}`, requestOf(index), [], index / 10);
+            endAttempt(router, index - inFlight, index / 10);
+            router.takeEffects();
+            router.takeDecisions();
+        }
+    };
+    decide(0, warmUpDecisions);
+    const costUs = timeUs(() => decide(warmUpDecisions, decisionsPerCount)) / decisionsPerCount;
+    return { name: `route decision, ${policy}, by instances`, size, cost: costUs, unit: "us" };
+}
+
+/** Time at the owner of a request for a slot and its release, without transport, by number of grants. */
+function measureGrants(size: number): SlopeRow {
+    const router = makeRouter(PolicyName.slotGrants, messageInstances, true);
+    router.handlePeerMessage(peerId, heldMessage, 0);
+    const grant = (from: number, count: number) => {
+        for (let index = from; index < from + count; index++) {
+            const attemptId = `g${index}`;
+            const acquire = {
+                service: "orders",
+                attemptId,
+                class: "interactive",
+                remainingMs: 1000,
+                avoid: [],
+                availabilityZone: "az-1",
+                isRetry: false,
+            };
+            const release = { service: "orders", attemptId: `g${index - inFlight}`, kind: "ok", latencyMs: 2 };
+            router.handlePeerMessage(peerId, { method: SlotMethod.acquire, params: acquire }, index / 10);
+            router.handlePeerMessage(peerId, { method: SlotMethod.release, params: release }, index / 10);
+            router.takeEffects();
+        }
+    };
+    grant(0, warmUpDecisions);
+    const cost = timeUs(() => grant(warmUpDecisions, size));
+    return { name: "grant and release at the owner, without transport", size, cost, unit: "us" };
+}
+
+/** Memory of the routing rows of upstreams, at the owner. */
+function measureRows(size: number): SlopeRow {
+    const router = makeRouter(PolicyName.slotGrants, size, false);
+    const before = usedBytes();
+    router.route("first", requestOf(0), [], 0);
+    const cost = usedBytes() - before;
+    router.takeEffects();
+    return { name: "routing row of an upstream", size, cost, unit: "bytes" };
+}
+
+function makeRouter(policy: PolicyName, instances: number, hasPeer: boolean): ServiceRouter {
+    const rows = Array.from({ length: instances }, (_unused, index) => makeRow(index));
+    const byId = new Map(rows.map(row => [row.announcement.id, row]));
+    const catalogue: Catalogue = {
+        ...emptyCatalogue,
+        revision: 1,
+        services: { orders: benchService("orders", { policy }) },
+    };
+    const peer = { id: peerId, availabilityZone: "az-1", incarnation: 1, revision: 1, isDraining: true, heardAtMs: 0 };
+    return new ServiceRouter({
+        selfId: "entry-1",
+        peers: {
+            selfId: "entry-1",
+            availabilityZone: "az-1",
+            // A draining peer owns nothing, so this entry is the owner.
+            livePeers: () => hasPeer ? [peer] : [],
+            findPeer: () => peer,
+        },
+        upstreams: { eligibleUpstreams: () => rows, findUpstream: (_service, id) => byId.get(id) },
+        catalogue: () => catalogue,
+        random: new SeededRandom(1),
+    });
+}
+
+const heldMessage = {
+    method: SlotMethod.held,
+    params: { service: "orders", slots: [], isOwnerAccepted: true, probeMs: 0 },
+};
+
+function makeRow(index: number): UpstreamRow {
+    const announcement = {
+        id: `orders-${index}`,
+        service: "orders",
+        address: `127.0.0.1:${10_000 + index}`,
+        availabilityZone: `az-${index % 3 + 1}`,
+        slots,
+        state: "ready",
+        incarnation: 1,
+        sequence: 1,
+        leaseMs: 2500,
+    } as const;
+    return { announcement, evidenceAtMs: 0, readySinceMs: 0 };
+}
+
+function requestOf(index: number): RequestFacts {
+    return {
+        id: `r${index}`,
+        service: "orders",
+        method: "GET",
+        path: "/",
+        callerId: "",
+        idempotencyKey: undefined,
+        bodyHash: undefined,
+        isBodyReplayable: true,
+        deadlineAtMs: Number.MAX_SAFE_INTEGER,
+    };
+}
+
+function endAttempt(router: ServiceRouter, index: number, nowMs: number): void {
+    router.finish({
+        attemptId: `a${index}`,
+        service: "orders",
+        upstreamId: "",
+        latencyMs: 2,
+        failure: undefined,
+        status: 200,
+        load: undefined,
+    }, nowMs);
+}
+
+function timeUs(run: () => void): number {
+    const startedAt = process.hrtime.bigint();
+    run();
+    return Number(process.hrtime.bigint() - startedAt) / 1000;
+}
+
+function usedBytes(): number {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    collect();
+    collect();
+    return process.memoryUsage().heapUsed;
+}
