--- a/src/requests/claims.property.test.ts
+++ b/src/requests/claims.property.test.ts
@@ -133,7 +133,7 @@
             answered += cluster.answers.size;
             t.is(findViolation(cluster), undefined);
         }),
-        { seed: 20261204, numRuns: 300 },
+        { seed: 20261204, numRuns: 300, endOnFailure: true },
     );
     // A cluster that refuses everything would keep all promises.
     t.true(ran > 300, `${ran} runs`);
