--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -3,6 +3,7 @@
 import { fitLines } from "./slopes/fit.js";
 import { measureMembershipSlopes } from "./slopes/membership.js";
 import { measureClaimSlopes } from "./slopes/requests.js";
+import { measureRoutingSlopes } from "./slopes/routing.js";
 import { measureTransportSlopes } from "./slopes/transport.js";
 
 function formatFigure(value: number): string {
@@ -14,6 +15,7 @@
     ...measureMembershipSlopes(),
     ...await measureTransportSlopes(),
     ...measureClaimSlopes(),
+    ...measureRoutingSlopes(),
 ];
 const lines = fitLines(rows);
 const table = formatTable([
