Ask all control VMs at once when reading

During a pause of one zone, status waited 6 s for the paused control VM that stands first in the settings. Reads are harmless to repeat, so they go to all addresses; changes still go to one at a time. An entry that is no longer heard shows its confirmation as unknown: 17 s after the pause it still read as yes.

--- a/src/cli/commands.test.ts
+++ b/src/cli/commands.test.ts
@@ -81,6 +81,7 @@
     /** Behaviour of each control VM by method; undefined for one that refuses connections. */
     readonly controls: readonly (Readonly<Record<string, FakeBehaviour[]>> | undefined)[];
     readonly exitCode: number;
+    readonly callTimeoutMs?: number;
     readonly stdout?: RegExp;
     readonly stderr?: RegExp;
     /** Number of `catalogue.apply` calls over all control VMs; they all carry the same change id. */
@@ -255,6 +256,37 @@
         exitCode: 0,
         stdout: /answered by control-2, confirmed by a quorum/,
     },
+    {
+        guards: "a status that waits for a control VM that never answers",
+        command: "status",
+        controls: [{ status: [{ kind: "silent" }] }, { status: [{ kind: "result", result: status }] }],
+        callTimeoutMs: 600_000,
+        exitCode: 0,
+        stdout: /answered by control-1, confirmed by a quorum/,
+    },
+    {
+        guards: "a list that waits for a control VM that never answers",
+        command: "audit",
+        controls: [
+            { "audit.list": [{ kind: "silent" }] },
+            { "audit.list": [{ kind: "result", result: { records: [winner] } }] },
+        ],
+        callTimeoutMs: 600_000,
+        exitCode: 0,
+        stdout: /1 record/,
+    },
+    {
+        guards: "an old confirmation of an entry that is no longer heard, shown as valid",
+        command: "status",
+        controls: [{
+            status: [{
+                kind: "result",
+                result: { ...status, entries: status.entries.map(entry => ({ ...entry, heardAgoMs: 17_000 })) },
+            }],
+        }],
+        exitCode: 0,
+        stdout: /entry-1 +sherbrooke +4 +unknown +no +17.0 s ago/,
+    },
     {
         guards: "a lost quorum that is not said plainly",
         command: "status",
@@ -303,14 +335,14 @@
     });
 }
 
-async function runAgainst({ command, controls, exitCode }: CommandCase, extra: readonly string[] = []) {
+async function runAgainst({ command, controls, exitCode, callTimeoutMs }: CommandCase, extra: readonly string[] = []) {
     const fakes = controls.map(script => script === undefined ? undefined : new FakeControl(script));
     const controlAddresses = await Promise.all(fakes.map(fake => fake?.listen() ?? closedAddress));
     const folder = mkdtempSync(path.join(tmpdir(), "figwharf-cli-"));
     const config = path.join(folder, "operator.jsonc");
     writeFileSync(path.join(folder, "token"), `${token}\n`);
     const timeouts = exhaustingExitCodes.includes(exitCode) ? { totalTimeoutMs: exhaustedTimeoutMs } : {};
-    const settings = { operator: "asha", controlAddresses, tokenFile: "token", ...timeouts };
+    const settings = { operator: "asha", controlAddresses, tokenFile: "token", callTimeoutMs, ...timeouts };
     writeFileSync(config, `// operator\n${JSON.stringify(settings)}`);
     const finished = await runCommand([...command.split(" "), ...extra, "--config", config]);
     await Promise.all(fakes.map(fake => fake?.close()));
--- a/src/cli/controlClient.ts
+++ b/src/cli/controlClient.ts
@@ -42,21 +42,18 @@
     constructor(private readonly settings: ControlClientSettings) {}
 
     async show(): Promise<ShowAnswer> {
-        return await this.callAny(OperatorMethod.show, {}) as ShowAnswer;
+        return await this.read(OperatorMethod.show, {}) as ShowAnswer;
     }
 
     /** Returns the view of the leader, or of any control VM when none leads with a quorum. */
     async status(): Promise<StatusAnswer> {
-        let unconfirmed: StatusAnswer | undefined;
-        for (const address of this.settings.controlAddresses) {
+        const answers = this.settings.controlAddresses.map(async address => {
             const end = await this.call(address, OperatorMethod.status, {});
-            const answer = end.kind === "answer" ? end.result as StatusAnswer : undefined;
-            if (answer?.isQuorumConfirmed) {
-                return answer;
-            }
-            unconfirmed ??= answer;
-        }
-        return unconfirmed ?? await this.callAny(OperatorMethod.status, {}) as StatusAnswer;
+            return end.kind === "answer" ? end.result as StatusAnswer : undefined;
+        });
+        const confirmed = await firstThat(answers, answer => answer?.isQuorumConfirmed === true);
+        const unconfirmed = confirmed ?? (await Promise.all(answers)).find(answer => answer !== undefined);
+        return unconfirmed ?? await this.read(OperatorMethod.status, {}) as StatusAnswer;
     }
 
     async close(): Promise<void> {
@@ -64,7 +61,7 @@
     }
 
     async listAudit(method: "audit.list" | "catalogue.history", filter: AuditFilter): Promise<AuditAnswer> {
-        return await this.callAny(method, filter) as AuditAnswer;
+        return await this.read(method, filter) as AuditAnswer;
     }
 
     /**
@@ -92,12 +89,20 @@
         throw new OperatorError("control-unavailable", { reason: reasonOf(end) });
     }
 
-    private async callAny(method: OperatorMethod, params: unknown): Promise<unknown> {
-        const end = await this.callUntilSettled(method, params, attempt => attempt.kind === "answer");
-        if (end.kind !== "answer") {
-            throw new OperatorError("control-unavailable", { reason: reasonOf(end) });
+    /** Asks all control VMs at once, so that one that does not answer delays nothing; reading twice is harmless. */
+    private async read(method: OperatorMethod, params: unknown): Promise<unknown> {
+        const endAtMs = performance.now() + this.settings.totalTimeoutMs;
+        while (true) {
+            const calls = this.settings.controlAddresses.map(address => this.call(address, method, params));
+            const end = await firstThat(calls, candidate => candidate.kind === "answer");
+            if (end?.kind === "answer") {
+                return end.result;
+            }
+            if (performance.now() + pauseBetweenRoundsMs >= endAtMs) {
+                throw new OperatorError("control-unavailable", { reason: reasonOf(await calls[0]) });
+            }
+            await sleep(pauseBetweenRoundsMs);
         }
-        return end.result;
     }
 
     private async callUntilSettled(
@@ -158,6 +163,22 @@
     return { kind, reason: `${address}: ${error.message}` };
 }
 
+/** Returns the first result that fits, or undefined when none does. Rejects when one rejects before that. */
+function firstThat<Result>(
+    results: readonly Promise<Result>[],
+    isFitting: (result: Result) => boolean,
+): Promise<Result | undefined> {
+    return new Promise((resolve, reject) => {
+        const checked = results.map(async result => {
+            const value = await result;
+            if (isFitting(value)) {
+                resolve(value);
+            }
+        });
+        Promise.all(checked).then(() => resolve(undefined), reject);
+    });
+}
+
 function reasonOf(end: CallEnd): string {
     return end.kind === "answer" ? "no control VM settled the change" : end.reason;
 }
--- a/src/cli/reports.ts
+++ b/src/cli/reports.ts
@@ -11,6 +11,8 @@
 import { formatDifferences, formatOrigin, readReport, type Report } from "./report.js";
 import { formatCount, formatTable } from "./table.js";
 
+const confirmationLifeMs = 3_000;
+
 /** Lists upstreams as the entries report them, with the overrides of operators. */
 export async function reportUpstreams(client: ControlClient, service?: string): Promise<Report> {
     const { catalogue } = await client.show();
@@ -95,12 +97,17 @@
         entry.id,
         entry.availabilityZone,
         String(entry.revision),
-        entry.isConfirmed ? "yes" : "NO",
+        isHeard(entry) ? entry.isConfirmed ? "yes" : "NO" : "unknown",
         entry.isDraining ? "yes" : "no",
         formatAge(entry.heardAgoMs),
     ];
 }
 
+/** Whether the confirmation that an entry reported can still hold; it holds for 3 s. */
+function isHeard({ heardAgoMs }: EntryStatus): boolean {
+    return heardAgoMs >= 0 && heardAgoMs <= confirmationLifeMs;
+}
+
 /** Spending of probes by service, summed over the entries that own it or owned it a moment ago. */
 function measuringLines(status: StatusAnswer): string[] {
     const spent = new Map<string, number>();
--- a/test/fakeControl.ts
+++ b/test/fakeControl.ts
@@ -7,7 +7,9 @@
     | { readonly kind: "error"; readonly code: string; readonly message: string; }
     | { readonly kind: "status"; readonly status: number; }
     /** Reads the call and closes the connection without an answer. */
-    | { readonly kind: "hang-up"; };
+    | { readonly kind: "hang-up"; }
+    /** Reads the call and never answers, as a paused process does. */
+    | { readonly kind: "silent"; };
 
 /** A call as the fake received it. */
 export interface FakeCall {
@@ -68,6 +70,9 @@
                 return;
             case "hang-up":
                 response.destroy();
+                return;
+            case "silent":
+                return;
         }
     }
 }
