--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -38,6 +38,8 @@
     /** Value of `Bench-Request` in this try. */
     readonly name: string;
     readonly entryAddress: string;
+    readonly startedAtMs: number;
+    readonly endedAtMs: number;
     readonly outcome: TryOutcome;
     readonly detail: string;
 }
@@ -91,7 +93,7 @@
             }
             await new Promise(resolve => setTimeout(resolve, retryDelayMs * this.random.nextUnit()));
         }
-        const { outcome } = tries[tries.length - 1];
+        const outcome = combineOutcomes(tries.map(it => it.outcome));
         return { call, outcome, latencyMs: performance.now() - startedAtMs, tries };
     }
 
@@ -137,6 +139,7 @@
     }
 
     private async tryOnce(call: Call, entryAddress: string, name: string): Promise<CallTry> {
+        const startedAtMs = performance.now();
         const headers: Record<string, string> = { "bench-request": name };
         if (call.hasIdempotencyKey) {
             headers["idempotency-key"] = call.name;
@@ -152,10 +155,19 @@
             });
             const text = await response.body.text();
             const [outcome, detail] = classify(call, response.statusCode, response.headers, text);
-            return { name, entryAddress, outcome, detail };
+            return { name, entryAddress, startedAtMs, endedAtMs: performance.now(), outcome, detail };
         }
         catch (error) {
-            return { name, entryAddress, outcome: TryOutcome.dropped, detail: String(error) };
+            const { code, message } = error as NodeJS.ErrnoException;
+            const detail = `${code ?? ""} ${message}`;
+            return {
+                name,
+                entryAddress,
+                startedAtMs,
+                endedAtMs: performance.now(),
+                outcome: TryOutcome.dropped,
+                detail,
+            };
         }
     }
 }
@@ -174,6 +186,13 @@
     }
 }
 
+/** A call that ends with `not-run` may have run in an earlier try that got no answer. */
+function combineOutcomes(outcomes: readonly TryOutcome[]): TryOutcome {
+    const last = outcomes[outcomes.length - 1];
+    const isUnclear = outcomes.some(it => it === TryOutcome.dropped || it === TryOutcome.mayHaveRun);
+    return last === TryOutcome.notRun && isUnclear ? TryOutcome.mayHaveRun : last;
+}
+
 function classify(
     call: Call,
     status: number,
