--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -8,6 +8,9 @@
 
 const maxAttempts = 4;
 
+/** Why a request gets a further attempt. */
+export type RetryReason = "failed" | "slow" | "silent";
+
 /** Refusal of an attempt by the router. */
 export type RouteRefusal = Extract<RouteDecision, { readonly kind: "refuse"; }>;
 type RouteChoice = Extract<RouteDecision, { readonly kind: "upstream"; }>;
@@ -52,10 +55,14 @@
     }
 
     /** Takes one attempt from the service's retry budget; false when there is none or the deadline has passed. */
-    takeRetry(request: RequestRow, nowMs: number): boolean {
-        return request.attemptCount < maxAttempts
-            && nowMs < request.facts.deadlineAtMs
-            && this.router.takeRetry(request.facts.service, nowMs);
+    takeRetry(request: RequestRow, reason: RetryReason, nowMs: number): boolean {
+        const { service, deadlineAtMs } = request.facts;
+        if (request.attemptCount >= maxAttempts || nowMs >= deadlineAtMs) {
+            return false;
+        }
+        const isGranted = this.router.takeRetry(service, nowMs);
+        this.outbox.count(isGranted ? "requests.retries" : "requests.retries-denied", { service, reason });
+        return isGranted;
     }
 
     /** Stops the attempts of a request, except one. */
--- a/src/requests/lifecycle.test.ts
+++ b/src/requests/lifecycle.test.ts
@@ -172,6 +172,17 @@
     t.deepEqual(driver.router.finished.map(it => it.failure), ["cancelled", undefined]);
 });
 
+test("guards against a slow request that asks for the retry budget again with each tick", t => {
+    const driver = new LifecycleDriver();
+    driver.router.hedgeAfterMs = 20;
+    driver.router.retriesLeft = 0;
+    driver.request(get);
+    for (let count = 0; count < 10; count++) {
+        driver.tick(10);
+    }
+    t.is(driver.router.retriesLeft, -1);
+});
+
 test("guards against silent connections: an idempotent attempt fails over and the pool is reset; a POST waits", t => {
     const driver = new LifecycleDriver();
     for (let index = 0; index < 20; index++) {
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -68,6 +68,7 @@
             trials: this.trials,
             runner: this.runner,
             closer: this.closer,
+            outbox,
         });
         this.slowAttempts = new SlowAttempts(options.router, this.runner, outbox);
     }
@@ -245,7 +246,10 @@
             this.trials.end(request, nowMs);
         }
         const mayRunAgain = request.isIdempotent || request.endedVerdict === Verdict.notRun;
-        if (mayRunAgain && request.isBodyIntact && !request.isCallerGone && this.runner.takeRetry(request, nowMs)) {
+        if (
+            mayRunAgain && request.isBodyIntact && !request.isCallerGone &&
+            this.runner.takeRetry(request, "failed", nowMs)
+        ) {
             return this.starter.run(request, nowMs);
         }
         this.closer.answer(request, answers.failureAnswer(request.lastFailure, verdictOfRequest(request)), nowMs);
--- a/src/requests/requestCloser.ts
+++ b/src/requests/requestCloser.ts
@@ -47,6 +47,8 @@
 
     /** Ends a request with an answer of figwharf itself. */
     answer(request: RequestRow, answer: GeneratedAnswer, nowMs: number): void {
+        const { verdict, reason } = answer;
+        this.outbox.count("requests.answers", { service: request.facts.service, verdict, reason });
         if (!request.isCallerGone) {
             this.outbox.push({ kind: "answer", requestId: request.facts.id, answer });
         }
--- a/src/requests/requestStarter.ts
+++ b/src/requests/requestStarter.ts
@@ -6,6 +6,7 @@
 import type { ClaimStack } from "./claimStack.js";
 import type { CrashGuard } from "./crashGuard.js";
 import type { RequestFacts } from "./model.js";
+import type { Outbox } from "./outbox.js";
 import type { RequestCloser } from "./requestCloser.js";
 import { type RequestRow, RequestStage, type RequestTable, verdictOfRequest } from "./requestTable.js";
 import { fingerprintOf, Standing } from "./suspectTable.js";
@@ -21,6 +22,7 @@
     readonly trials: Trials;
     readonly runner: AttemptRunner;
     readonly closer: RequestCloser;
+    readonly outbox: Outbox;
 }
 
 /** Takes a request through its claims to an attempt, or to a refusal. */
@@ -72,6 +74,7 @@
         if (trialRequestId !== undefined) {
             return this.continueTrial(request, this.parts.trials.onDecided(request, result, nowMs), nowMs);
         }
+        this.parts.outbox.count("claims.decided", { service: request.facts.service, result: result.kind });
         if (result.kind === "granted") {
             return this.run(request, nowMs);
         }
--- a/src/requests/slowAttempts.ts
+++ b/src/requests/slowAttempts.ts
@@ -46,8 +46,9 @@
         if (delayMs === undefined || !isUnanswered(attempt) || nowMs - attempt.dispatchedAtMs < delayMs) {
             return;
         }
-        if (this.runner.takeRetry(request, nowMs)) {
-            request.hasHedged = true;
+        // One question per request: asking again each tick would let few slow requests empty the budget as it fills.
+        request.hasHedged = true;
+        if (this.runner.takeRetry(request, "slow", nowMs)) {
             this.runner.start(request, nowMs);
         }
     }
@@ -61,7 +62,7 @@
         attempt.isSilent = true;
         this.resetPool(attempt.target?.address ?? "", nowMs);
         const hasOtherAttempt = [...request.attempts.values()].some(it => !it.isSilent);
-        if (!hasOtherAttempt && this.runner.takeRetry(request, nowMs)) {
+        if (!hasOtherAttempt && this.runner.takeRetry(request, "silent", nowMs)) {
             this.runner.start(request, nowMs);
         }
     }
