--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -8,7 +8,7 @@
 import { Attempt } from "./attempt.js";
 import { BufferBudget } from "./bufferBudget.js";
 import { checkConnection } from "./connectionCheck.js";
-import type { EntryCore } from "./core.js";
+import { type EntryCore, unconfirmedAnswer } from "./core.js";
 import { Exchange } from "./exchange.js";
 import { parseCount, parseLoadReport } from "./headers.js";
 import type { PeerLinks } from "./links.js";
@@ -16,6 +16,7 @@
 import type { EntryLimits, EntryOptions } from "./options.js";
 import { probeUpstream } from "./probe.js";
 import { readBody, statedLength } from "./requestBody.js";
+import { measureRequest } from "./requestMetrics.js";
 import { UpstreamPools } from "./upstreamPools.js";
 
 const instanceIdBytes = 6;
@@ -74,11 +75,15 @@
         outgoing.on("error", () => undefined);
         outgoing.on("close", () => this.onCallerClosed(exchange));
         const receivedAtMs = this.nowMs();
+        exchange.receivedAtMs = receivedAtMs;
         const deadlineMs = this.deadlineMs(exchange);
         const row = this.core.config.catalogue.services[service];
         if (deadlineMs === undefined) {
             exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
         }
+        else if (!this.core.isServing(receivedAtMs)) {
+            exchange.answer(unconfirmedAnswer);
+        }
         else if (row === undefined) {
             exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
         }
@@ -146,6 +151,7 @@
     }
 
     private onEnded(exchange: Exchange): void {
+        measureRequest(exchange, this.options.metrics, this.nowMs());
         this.exchanges.delete(exchange.id);
         this.budget.release(exchange.reservedBytes);
         exchange.admitted?.release();
