Cap extra grants at the slots and scale ejections with the latency

In real processes on the busy machine (load average 28 to 38, idle below 13%) delays of entries counted as message overhead, grants rose to 150 for 51 slots, the median latency rose from 50 to 280 ms, and with it the time of ejections. Extra grants are now at most the slots. The first ejection of a slow instance lasts 8 median latencies instead of 40 ms, which is the same at 5 ms of work and fits other service times.

--- a/src/routing/instanceHealth.ts
+++ b/src/routing/instanceHealth.ts
@@ -8,7 +8,8 @@
 const maxSampleRatio = 10;
 const badSamplesToEject = 2;
 const medianLifetimeMs = 20;
-const slowEjectionMs = 40;
+/** First ejection of a slow instance, in median latencies: its running requests have mostly ended by then. */
+const slowEjectionMedians = 8;
 const maxSlowEjectionMs = 5000;
 const failureEjectionMs = 200;
 const maxFailureEjectionMs = 30_000;
@@ -218,7 +219,7 @@
 
     private eject(row: InstanceRow, cause: EjectionCause, nowMs: number): void {
         const isFailing = cause === EjectionCause.failing;
-        const baseMs = isFailing ? failureEjectionMs : slowEjectionMs;
+        const baseMs = isFailing ? failureEjectionMs : slowEjectionMedians * this.medianMs(nowMs);
         const maxMs = isFailing ? maxFailureEjectionMs : maxSlowEjectionMs;
         const decayed = Math.floor((nowMs - row.readmittedAtMs) / ejectionDecayMs);
         if (row.ejectedUntilMs === 0) {
--- a/src/routing/slotTable.ts
+++ b/src/routing/slotTable.ts
@@ -14,6 +14,8 @@
  * that keeps slots busy when service times scatter.
  */
 const extraPerOverhead = 4;
+/** Delays of a busy entry count as overhead too; without a limit they would fill the queues of the upstreams. */
+const maxExtraShare = 1;
 /** An instance that has refused work gets no more than its slots for this long. */
 const shedMemoryMs = 1000;
 
@@ -120,7 +122,7 @@
      */
     private extraShare(nowMs: number): number {
         const medianMs = this.health.medianMs(nowMs);
-        return medianMs > 0 ? extraPerOverhead * this.overheadMs / medianMs : 0;
+        return medianMs > 0 ? Math.min(maxExtraShare, extraPerOverhead * this.overheadMs / medianMs) : 0;
     }
 }
 
