--- a/src/cli/commands/daemons.ts
+++ b/src/cli/commands/daemons.ts
@@ -43,18 +43,11 @@
     static summary = "Run an entry: accept callers and route their requests to upstreams.";
     static description = `SIGTERM drains the entry; requests in flight are finished. ${daemonHelp}`;
     static examples = ["<%= config.bin %> entry --settings /etc/figwharf/entry.jsonc"];
-    static flags = {
-        ...settingsFlag,
-        // A flag and not a setting, because a restart that kept it would forget the claims of earlier requests.
-        "first-start": Flags.boolean({
-            description:
-                "no entry of the site has ever run, so there are no claims to read from others; never for a restart",
-        }),
-    };
+    static flags = settingsFlag;
 
     protected async start(): Promise<void> {
         const { flags } = await this.parse(Entry);
-        await runEntry(requireValid(loadEntrySettings(flags.settings)), flags["first-start"]);
+        await runEntry(requireValid(loadEntrySettings(flags.settings)));
     }
 }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -44,8 +44,8 @@
     return new StatsD({ ...common, host, port, prefix: settings.prefix, maxBufferSize: datagramBytes, errorHandler });
 }
 
-/** Returns the options of an entry from its settings; see the flag `--first-start` for `isFirstStart`. */
-export function createEntryOptions(settings: LoadedEntrySettings, isFirstStart: boolean): EntryOptions {
+/** Returns the options of an entry from its settings. */
+export function createEntryOptions(settings: LoadedEntrySettings): EntryOptions {
     const { id, region, availabilityZone, controlAddresses, clusterSecret, limits } = settings;
     return {
         id,
@@ -54,7 +54,6 @@
         controlAddresses,
         clusterSecret,
         limits,
-        claims: { isFirstStart },
         listen: toListenAddress(settings.listen),
         peerListen: toListenAddress(settings.peerListen),
         logger: createLogger("entry", settings.log, [clusterSecret]),
@@ -65,8 +64,8 @@
 }
 
 /** Starts an entry that drains on SIGTERM and SIGINT and then ends the process with status 0. */
-export async function runEntry(settings: LoadedEntrySettings, isFirstStart: boolean): Promise<RunningEntry> {
-    const entry = await startEntry(createEntryOptions(settings, isFirstStart));
+export async function runEntry(settings: LoadedEntrySettings): Promise<RunningEntry> {
+    const entry = await startEntry(createEntryOptions(settings));
     onStopSignal(() => entry.drain());
     return entry;
 }
