--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -14,7 +14,7 @@
 
 const controlCount = 3;
 const entryCount = 6;
-const operatorCount = 6;
+const operatorCount = 10;
 const changesUnderFaults = 300;
 const changesBehind = 500;
 const oldRevisionLimitMs = 3000;
--- a/src/control/replica.property.test.ts
+++ b/src/control/replica.property.test.ts
@@ -111,6 +111,9 @@
         if (outcome === ApplyOutcome.accepted && revision !== baseRevision + 1) {
             violations.push(`${changeId} was accepted at ${revision} on base ${baseRevision}`);
         }
+        if (outcome === ApplyOutcome.conflict && audit.some(record => record.changeId === changeId)) {
+            violations.push(`${changeId} was answered with a conflict and was made`);
+        }
         if (outcome === ApplyOutcome.conflict && revision === baseRevision) {
             violations.push(`${changeId} got a conflict with its own base ${baseRevision}`);
         }
--- /dev/null
+++ b/src/control/replica.test.ts
@@ -0,0 +1,114 @@
+import test from "ava";
+import { SeededRandom } from "../core/random.js";
+import { CatalogueState } from "./catalogueState.js";
+import type { ControlEffect, LogRecord, PersistedState, ReplicationMessage } from "./messages.js";
+import { Replica } from "./replica.js";
+
+const members = {
+    voters: ["a", "b", "c"].map(id => ({ id, peerAddress: `${id}:1` })),
+    learners: [],
+};
+
+function changeRecord(index: number, term: number): LogRecord {
+    const change = {
+        changeId: `change-${index}`,
+        baseRevision: index - 1,
+        operation: {
+            kind: "declare" as const,
+            declarations: { services: [], entryVms: [], runbookCommands: [] },
+        },
+        operator: "ann",
+        from: "::1",
+        leaderTimeMs: 0,
+        problem: undefined,
+    };
+    return { index, term, command: { kind: "change", change } };
+}
+
+function makeReplica(records: readonly LogRecord[], term: number) {
+    const snapshot = { index: 0, term: 0, members, state: new Uint8Array() };
+    const persisted: PersistedState = { term, votedFor: undefined, snapshot, records };
+    const machine = new CatalogueState();
+    const replica = new Replica({ selfId: "a", persisted, machine, random: new SeededRandom(1), nowMs: 0 });
+    const receive = (from: string, message: ReplicationMessage, nowMs = 5000) =>
+        replica.handle({ kind: "message", from, message }, nowMs);
+    return { replica, machine, receive };
+}
+
+function sent(effects: readonly ControlEffect[], kind: ReplicationMessage["kind"]): readonly ReplicationMessage[] {
+    return effects.flatMap(effect => effect.kind === "send" && effect.message.kind === kind ? [effect.message] : []);
+}
+
+/** Lets the replica win the election of the next term with the vote of `b`. */
+function elect({ replica, receive }: ReturnType<typeof makeReplica>): void {
+    replica.tick(5000);
+    const term = replica.term + 1;
+    receive("b", { kind: "pre-vote-answer", term, isGranted: true });
+    receive("b", { kind: "vote-answer", term, isGranted: true });
+}
+
+const votes: readonly {
+    name: string;
+    question: { kind: "vote" | "pre-vote"; term: number; lastIndex: number; lastTerm: number; };
+    isGranted: boolean;
+}[] = [
+    { name: "a shorter log", question: { kind: "vote", term: 3, lastIndex: 1, lastTerm: 2 }, isGranted: false },
+    {
+        name: "a log of an older term",
+        question: { kind: "vote", term: 3, lastIndex: 9, lastTerm: 1 },
+        isGranted: false,
+    },
+    { name: "an equal log", question: { kind: "vote", term: 3, lastIndex: 2, lastTerm: 2 }, isGranted: true },
+    { name: "a past term", question: { kind: "vote", term: 1, lastIndex: 9, lastTerm: 2 }, isGranted: false },
+    { name: "a shorter log", question: { kind: "pre-vote", term: 3, lastIndex: 1, lastTerm: 2 }, isGranted: false },
+    { name: "an equal log", question: { kind: "pre-vote", term: 3, lastIndex: 2, lastTerm: 2 }, isGranted: true },
+];
+
+for (const { name, question, isGranted } of votes) {
+    test(`guards against a leader without accepted changes: ${question.kind} for ${name} is ${isGranted}`, t => {
+        const { receive } = makeReplica([changeRecord(1, 1), changeRecord(2, 2)], 2);
+        const effects = receive("b", question);
+        t.like(sent(effects, `${question.kind}-answer`)[0], { isGranted });
+        const isSaved = effects.some(effect => effect.kind === "save-vote" && effect.votedFor === "b");
+        t.is(isSaved, isGranted && question.kind === "vote", "a vote is saved, a pre-vote changes nothing");
+    });
+}
+
+test("guards against two votes in one term", t => {
+    const { receive } = makeReplica([], 2);
+    const question = { kind: "vote", term: 3, lastIndex: 5, lastTerm: 2 } as const;
+    t.like(sent(receive("b", question), "vote-answer")[0], { isGranted: true });
+    t.like(sent(receive("c", question), "vote-answer")[0], { isGranted: false });
+    t.like(sent(receive("b", question), "vote-answer")[0], { isGranted: true }, "a repeated question");
+});
+
+test("guards against a disturbed leader: a pre-vote is refused while a leader is heard", t => {
+    const { receive } = makeReplica([], 2);
+    const heartbeat = { previousIndex: 0, previousTerm: 0, records: [], commitIndex: 0, round: 0 };
+    receive("b", { kind: "append", term: 2, ...heartbeat }, 5000);
+    const question = { kind: "pre-vote", term: 3, lastIndex: 5, lastTerm: 2 } as const;
+    t.like(sent(receive("c", question, 5300), "pre-vote-answer")[0], { isGranted: false });
+    t.like(sent(receive("c", question, 6000), "pre-vote-answer")[0], { isGranted: true });
+});
+
+test("guards against a reverted change: records of an older term count only with one of the leader's own term", t => {
+    const group = makeReplica([changeRecord(1, 1), changeRecord(2, 2)], 3);
+    elect(group);
+    t.is(group.replica.role, "leader");
+    const answer = { kind: "append-answer", term: 4, isMatch: true, round: 0, revision: 0 } as const;
+    group.receive("b", { ...answer, matchIndex: 2 });
+    t.is(group.machine.revision, 0, "another leader could still replace record 2");
+    group.receive("b", { ...answer, matchIndex: 3 });
+    t.is(group.machine.revision, 2);
+});
+
+test("guards against a read or a change at a leader that lost its quorum", t => {
+    const group = makeReplica([], 1);
+    elect(group);
+    const read = group.replica.handle({ kind: "read", requestId: 1 }, 5100);
+    t.false(read.some(effect => effect.kind === "answer"), "the read waits for a quorum");
+    const late = group.replica.handle({ kind: "read", requestId: 2 }, 9000);
+    const answers = late.flatMap(effect => effect.kind === "answer" ? [[effect.requestId, effect.answer.kind]] : []);
+    t.deepEqual(answers, [[1, "lost"], [2, "refused"]]);
+    t.is(group.replica.role, "follower");
+});
