Keep retention by a group time that a wall clock cannot move

A leader whose wall clock is far ahead would have ended the retention of entry lists early, and claims spread over a dropped list could run twice. The time in a record is now the time in the replicated state plus monotonic time; the wall clock remains for the audit trail. The differences kept in the audit trail are bounded too, since 20000 records of 200 differences would not fit the memory limit.

--- a/bench/slopes/control.ts
+++ b/bench/slopes/control.ts
@@ -87,7 +87,8 @@
             operation,
             operator: "bench",
             from: "127.0.0.1",
-            leaderTimeMs: 0,
+            proposedAtMs: 0,
+            groupTimeMs: 0,
             problem,
         });
         if (result.outcome !== "accepted") {
--- a/src/control/catalogueService.test.ts
+++ b/src/control/catalogueService.test.ts
@@ -205,7 +205,7 @@
     t.deepEqual([elsewhere.isQuorumConfirmed, elsewhere.leaderAddress], [false, "127.0.0.1:7"]);
 });
 
-test("guards against claims spread over a forgotten list: entry lists are kept for 11 min of leader time", t => {
+test("guards against claims spread over a forgotten list: entry lists are kept for 11 min of the group's time", t => {
     const state = new CatalogueState();
     const minuteMs = 60_000;
     const apply = (minute: number, operation: ChangeOperation) =>
@@ -215,7 +215,8 @@
             operation,
             operator: "ann",
             from: "::1",
-            leaderTimeMs: minute * minuteMs,
+            proposedAtMs: 0,
+            groupTimeMs: minute * minuteMs,
             problem: undefined,
         });
     apply(0, declare(eastVms[0]));
@@ -228,5 +229,5 @@
     apply(13, setLimit(5));
     t.deepEqual(state.current.entryLists.map(list => list.revision), [2, 3]);
     apply(3, setLimit(6));
-    t.deepEqual(state.current.entryLists.map(list => list.revision), [2, 3], "a leader whose clock is behind");
+    t.deepEqual(state.current.entryLists.map(list => list.revision), [2, 3], "a leader whose time is behind");
 });
--- a/src/control/catalogueService.ts
+++ b/src/control/catalogueService.ts
@@ -2,6 +2,7 @@
 import { ControlError } from "../core/errors.js";
 import type { CatalogueLog } from "./catalogueLog.js";
 import type { EntryTable } from "./entryTable.js";
+import { GroupTime } from "./groupTime.js";
 import type { ChangeResult, EntryGroup } from "./messages.js";
 import {
     type ApplyAnswer,
@@ -28,13 +29,23 @@
 
 /** Answers the calls of operators and entries at the control VM that leads. */
 export class CatalogueService {
+    private readonly groupTime: GroupTime;
+
     constructor(
         private readonly log: CatalogueLog,
         private readonly entries: EntryTable,
         private readonly clock: Clock,
         /** How long a call waits for the entries. */
         private readonly entryWaitMs = defaultEntryWaitMs,
-    ) {}
+    ) {
+        this.groupTime = new GroupTime(log.state);
+        this.observeTime();
+    }
+
+    /** Takes note of the time of the group; called regularly, also where this VM does not lead. */
+    observeTime(): void {
+        this.groupTime.observe(this.clock.monotonicMs());
+    }
 
     /** Answers an operator's call. Throws ControlError when it cannot be answered at the moment. */
     async answer(method: string, params: unknown, caller: OperatorCaller): Promise<unknown> {
@@ -85,9 +96,11 @@
             baseRevision,
             operation,
             ...caller,
-            leaderTimeMs: this.clock.now().getTime(),
+            proposedAtMs: this.clock.now().getTime(),
+            groupTimeMs: this.groupTime.read(this.clock.monotonicMs()),
             problem: findChangeProblem(this.log.state.current, operation),
         });
+        this.observeTime();
         switch (end.kind) {
             case "applied":
                 return this.awaitEntries(end.result);
--- a/src/control/catalogueState.ts
+++ b/src/control/catalogueState.ts
@@ -15,6 +15,8 @@
 /** Claims are retained for 10 min; the lists they were spread over are kept one minute longer. */
 const entryListRetentionMs = 11 * 60 * 1000;
 const maxAuditRecords = 20_000;
+/** Differences kept over all audit records; they take most of the memory. */
+const maxDifferences = 100_000;
 
 const packr = new Packr({ useRecords: false });
 
@@ -22,7 +24,7 @@
     readonly catalogue: Catalogue;
     readonly audit: readonly AuditRecord[];
     readonly results: readonly ChangeResult[];
-    readonly leaderTimeMs: number;
+    readonly groupTimeMs: number;
     readonly replacedLists: readonly (readonly [number, number])[];
 }
 
@@ -30,15 +32,21 @@
 export class CatalogueState {
     private catalogue: Catalogue = emptyCatalogue;
     private audit: AuditRecord[] = [];
+    private differenceCount = 0;
     private results = new Map<string, ChangeResult>();
-    private leaderTimeMs = 0;
-    /** When a list was replaced, by its revision, in the leader's time. */
+    private timeMs = 0;
+    /** When a list was replaced, by its revision, in the time of the group. */
     private replacedLists = new Map<number, number>();
 
     get revision(): number {
         return this.catalogue.revision;
     }
 
+    /** Time of the group at the last change. */
+    get groupTimeMs(): number {
+        return this.timeMs;
+    }
+
     get current(): Catalogue {
         return this.catalogue;
     }
@@ -51,7 +59,7 @@
 
     /** Applies a command. A change id that is already known gets its first result. */
     apply(command: ChangeCommand): ChangeResult {
-        this.leaderTimeMs = Math.max(this.leaderTimeMs, command.leaderTimeMs);
+        this.timeMs = Math.max(this.timeMs, command.groupTimeMs);
         const digest = digestOperation(command.operation);
         const known = this.results.get(command.changeId);
         if (known !== undefined) {
@@ -79,7 +87,7 @@
             catalogue: this.catalogue,
             audit: this.audit,
             results: [...this.results.values()],
-            leaderTimeMs: this.leaderTimeMs,
+            groupTimeMs: this.timeMs,
             replacedLists: [...this.replacedLists],
         };
         return packr.pack(image);
@@ -89,8 +97,9 @@
         const image = packr.unpack(bytes) as StateImage;
         this.catalogue = image.catalogue;
         this.audit = [...image.audit];
+        this.differenceCount = image.audit.reduce((sum, record) => sum + record.difference.length, 0);
         this.results = new Map(image.results.map(result => [result.changeId, result]));
-        this.leaderTimeMs = image.leaderTimeMs;
+        this.timeMs = image.groupTimeMs;
         this.replacedLists = new Map(image.replacedLists);
     }
 
@@ -122,7 +131,7 @@
         const list = changedEntryList(next, revision);
         const replaced = currentEntryList(before);
         if (list !== undefined && replaced !== undefined) {
-            this.replacedLists.set(replaced.revision, this.leaderTimeMs);
+            this.replacedLists.set(replaced.revision, this.timeMs);
         }
         const lists = this.retainedLists(next);
         this.catalogue = { ...next, revision, entryLists: list === undefined ? lists : [...lists, list] };
@@ -134,7 +143,7 @@
     private retainedLists(catalogue: Catalogue): Catalogue["entryLists"] {
         const kept = catalogue.entryLists.filter(list => {
             const replacedAtMs = this.replacedLists.get(list.revision);
-            return replacedAtMs === undefined || this.leaderTimeMs - replacedAtMs <= entryListRetentionMs;
+            return replacedAtMs === undefined || this.timeMs - replacedAtMs <= entryListRetentionMs;
         });
         const keptRevisions = new Set(kept.map(list => list.revision));
         [...this.replacedLists.keys()].filter(key => !keptRevisions.has(key)).forEach(key =>
@@ -153,8 +162,9 @@
         requiredGroups?: readonly EntryGroup[],
     ): ChangeResult {
         const { changeId, operator, from } = command;
-        const at = new Date(command.leaderTimeMs).toISOString();
+        const at = new Date(command.proposedAtMs).toISOString();
         const operation = command.operation.kind;
+        this.differenceCount += difference.length;
         this.audit.push({
             revision: this.revision,
             changeId,
@@ -171,8 +181,8 @@
 
     /** A forgotten change id cannot be applied twice: its base revision is no longer the current one. */
     private forgetOldest(): void {
-        if (this.audit.length > maxAuditRecords) {
-            this.audit.splice(0, this.audit.length - maxAuditRecords);
+        while (this.audit.length > maxAuditRecords || this.differenceCount > maxDifferences) {
+            this.differenceCount -= this.audit.shift()?.difference.length ?? 0;
         }
         for (const changeId of this.results.keys()) {
             if (this.results.size <= maxAuditRecords) {
--- a/src/control/daemon.ts
+++ b/src/control/daemon.ts
@@ -15,7 +15,7 @@
 import { ReplicaHost } from "./replicaHost.js";
 
 const identityBytes = 6;
-const forgetIntervalMs = 10_000;
+const housekeepingMs = 1000;
 
 /** Parts of a running control VM. */
 interface ControlParts {
@@ -47,17 +47,14 @@
         parts = makeParts(options, close);
         const { host, port } = options.peerListen;
         const peerPort = await parts.peers.listen(host, port);
-        const forgetTimer = setInterval(
-            () => parts?.entries.forgetSilent(options.clock.monotonicMs()),
-            forgetIntervalMs,
-        );
+        const timer = setInterval(() => keepHouse(options, parts), housekeepingMs);
         parts.formation = makeFormation(options, parts, peerPort);
         parts.formation.start().catch((error: Error) => options.logger.error(error.message));
         options.logger.info("control VM started", { id: parts.host.selfId, peerPort, operatorPort });
         return {
             operatorPort,
             peerPort,
-            close: () => Promise.all([clearInterval(forgetTimer), close()]).then(noResult),
+            close: () => Promise.all([clearInterval(timer), close()]).then(noResult),
         };
     }
     catch (error) {
@@ -66,6 +63,11 @@
     }
 }
 
+function keepHouse({ clock }: ControlOptions, parts: ControlParts | undefined): void {
+    parts?.entries.forgetSilent(clock.monotonicMs());
+    parts?.service.observeTime();
+}
+
 function noResult(): void {
     // Closing has no result.
 }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -22,8 +22,10 @@
     readonly operator: string;
     /** Address the change came from. */
     readonly from: string;
-    /** Wall-clock time of the leader in Unix milliseconds; all replicas decide on retention by it. */
-    readonly leaderTimeMs: number;
+    /** Wall-clock time of the leader in Unix milliseconds, for the audit trail. */
+    readonly proposedAtMs: number;
+    /** Time of the group at the leader; all replicas decide on retention by it. */
+    readonly groupTimeMs: number;
     /**
      * What the leader found when it checked the operation against the base revision. The finding is replicated, since
      * replicas of different versions may check differently.
--- a/src/control/replica.test.ts
+++ b/src/control/replica.test.ts
@@ -19,7 +19,8 @@
         },
         operator: "ann",
         from: "::1",
-        leaderTimeMs: 0,
+        proposedAtMs: 0,
+        groupTimeMs: 0,
         problem: undefined,
     };
     return { index, term, command: { kind: "change", change } };
--- a/src/control/replicaHost.test.ts
+++ b/src/control/replicaHost.test.ts
@@ -12,7 +12,8 @@
     operation: { kind: "declare" as const, declarations: { services: [], entryVms: [], runbookCommands: [] } },
     operator: "ann",
     from: "::1",
-    leaderTimeMs: 0,
+    proposedAtMs: 0,
+    groupTimeMs: 0,
     problem: undefined,
 };
 
--- a/src/control/testing/operators.ts
+++ b/src/control/testing/operators.ts
@@ -117,7 +117,8 @@
             },
             operator: this.name,
             from: "127.0.0.1",
-            leaderTimeMs: this.group.nowMs,
+            proposedAtMs: 0,
+            groupTimeMs: this.group.nowMs,
             problem: undefined,
         };
     }
