--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -22,6 +22,7 @@
 const phaseLimitMs = 120_000;
 const maxInForceP99Ms = 1000;
 const maxRecoveryMs = 2000;
+const maxPartitionShownMs = 5000;
 
 /** Figures of one seed. */
 interface RunResult {
@@ -33,6 +34,7 @@
     readonly doubled: number;
     readonly oldServing: number;
     readonly recoveryMs: number;
+    readonly partitionShownMs: number;
     readonly bytesPerChange: number;
     readonly cpuMsPerChange: number;
     readonly isWhole: boolean;
@@ -95,6 +97,23 @@
     return { recoveryMs: performance.now() - startMs, bytesPerChange, cpuMsPerChange };
 }
 
+/** Returns how long it takes until `status` names a VM whose connections are cut, in ms. */
+async function measurePartition(group: ControlGroup): Promise<number> {
+    const vm = group.vms[1];
+    const startMs = performance.now();
+    vm.relay.cut();
+    let isShown = false;
+    while (!isShown && performance.now() - startMs < phaseLimitMs) {
+        const status = await group.status(group.vms[0]).catch(() => undefined);
+        isShown = status?.voters.some(row =>
+            row.id.startsWith(`${vm.options.id}.`) && row.problems.length > 0
+        ) === true;
+        await new Promise(resolve => setTimeout(resolve, sampleIntervalMs));
+    }
+    vm.relay.restore();
+    return performance.now() - startMs;
+}
+
 async function runSeed(seed: number, processes: Processes): Promise<RunResult> {
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), "figwharf-catalogue-"));
     const random = new SeededRandom(seed);
@@ -110,6 +129,7 @@
     const isWhole = await group.waitUntilWhole(phaseLimitMs / 4) !== undefined;
     const faultAudit = (await group.audit(group.vms[0])).records;
     const recovery = await measureRecovery(group, operators);
+    const partitionShownMs = await measurePartition(group);
     watch.stop();
     const { records } = await group.audit(group.vms[0]);
     const violations = findViolations(operators.changes, records, entries);
@@ -129,6 +149,7 @@
         doubled: violations.doubled.length,
         oldServing: watch.violations,
         ...recovery,
+        partitionShownMs,
         isWhole,
         faults: Object.entries(faults.counts).map(([kind, count]) => `${kind} ${count}`).join(", "),
     };
@@ -155,6 +176,7 @@
         "doubled": result.doubled,
         "old revision served": result.oldServing,
         "recovery ms": Math.round(result.recoveryMs),
+        "partition shown ms": Math.round(result.partitionShownMs),
         "bytes per change": Math.round(result.bytesPerChange),
         "CPU ms per change": Number(result.cpuMsPerChange.toFixed(2)),
         "all vote again": result.isWhole ? "yes" : "no",
@@ -164,7 +186,8 @@
 
 function isPassed(result: RunResult): boolean {
     const isClean = result.lost + result.reverted + result.doubled + result.oldServing === 0;
-    const isFast = quantile(result.inForce.reachable, 0.99) <= maxInForceP99Ms && result.recoveryMs <= maxRecoveryMs;
+    const isFast = quantile(result.inForce.reachable, 0.99) <= maxInForceP99Ms &&
+        result.recoveryMs <= maxRecoveryMs && result.partitionShownMs <= maxPartitionShownMs;
     return isClean && isFast && result.isWhole && result.accepted >= changesUnderFaults;
 }
 
