--- a/src/routing/serviceRouter.test.ts
+++ b/src/routing/serviceRouter.test.ts
@@ -164,3 +164,25 @@
     }
     t.true(retries <= 100 && retries >= 95, `${retries} retries`);
 });
+
+test("guards against a flood that occupies the owner: entries at the limit ask it at most every few milliseconds", t => {
+    const fake = new FakeRouters({ entries: 4, upstreams: 20, slots: 50, limits: { requestsPerSecond: 1000 } });
+    fake.run(settleMs);
+    const owner = fake.ownerId();
+    let [asked, refused] = [0, 0];
+    fake.run(1000, () => {
+        for (const entry of fake.ids.filter(id => id !== owner)) {
+            for (let index = 0; index < 10; index++) {
+                const decision = fake.route(entry, `${fake.nowMs}-${entry}-${index}`);
+                asked += decision.kind === "wait" ? 1 : 0;
+                refused += decision.kind === "refuse" ? 1 : 0;
+                if (decision.kind === "upstream") {
+                    fake.finish(entry, `${fake.nowMs}-${entry}-${index}`);
+                }
+            }
+        }
+    });
+    // A round trip takes 2 ms, in which 20 requests arrive; then the entry pauses for 5 ms.
+    t.true(asked <= 30_000 / 3, `${asked} of 30000 requests asked the owner`);
+    t.true(refused >= 20_000, `${refused} refused at their entry`);
+});
