--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -16,7 +16,8 @@
 
 /** Starts processes and stops all that it started, by id. */
 export class Processes {
-    private readonly started = new Set<BenchProcess>();
+    /** All child processes from their start to their end, also those that are not ready. */
+    private readonly children = new Set<ChildProcess>();
 
     constructor() {
         process.on("exit", () => this.killAll());
@@ -31,10 +32,10 @@
         const child = spawn(process.execPath, [path, JSON.stringify(options)], {
             stdio: ["ignore", "pipe", "inherit"],
         });
+        this.children.add(child);
+        child.once("exit", () => this.children.delete(child));
         const ready = await waitForReady(child, name);
-        const started = { name, child, ready, pid: child.pid as number };
-        this.started.add(started);
-        return started;
+        return { name, child, ready, pid: child.pid as number };
     }
 
     signal(target: BenchProcess, signal: NodeJS.Signals): void {
@@ -45,10 +46,7 @@
 
     /** Waits for the end of a process and returns its exit code; undefined when a signal ended it. */
     async waitForExit(target: BenchProcess): Promise<number | undefined> {
-        if (target.child.exitCode === null && target.child.signalCode === null) {
-            await once(target.child, "exit");
-        }
-        this.started.delete(target);
+        await waitForEnd(target.child);
         return target.child.exitCode ?? undefined;
     }
 
@@ -58,11 +56,19 @@
     }
 
     async stopAll(): Promise<void> {
-        await Promise.all([...this.started].map(target => this.kill(target)));
+        const ends = [...this.children].map(waitForEnd);
+        this.killAll();
+        await Promise.all(ends);
     }
 
     private killAll(): void {
-        this.started.forEach(target => this.signal(target, "SIGKILL"));
+        this.children.forEach(child => child.kill("SIGKILL"));
+    }
+}
+
+async function waitForEnd(child: ChildProcess): Promise<void> {
+    if (child.exitCode === null && child.signalCode === null) {
+        await once(child, "exit");
     }
 }
 
