--- a/src/control/catalogueService.ts
+++ b/src/control/catalogueService.ts
@@ -6,7 +6,6 @@
 import {
     type ApplyAnswer,
     ApplyOutcome,
-    type ApplyParams,
     type AuditAnswer,
     type AuditFilter,
     type ConfigSyncAnswer,
@@ -15,9 +14,9 @@
     type ShowAnswer,
     type StatusAnswer,
 } from "./operatorApi.js";
-import { findParamsProblem } from "./validation.js";
+import { findChangeProblem, parseApplyParams } from "./validation.js";
 
-const entryWaitMs = 4000;
+const defaultEntryWaitMs = 4000;
 const confirmTimeoutMs = 2000;
 
 /** Who sent an operator's call. */
@@ -33,6 +32,8 @@
         private readonly log: CatalogueLog,
         private readonly entries: EntryTable,
         private readonly clock: Clock,
+        /** How long a call waits for the entries. */
+        private readonly entryWaitMs = defaultEntryWaitMs,
     ) {}
 
     /** Answers an operator's call. Throws ControlError when it cannot be answered at the moment. */
@@ -66,18 +67,27 @@
         };
     }
 
-    private async apply(params: unknown, caller: OperatorCaller): Promise<ApplyAnswer> {
-        const problem = findParamsProblem(params);
-        if (problem !== undefined) {
+    private async apply(given: unknown, caller: OperatorCaller): Promise<ApplyAnswer> {
+        const { params, problem } = parseApplyParams(given);
+        if (params === undefined) {
             return this.toAnswer(ApplyOutcome.rejected, this.log.state.revision, problem);
         }
-        const { changeId, baseRevision, operation } = params as ApplyParams;
+        const { changeId, baseRevision, operation } = params;
         const known = this.log.state.findResult(changeId, operation);
         if (known !== undefined) {
             return this.awaitEntries(known);
         }
-        const leaderTimeMs = this.clock.now().getTime();
-        const end = await this.log.propose({ changeId, baseRevision, operation, leaderTimeMs, ...caller });
+        if (baseRevision > this.log.state.revision) {
+            return this.answerHighBase(baseRevision);
+        }
+        const end = await this.log.propose({
+            changeId,
+            baseRevision,
+            operation,
+            ...caller,
+            leaderTimeMs: this.clock.now().getTime(),
+            problem: findChangeProblem(this.log.state.current, operation),
+        });
         switch (end.kind) {
             case "applied":
                 return this.awaitEntries(end.result);
@@ -92,6 +102,17 @@
         }
     }
 
+    /** Nothing is recorded, so that the change can be sent again once its base revision is in force. */
+    private async answerHighBase(baseRevision: number): Promise<ApplyAnswer> {
+        await this.requireQuorum();
+        const { revision } = this.log.state;
+        return this.toAnswer(
+            ApplyOutcome.conflict,
+            revision,
+            `the base revision ${baseRevision} is not in force; the current one is ${revision}`,
+        );
+    }
+
     /** Waits until the entries hold an accepted change, for a bounded time. */
     private async awaitEntries(result: ChangeResult): Promise<ApplyAnswer> {
         if (result.outcome !== ApplyOutcome.accepted) {
@@ -112,7 +133,7 @@
             };
             const check = () => this.entries.isHeldByMajorities(groups, revision) && finish(true);
             const unwatch = this.entries.watch(check);
-            const timer = setTimeout(() => finish(false), entryWaitMs);
+            const timer = setTimeout(() => finish(false), this.entryWaitMs);
             check();
         });
     }
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -68,6 +68,7 @@
             trials: this.trials,
             runner: this.runner,
             closer: this.closer,
+            outbox,
         });
         this.slowAttempts = new SlowAttempts(options.router, this.runner, outbox);
     }
@@ -194,11 +195,9 @@
     }
 
     private onOverflow(attempt: AttemptRow, nowMs: number): void {
-        if (attempt.request.isCallerGone) {
-            this.runner.cancel(attempt, nowMs);
-            return this.closer.complete(attempt, undefined, nowMs);
-        }
-        if (attempt.request.forwardedId === undefined && attempt.head !== undefined) {
+        const { forwardedId, isCallerGone } = attempt.request;
+        // Without a caller, the response is awaited until the deadline, since a slow one can still be retained.
+        if (forwardedId === undefined && !isCallerGone && attempt.head !== undefined) {
             this.closer.forward(attempt, nowMs);
         }
     }
@@ -247,7 +246,10 @@
             this.trials.end(request, nowMs);
         }
         const mayRunAgain = request.isIdempotent || request.endedVerdict === Verdict.notRun;
-        if (mayRunAgain && request.isBodyIntact && !request.isCallerGone && this.runner.takeRetry(request, nowMs)) {
+        if (
+            mayRunAgain && request.isBodyIntact && !request.isCallerGone &&
+            this.runner.takeRetry(request, "failed", nowMs)
+        ) {
             return this.starter.run(request, nowMs);
         }
         this.closer.answer(request, answers.failureAnswer(request.lastFailure, verdictOfRequest(request)), nowMs);
--- a/src/requests/slowAttempts.ts
+++ b/src/requests/slowAttempts.ts
@@ -5,6 +5,7 @@
 import type { Router } from "./router.js";
 
 const resetIntervalMs = 1000;
+const maxResets = 1000;
 
 /**
  * Second attempts of idempotent requests whose first one is slow: hedges, and failovers from attempts that have gone
@@ -45,8 +46,9 @@
         if (delayMs === undefined || !isUnanswered(attempt) || nowMs - attempt.dispatchedAtMs < delayMs) {
             return;
         }
-        if (this.runner.takeRetry(request, nowMs)) {
-            request.hasHedged = true;
+        // One question per request: asking again each tick would let few slow requests empty the budget as it fills.
+        request.hasHedged = true;
+        if (this.runner.takeRetry(request, "slow", nowMs)) {
             this.runner.start(request, nowMs);
         }
     }
@@ -60,7 +62,7 @@
         attempt.isSilent = true;
         this.resetPool(attempt.target?.address ?? "", nowMs);
         const hasOtherAttempt = [...request.attempts.values()].some(it => !it.isSilent);
-        if (!hasOtherAttempt && this.runner.takeRetry(request, nowMs)) {
+        if (!hasOtherAttempt && this.runner.takeRetry(request, "silent", nowMs)) {
             this.runner.start(request, nowMs);
         }
     }
@@ -70,7 +72,12 @@
         if (lastAtMs !== undefined && nowMs - lastAtMs < resetIntervalMs) {
             return;
         }
+        this.resetAtMs.delete(address);
         this.resetAtMs.set(address, nowMs);
+        if (this.resetAtMs.size > maxResets) {
+            const [oldest] = this.resetAtMs.keys();
+            this.resetAtMs.delete(oldest);
+        }
         this.outbox.push({ kind: "reset-pool", address });
     }
 }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -12,6 +12,8 @@
 import type { LogSettings, MetricsSettings } from "./settings/schemas.js";
 
 const maxSeed = 2 ** 31;
+/** Metrics are sent together in datagrams up to this size, which fits an Ethernet frame. */
+const datagramBytes = 1400;
 const secretKeys = ["clusterSecret", "token", "authorization"];
 
 /** Makes the logger of a daemon. Secrets are masked by key and wherever one of their values occurs in a text. */
@@ -38,11 +40,12 @@
     }
     // A lost metric is not worth a log line; without a handler the library would throw.
     const errorHandler = () => undefined;
-    return new StatsD({ ...common, ...toListenAddress(settings.address), prefix: settings.prefix, errorHandler });
+    const { host, port } = toListenAddress(settings.address);
+    return new StatsD({ ...common, host, port, prefix: settings.prefix, maxBufferSize: datagramBytes, errorHandler });
 }
 
-/** Returns the options of an entry from its settings. */
-export function createEntryOptions(settings: LoadedEntrySettings): EntryOptions {
+/** Returns the options of an entry from its settings; see the flag `--first-start` for `isFirstStart`. */
+export function createEntryOptions(settings: LoadedEntrySettings, isFirstStart: boolean): EntryOptions {
     const { id, region, availabilityZone, controlAddresses, clusterSecret, limits } = settings;
     return {
         id,
@@ -51,6 +54,7 @@
         controlAddresses,
         clusterSecret,
         limits,
+        claims: { isFirstStart },
         listen: toListenAddress(settings.listen),
         peerListen: toListenAddress(settings.peerListen),
         logger: createLogger("entry", settings.log, [clusterSecret]),
@@ -61,8 +65,8 @@
 }
 
 /** Starts an entry that drains on SIGTERM and SIGINT and then ends the process with status 0. */
-export async function runEntry(settings: LoadedEntrySettings): Promise<RunningEntry> {
-    const entry = await startEntry(createEntryOptions(settings));
+export async function runEntry(settings: LoadedEntrySettings, isFirstStart: boolean): Promise<RunningEntry> {
+    const entry = await startEntry(createEntryOptions(settings, isFirstStart));
     onStopSignal(() => entry.drain());
     return entry;
 }
--- a/test/fakeEntries.ts
+++ b/test/fakeEntries.ts
@@ -4,63 +4,20 @@
 import type { PeerRow, PeerView, UpstreamRow, UpstreamView } from "../src/membership/view.js";
 import type { ClaimSettings } from "../src/requests/claimStack.js";
 import { RequestLifecycle } from "../src/requests/lifecycle.js";
-import type { AttemptTarget, GeneratedAnswer, RequestFacts } from "../src/requests/model.js";
-import { type AttemptOutcome, type DelayedDecision, type RouteDecision, Router } from "../src/requests/router.js";
+import type { AttemptTarget, RequestFacts } from "../src/requests/model.js";
+import { FakeRouter, type FakeUpstream } from "./fakeRouter.js";
 
-export const tickMs = 5;
+const tickMs = 5;
 const zones = ["a", "b", "c"];
 
-/** Router that picks an upstream by turns and grants every retry. */
-export class FakeRouter extends Router {
-    readonly finished: AttemptOutcome[] = [];
-    hedgeAfterMs: number | undefined;
-    retriesLeft = Infinity;
-    private turn = 0;
-
-    constructor(private readonly upstreams: ReadonlyMap<string, FakeUpstream>) {
-        super();
-    }
-
-    route(_attemptId: string, _request: RequestFacts, avoid: readonly string[]): RouteDecision {
-        const all = [...this.upstreams.values()].filter(it => it.isListed);
-        const preferred = all.filter(it => !avoid.includes(it.id));
-        const choices = preferred.length > 0 ? preferred : all;
-        if (choices.length === 0) {
-            return { kind: "refuse", reason: "no-upstream", detail: "none", retryAfterMs: 100 };
-        }
-        const { id, incarnation } = choices[this.turn++ % choices.length];
-        return { kind: "upstream", upstreamId: id, address: id, incarnation };
-    }
-    takeRetry(): boolean {
-        return this.retriesLeft-- > 0;
-    }
-    hedgeDelayMs(): number | undefined {
-        return this.hedgeAfterMs;
-    }
-    finish(outcome: AttemptOutcome): void {
-        this.finished.push(outcome);
-    }
-    takeDecisions(): readonly DelayedDecision[] {
-        return [];
-    }
-    takeEffects(): readonly EntryEffect[] {
-        return [];
-    }
-    abandon(): void {}
-    handlePeerMessage(): void {}
-    finishProbe(): void {}
-    tick(): void {}
+interface FakeAnswer {
+    readonly verdict: string;
+    readonly reason: string;
+    readonly status: number;
+    readonly body: string;
 }
 
-export interface FakeUpstream {
-    readonly id: string;
-    incarnation: number;
-    isAlive: boolean;
-    /** Whether routers still choose it. */
-    isListed: boolean;
-    isSilent: boolean;
-    readonly running: Set<() => void>;
-}
+const ran = { verdict: "ran", status: 200 };
 
 interface FakeEntry {
     readonly id: string;
@@ -91,7 +48,7 @@
     nowMs = 0;
     readonly upstreams = new Map<string, FakeUpstream>();
     readonly entries = new Map<string, FakeEntry>();
-    readonly answers = new Map<string, { verdict: string; reason: string; status: number; body: string; }>();
+    readonly answers = new Map<string, FakeAnswer>();
     readonly executions: { requestId: string; body: string; upstreamId: string; }[] = [];
     readonly effects: EntryEffect[] = [];
     readonly cutLinks = new Set<string>();
@@ -117,7 +74,7 @@
 
     startEntry(id: string, isFirstStart = false): void {
         const incarnation = (this.entries.get(id)?.incarnation ?? 0) + 1;
-        const router = new FakeRouter(this.upstreams);
+        const router = new FakeRouter(this.upstreams, this.random);
         const heard = new Map<string, number>();
         const lifecycle = new RequestLifecycle({
             selfId: id,
@@ -167,16 +124,16 @@
         this.deliver(entryId, this.entry(entryId).incarnation, { kind: "request", request });
     }
 
-    after(delayMs: number, run: () => void): void {
-        this.schedule(delayMs, run);
-    }
-
     learn(id: string, catalogue: Catalogue): void {
         if (catalogue.revision > (this.catalogues.get(id)?.revision ?? 0)) {
             this.catalogues.set(id, catalogue);
         }
     }
 
+    isGet(requestId: string): boolean {
+        return this.facts.get(requestId)?.method === "GET";
+    }
+
     keyOf(requestId: string): string {
         return this.facts.get(requestId)?.idempotencyKey ?? requestId;
     }
@@ -208,22 +165,18 @@
     }
 
     private runQueue(): void {
-        for (let due = this.takeDue(); due !== undefined; due = this.takeDue()) {
-            due.run();
-        }
-    }
-
-    private takeDue() {
-        let first = -1;
-        this.queue.forEach((it, index) => {
-            if (it.atMs <= this.nowMs && (first < 0 || it.atMs < this.queue[first].atMs)) {
-                first = index;
+        for (;;) {
+            // Sorting is stable, so what is due at one time runs in the order in which it was scheduled.
+            this.queue.sort((first, second) => first.atMs - second.atMs);
+            if (this.queue.length === 0 || this.queue[0].atMs > this.nowMs) {
+                return;
             }
-        });
-        return first < 0 ? undefined : this.queue.splice(first, 1)[0];
+            this.queue.shift()?.run();
+        }
     }
 
-    private schedule(delayMs: number, run: () => void): void {
+    /** Runs a step later. */
+    schedule(delayMs: number, run: () => void): void {
         this.queue.push({ atMs: this.nowMs + delayMs, run });
     }
 
@@ -241,19 +194,19 @@
                     this.dispatch(entry, effect.requestId, effect.target);
                     break;
                 case "forward":
-                    this.answer(effect.requestId, "ran", "forwarded", 200, entry.ended.get(effect.attemptId) ?? "");
+                    this.answer(effect.requestId, {
+                        ...ran,
+                        reason: "forwarded",
+                        body: entry.ended.get(effect.attemptId) ?? "",
+                    });
                     break;
-                case "replay":
-                    this.answer(
-                        effect.requestId,
-                        "ran",
-                        "replay",
-                        200,
-                        Buffer.from(effect.response.body ?? []).toString(),
-                    );
+                case "replay": {
+                    const body = Buffer.from(effect.response.body ?? []).toString();
+                    this.answer(effect.requestId, { ...ran, reason: "replay", body });
                     break;
+                }
                 case "answer":
-                    this.answerGenerated(effect.requestId, effect.answer);
+                    this.answer(effect.requestId, { ...effect.answer, body: "" });
                     break;
                 case "check-connection": {
                     const { checkId, address } = effect;
@@ -320,28 +273,28 @@
         });
     }
 
-    private crash(upstream: FakeUpstream): void {
+    crash(upstream: FakeUpstream): void {
         this.lostUpstreams++;
         upstream.isAlive = false;
+        this.resetConnections(upstream);
+    }
+
+    resetConnections(upstream: FakeUpstream): void {
         const running = [...upstream.running];
         upstream.running.clear();
         running.forEach(fail => fail());
     }
 
-    private answerGenerated(requestId: string, { verdict, reason, status }: GeneratedAnswer): void {
-        this.answer(requestId, verdict, reason, status, "");
-    }
-
-    private answer(requestId: string, verdict: string, reason: string, status: number, body: string): void {
+    private answer(requestId: string, answer: FakeAnswer): void {
         if (this.answers.has(requestId)) {
-            throw new Error(`second answer to ${requestId}: ${reason}`);
+            throw new Error(`second answer to ${requestId}: ${answer.reason}`);
         }
-        this.answers.set(requestId, { verdict, reason, status, body });
+        this.answers.set(requestId, answer);
     }
 
     private hearPeers(entry: FakeEntry): void {
         for (const peer of this.entries.values()) {
-            if (peer.isAlive && !this.isCut(peer.id, entry.id) && this.random.nextUnit() < 0.02) {
+            if (peer.isAlive && !this.isCut(peer.id, entry.id) && this.random.nextUnit() < 0.1) {
                 entry.heard.set(peer.id, peer.incarnation);
             }
         }
