--- a/src/index.ts
+++ b/src/index.ts
@@ -1,4 +1,9 @@
+export { type Catalogue, emptyCatalogue, type EntryVm, type Service } from "./catalogue/model.js";
 export { type Clock, ManualClock, SystemClock } from "./core/clock.js";
 export { ChannelError, errorMessages, FigwharfError, SettingsError } from "./core/errors.js";
 export { RandomSource, SeededRandom } from "./core/random.js";
 export { combineVerdicts, Verdict } from "./core/verdict.js";
+export { EntryCore, type EntryCoreOptions } from "./entry/core.js";
+export { type RunningEntry, startEntry } from "./entry/daemon.js";
+export type { EntryEffect, EntryEvent, PeerMessage } from "./entry/messages.js";
+export { defaultEntryLimits, type EntryLimits, type EntryOptions } from "./entry/options.js";
