Say not-run of a keyed request only when no submission of it has run

Cause: a resend that reached no majority, or was refused before its claim, was told not-run although an earlier submission with the same key may have run. A caller that trusted it would have sent a new order with a new key. Ruled out: leaving the verdict per submission, because callers see one request; refusing with no verdict, because each answer carries one. Change: until a majority shows the key to be free, refusals say may-have-run, and Figwharf-Submission-Verdict says that this submission did not run. The tests 'run without a majority' and 'amnesia' expected not-run and now expect may-have-run, which is the stricter statement.

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -41,6 +41,8 @@
     readonly startedAtMs: number;
     readonly endedAtMs: number;
     readonly outcome: TryOutcome;
+    /** What the answer says of the request with all its submissions; undefined without an answer of figwharf. */
+    readonly verdict: string | undefined;
     readonly detail: string;
 }
 
@@ -93,7 +95,8 @@
             }
             await new Promise(resolve => setTimeout(resolve, retryDelayMs * this.random.nextUnit()));
         }
-        const outcome = combineOutcomes(tries.map(it => it.outcome));
+        const isNotRun = call.hasIdempotencyKey && tries[tries.length - 1].verdict === TryOutcome.notRun;
+        const outcome = isNotRun ? TryOutcome.notRun : combineOutcomes(tries.map(it => it.outcome));
         return { call, outcome, latencyMs: performance.now() - startedAtMs, tries };
     }
 
@@ -155,7 +158,8 @@
             });
             const text = await response.body.text();
             const [outcome, detail] = classify(call, response.statusCode, response.headers, text);
-            return { name, entryAddress, startedAtMs, endedAtMs: performance.now(), outcome, detail };
+            const verdict = response.headers["figwharf-verdict"]?.toString();
+            return { name, entryAddress, startedAtMs, endedAtMs: performance.now(), outcome, verdict, detail };
         }
         catch (error) {
             const { code, message } = error as NodeJS.ErrnoException;
@@ -166,6 +170,7 @@
                 startedAtMs,
                 endedAtMs: performance.now(),
                 outcome: TryOutcome.dropped,
+                verdict: undefined,
                 detail,
             };
         }
@@ -199,7 +204,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
     text: string,
 ): readonly [TryOutcome, string] {
-    const verdict = headers["figwharf-verdict"];
+    const verdict = headers["figwharf-submission-verdict"] ?? headers["figwharf-verdict"];
     if (verdict !== undefined) {
         const outcome = Object.values(TryOutcome).find(it => it === verdict) ?? TryOutcome.foreign;
         return [outcome, `${status} ${text}`];
--- a/bench/outcomeChecks.ts
+++ b/bench/outcomeChecks.ts
@@ -23,7 +23,11 @@
     const tries = results.flatMap(result => result.tries);
     return {
         incompleteOrForeign: tries.filter(it => it.outcome === "incomplete" || it.outcome === "foreign").map(describe),
-        falseNotRun: tries.filter(it => it.outcome === "not-run" && executions.byTry.has(it.name)).map(describe),
+        falseNotRun: [
+            ...tries.filter(it => it.outcome === "not-run" && executions.byTry.has(it.name)).map(describe),
+            ...results.filter(result => isToldNotRun(result) && executions.byCall.has(result.call.name))
+                .map(result => result.tries.map(describe).join("; ")),
+        ],
         doubled: results.filter(result => result.call.method === "POST")
             .filter(result => (executions.byCall.get(result.call.name) ?? 0) > 1)
             .map(result => result.tries.map(describe).join("; ")),
@@ -32,6 +36,11 @@
     };
 }
 
+/** Whether the last answer says that no submission of a write has run. */
+function isToldNotRun(result: CallResult): boolean {
+    return result.call.method === "POST" && result.tries[result.tries.length - 1].verdict === "not-run";
+}
+
 /** Returns the history of faults around a time, one per line. */
 export function describeHistory(history: readonly FaultRecord[]): string {
     return history.map(fault => `${fault.fromMs.toFixed(0)}..${fault.toMs.toFixed(0)} ms ${fault.kind} ${fault.target}`)
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -6,9 +6,11 @@
 import { ConfigLease } from "../membership/configLease.js";
 import { PeerTable } from "../membership/peerTable.js";
 import { UpstreamTable } from "../membership/upstreamTable.js";
+import { limitToSubmission } from "../requests/answers.js";
 import type { ClaimSettings } from "../requests/claimStack.js";
 import { RequestLifecycle } from "../requests/lifecycle.js";
 import { AttemptFailure, type AttemptTarget, type GeneratedAnswer, type RequestFacts } from "../requests/model.js";
+import { isKeyed } from "../requests/verdicts.js";
 import { ServiceRouter } from "../routing/serviceRouter.js";
 import { type AddressAnswer, listEntries } from "./addressAnswer.js";
 import { ConfigSystem } from "./configSystem.js";
@@ -193,7 +195,11 @@
         if (this.isServing(nowMs)) {
             return this.lifecycle.handle({ kind: "request", request }, nowMs);
         }
-        return [{ kind: "answer", requestId: request.id, answer: unconfirmedAnswer }];
+        const { id, service, method, idempotencyKey } = request;
+        const methods = this.config.catalogue.services[service]?.idempotentMethods;
+        const needsClaim = isKeyed(method, idempotencyKey, methods);
+        const answer = needsClaim ? limitToSubmission(unconfirmedAnswer) : unconfirmedAnswer;
+        return [{ kind: "answer", requestId: id, answer }];
     }
 
     /**
--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -2,7 +2,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Service } from "../catalogue/model.js";
 import type { RequestId, ServiceName } from "../core/ids.js";
-import type { RequestFacts } from "../requests/model.js";
+import { limitToSubmission } from "../requests/answers.js";
+import type { GeneratedAnswer, RequestFacts } from "../requests/model.js";
+import { isKeyed } from "../requests/verdicts.js";
 import { Admission, type Admitted } from "./admission.js";
 import { refuse } from "./answers.js";
 import { Attempt } from "./attempt.js";
@@ -79,13 +81,16 @@
         const deadlineMs = this.deadlineMs(exchange);
         const row = this.core.config.catalogue.services[service];
         if (deadlineMs === undefined) {
-            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
+            this.refuse(
+                exchange,
+                refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."),
+            );
         }
         else if (!this.core.isServing(receivedAtMs)) {
-            exchange.answer(unconfirmedAnswer);
+            this.refuse(exchange, unconfirmedAnswer);
         }
         else if (row === undefined) {
-            exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
+            this.refuse(exchange, refuse(404, "unknown-service", "The catalogue has no such service."));
         }
         else {
             this.admit(exchange, row, receivedAtMs + deadlineMs);
@@ -103,7 +108,7 @@
     private admit(exchange: Exchange, service: Service, deadlineAtMs: number): void {
         const result = this.admission.admit(service, callerIdOf(exchange));
         if ("status" in result) {
-            exchange.answer(result);
+            this.refuse(exchange, result);
             return;
         }
         exchange.admitted = result;
@@ -113,7 +118,10 @@
         const isBuffered = (stated ?? 0) <= limits.bufferedBodyBytes;
         const reservedBytes = isBuffered ? stated ?? limits.bufferedBodyBytes : 0;
         if (!this.budget.canHold(reservedBytes)) {
-            exchange.answer(refuse(503, "memory", "The entry holds as many request bodies as it may.", memoryRetryMs));
+            this.refuse(
+                exchange,
+                refuse(503, "memory", "The entry holds as many request bodies as it may.", memoryRetryMs),
+            );
             return;
         }
         this.budget.add(reservedBytes);
@@ -121,6 +129,14 @@
         void this.receive(exchange, result, { ...limits, bodyBytes: maxBodyBytes }, deadlineAtMs);
     }
 
+    /** Refuses a request that the core has not seen. */
+    private refuse(exchange: Exchange, answer: GeneratedAnswer): void {
+        const { method, headers } = exchange.incoming;
+        const row = this.core.config.catalogue.services[exchange.service];
+        const needsClaim = isKeyed(method ?? "", headers["idempotency-key"], row?.idempotentMethods);
+        exchange.answer(needsClaim ? limitToSubmission(answer) : answer);
+    }
+
     private async receive(
         exchange: Exchange,
         admitted: Admitted,
@@ -133,9 +149,9 @@
                 exchange.body = result.body;
                 return this.submitWhenPlaced(exchange, admitted, deadlineAtMs);
             case "too-large":
-                return exchange.answer(refuse(413, "body-too-large", "The request body is too large."));
+                return this.refuse(exchange, refuse(413, "body-too-large", "The request body is too large."));
             case "too-slow":
-                return exchange.answer(refuse(408, "body-too-slow", "The request body took too long to arrive."));
+                return this.refuse(exchange, refuse(408, "body-too-slow", "The request body took too long to arrive."));
             case "gone":
                 return exchange.finish();
         }
@@ -144,7 +160,7 @@
     private async submitWhenPlaced(exchange: Exchange, admitted: Admitted, deadlineAtMs: number): Promise<void> {
         const refusal = await admitted.waitForPlace(deadlineAtMs);
         if (refusal !== undefined) {
-            exchange.answer(refusal);
+            this.refuse(exchange, refusal);
             return;
         }
         this.submit(exchange, deadlineAtMs);
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -8,6 +8,8 @@
     readonly status: number;
     readonly detail: string;
     readonly verdict: string;
+    /** Set for a submission of a keyed request that did not run although another one may have. */
+    readonly submissionVerdict?: string;
     readonly requestId: string;
 }
 
@@ -25,6 +27,7 @@
         status: answer.status,
         detail: answer.detail,
         verdict: answer.verdict,
+        submissionVerdict: answer.submissionVerdict,
         requestId,
     };
     const text = JSON.stringify(body);
@@ -34,6 +37,9 @@
         "Figwharf-Verdict": answer.verdict,
         "Figwharf-Request-Id": requestId,
     };
+    if (answer.submissionVerdict !== undefined) {
+        headers["Figwharf-Submission-Verdict"] = answer.submissionVerdict;
+    }
     if (answer.retryAfterMs !== undefined) {
         headers["Retry-After"] = String(Math.max(1, Math.ceil(answer.retryAfterMs / 1000)));
     }
--- a/src/requests/answers.ts
+++ b/src/requests/answers.ts
@@ -7,6 +7,23 @@
 
 const retryAfterMs = 1000;
 
+/** Whether a status says that the request cannot be accepted as it is, so that no submission of it can have run. */
+function isInvalidRequest(status: number): boolean {
+    return status < 500 && status !== 408 && status !== 409 && status !== 429;
+}
+
+/**
+ * Returns the answer to a keyed request that was refused before a majority showed its key to be free. Only this
+ * submission did certainly not run: an earlier one may have, and its answer may have been lost.
+ */
+export function limitToSubmission(answer: GeneratedAnswer): GeneratedAnswer {
+    if (answer.verdict !== Verdict.notRun || isInvalidRequest(answer.status)) {
+        return answer;
+    }
+    const detail = `${answer.detail} Whether an earlier submission with the same key ran is not known.`;
+    return { ...answer, verdict: Verdict.mayHaveRun, submissionVerdict: Verdict.notRun, detail };
+}
+
 /** Answer to a request for a service that the catalogue does not have. */
 export function unknownServiceAnswer(service: string): GeneratedAnswer {
     const detail = `The catalogue has no service ${service}.`;
@@ -67,7 +84,7 @@
                 ...withRetry(Verdict.notRun),
                 status: 503,
                 reason: result.reason,
-                detail: "The idempotency key could not be claimed. This submission of the request did not run.",
+                detail: "The idempotency key could not be claimed, so the request was not sent to an upstream.",
             };
         default:
             return {
--- a/src/requests/claims.property.test.ts
+++ b/src/requests/claims.property.test.ts
@@ -111,6 +111,9 @@
     if (doubled !== undefined) {
         return `${doubled} ran twice`;
     }
+    if (cluster.falseNotRun.length > 0) {
+        return cluster.falseNotRun[0];
+    }
     for (const [id, answer] of cluster.answers) {
         const runs = cluster.executions.filter(it => it.requestId === id).length;
         if (answer.verdict === "not-run" && runs > 0) {
--- a/src/requests/claims.test.ts
+++ b/src/requests/claims.test.ts
@@ -249,7 +249,7 @@
     cluster.run(600);
     cluster.cutLinks.clear();
     cluster.run(600);
-    t.deepEqual(summarise(cluster), { r1: "503 not-run no-majority" });
+    t.deepEqual(summarise(cluster), { r1: "503 may-have-run no-majority" });
     t.is(cluster.executions.length, 0);
     cluster.request("e1", { id: "r2", idempotencyKey: "k" });
     cluster.run(300);
@@ -271,7 +271,7 @@
     cluster.run(100);
     t.deepEqual(summarise(cluster), {
         r1: "200 ran forwarded",
-        r2: "503 not-run no-majority",
+        r2: "503 may-have-run no-majority",
         r3: "200 ran forwarded",
     });
 });
--- a/src/requests/model.ts
+++ b/src/requests/model.ts
@@ -68,7 +68,10 @@
 /** An answer that figwharf makes itself. */
 export interface GeneratedAnswer {
     readonly status: number;
+    /** Of the request; with an idempotency key, of all its submissions. */
     readonly verdict: Verdict;
+    /** Of this submission alone, where it differs from `verdict`. */
+    readonly submissionVerdict?: Verdict;
     /** Stable name of the reason, e.g. `no-upstream`, `deadline`, `limit`, `claim-held`. */
     readonly reason: string;
     readonly detail: string;
--- a/src/requests/requestCloser.ts
+++ b/src/requests/requestCloser.ts
@@ -1,5 +1,5 @@
 import { Verdict } from "../core/verdict.js";
-import { outcomeAnswer } from "./answers.js";
+import { limitToSubmission, outcomeAnswer } from "./answers.js";
 import type { AttemptRunner } from "./attempts.js";
 import type { ClaimCoordinator } from "./claimCoordinator.js";
 import type { ClaimOutcome } from "./claimMessages.js";
@@ -46,7 +46,9 @@
     }
 
     /** Ends a request with an answer of figwharf itself. */
-    answer(request: RequestRow, answer: GeneratedAnswer, nowMs: number): void {
+    answer(request: RequestRow, unlimited: GeneratedAnswer, nowMs: number): void {
+        const isUndecided = request.isKeyed && !request.isClaimGranted;
+        const answer = isUndecided ? limitToSubmission(unlimited) : unlimited;
         const { verdict, reason } = answer;
         this.outbox.count("requests.answers", { service: request.facts.service, verdict, reason });
         if (!request.isCallerGone) {
--- a/src/requests/requestStarter.ts
+++ b/src/requests/requestStarter.ts
@@ -35,7 +35,11 @@
             return;
         }
         const service = this.parts.catalogue().services[facts.service];
-        const request = this.parts.table.addRequest(facts, isIdempotent(facts, service?.idempotentMethods), nowMs);
+        const request = this.parts.table.addRequest(
+            facts,
+            isIdempotent(facts.method, service?.idempotentMethods),
+            nowMs,
+        );
         if (service === undefined) {
             return this.parts.closer.answer(request, answers.unknownServiceAnswer(facts.service), nowMs);
         }
@@ -76,6 +80,7 @@
         }
         this.parts.outbox.count("claims.decided", { service: request.facts.service, result: result.kind });
         if (result.kind === "granted") {
+            request.isClaimGranted = true;
             return this.run(request, nowMs);
         }
         if (result.kind === "outcome") {
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -48,6 +48,8 @@
     /** Whether the request needs a claim on its idempotency key. */
     readonly isKeyed: boolean;
     readonly acceptedAtMs: number;
+    /** Whether a majority showed that no earlier submission with the key has run. */
+    isClaimGranted: boolean;
     stage: RequestStage;
     readonly attempts: Map<AttemptId, AttemptRow>;
     readonly triedUpstreamIds: UpstreamId[];
@@ -96,6 +98,7 @@
             facts,
             isIdempotent,
             isKeyed: !isIdempotent && facts.idempotencyKey !== undefined,
+            isClaimGranted: false,
             acceptedAtMs: nowMs,
             stage: RequestStage.running,
             attempts: new Map(),
--- a/src/requests/verdicts.ts
+++ b/src/requests/verdicts.ts
@@ -1,5 +1,5 @@
 import { combineVerdicts, Verdict } from "../core/verdict.js";
-import { AttemptFailure, AttemptPhase, type RequestFacts, type ResponseHead } from "./model.js";
+import { AttemptFailure, AttemptPhase, type ResponseHead } from "./model.js";
 
 const refusalStatus = 503;
 const verdictHeader = "figwharf-verdict";
@@ -50,6 +50,11 @@
 }
 
 /** Whether a request may run more than once. */
-export function isIdempotent(request: RequestFacts, idempotentMethods: readonly string[] | undefined): boolean {
-    return (idempotentMethods ?? defaultIdempotentMethods).includes(request.method);
+export function isIdempotent(method: string, idempotentMethods: readonly string[] | undefined): boolean {
+    return (idempotentMethods ?? defaultIdempotentMethods).includes(method);
+}
+
+/** Whether a request needs a claim on its idempotency key. */
+export function isKeyed(method: string, key: unknown, idempotentMethods: readonly string[] | undefined): boolean {
+    return key !== undefined && !isIdempotent(method, idempotentMethods);
 }
--- a/test/fakeEntries.ts
+++ b/test/fakeEntries.ts
@@ -49,6 +49,8 @@
     readonly upstreams = new Map<string, FakeUpstream>();
     readonly entries = new Map<string, FakeEntry>();
     readonly answers = new Map<string, FakeAnswer>();
+    /** Requests that were told not-run although a request with their key had run before. */
+    readonly falseNotRun: string[] = [];
     readonly executions: { requestId: string; body: string; upstreamId: string; }[] = [];
     readonly effects: EntryEffect[] = [];
     readonly cutLinks = new Set<string>();
@@ -290,6 +292,10 @@
             throw new Error(`second answer to ${requestId}: ${answer.reason}`);
         }
         this.answers.set(requestId, answer);
+        const hasRun = !this.isGet(requestId) && this.executions.some(it => it.body === this.keyOf(requestId));
+        if (answer.verdict === "not-run" && hasRun) {
+            this.falseNotRun.push(`${requestId} was answered not-run (${answer.reason}) after its key had run`);
+        }
     }
 
     private hearPeers(entry: FakeEntry): void {
