Draw the faults of bench:catalogue from a random source of their own

With a shared source the order of faults depended on the operators' timing, so a seed did not name a schedule.

--- a/bench/catalogue.ts
+++ b/bench/catalogue.ts
@@ -15,6 +15,8 @@
 const controlCount = 3;
 const entryCount = 6;
 const operatorCount = 10;
+// The order of faults depends on the seed only, and not on how often the operators draw numbers.
+const operatorSeedOffset = 1_000_000;
 const changesUnderFaults = 300;
 const changesBehind = 500;
 const oldRevisionLimitMs = 3000;
@@ -116,13 +118,12 @@
 
 async function runSeed(seed: number, processes: Processes): Promise<RunResult> {
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), "figwharf-catalogue-"));
-    const random = new SeededRandom(seed);
     const group = await ControlGroup.start(processes, controlCount, folder, seed);
     const entryVms = makeEntryVms();
     const addresses = group.vms.map(vm => vm.peerAddress);
     const entries = entryVms.map(vm => new StandInEntry(vm, addresses));
-    const operators = new CatalogueOperators(group, random, entryVms);
-    const faults = new CatalogueFaults(group, random);
+    const operators = new CatalogueOperators(group, new SeededRandom(seed + operatorSeedOffset), entryVms);
+    const faults = new CatalogueFaults(group, new SeededRandom(seed));
     await operators.declare();
     const watch = watchServing(operators, entries);
     await changeUnderFaults(operators, faults);
