--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -1,28 +1,21 @@
-import { createHash, randomBytes } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Service } from "../catalogue/model.js";
 import type { RequestId, ServiceName } from "../core/ids.js";
-import type { RequestFacts } from "../requests/model.js";
-import { Admission, type Admitted } from "./admission.js";
-import { refuse } from "./answers.js";
 import { Attempt } from "./attempt.js";
 import { BufferBudget } from "./bufferBudget.js";
 import { checkConnection } from "./connectionCheck.js";
-import { type EntryCore, unconfirmedAnswer } from "./core.js";
+import type { EntryCore } from "./core.js";
 import { Exchange } from "./exchange.js";
-import { parseCount, parseLoadReport } from "./headers.js";
+import { parseLoadReport } from "./headers.js";
 import type { PeerLinks } from "./links.js";
 import type { EntryEffect, EntryEvent } from "./messages.js";
-import type { EntryLimits, EntryOptions } from "./options.js";
+import type { EntryOptions } from "./options.js";
 import { probeUpstream } from "./probe.js";
-import { readBody, statedLength } from "./requestBody.js";
+import { RequestIntake } from "./requestIntake.js";
 import { measureRequest } from "./requestMetrics.js";
 import { UpstreamPools } from "./upstreamPools.js";
 
 const instanceIdBytes = 6;
-const defaultDeadlineMs = 30_000;
-const memoryRetryMs = 1000;
-const emptyBodyHash = createHash("sha256").digest("hex");
 
 type EffectOf<Kind extends EntryEffect["kind"]> = Extract<EntryEffect, { readonly kind: Kind; }>;
 
@@ -33,8 +26,8 @@
     private readonly exchanges = new Map<RequestId, Exchange>();
     private readonly attempts = new Map<string, Attempt>();
     private readonly pools: UpstreamPools;
-    private readonly admission: Admission;
     private readonly budget: BufferBudget;
+    private readonly intake: RequestIntake;
     private readonly idPrefix = randomBytes(instanceIdBytes).toString("hex");
     private nextRequestNumber = 1;
 
@@ -45,8 +38,8 @@
         private readonly syncControl: () => void,
     ) {
         this.pools = new UpstreamPools(options.limits);
-        this.admission = new Admission(options.limits, () => this.nowMs());
         this.budget = new BufferBudget(options.limits.bufferedBytes);
+        this.intake = new RequestIntake(options, core, this.budget, request => this.run({ kind: "request", request }));
     }
 
     get exchangeCount(): number {
@@ -60,7 +53,7 @@
         }
         if (event.kind === "tick") {
             this.pools.tick(this.nowMs());
-            this.admission.tick(this.nowMs());
+            this.intake.tick(this.nowMs());
         }
     }
 
@@ -74,22 +67,8 @@
         incoming.on("error", () => undefined);
         outgoing.on("error", () => undefined);
         outgoing.on("close", () => this.onCallerClosed(exchange));
-        const receivedAtMs = this.nowMs();
-        exchange.receivedAtMs = receivedAtMs;
-        const deadlineMs = this.deadlineMs(exchange);
-        const row = this.core.config.catalogue.services[service];
-        if (deadlineMs === undefined) {
-            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
-        }
-        else if (!this.core.isServing(receivedAtMs)) {
-            exchange.answer(unconfirmedAnswer);
-        }
-        else if (row === undefined) {
-            exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
-        }
-        else {
-            this.admit(exchange, row, receivedAtMs + deadlineMs);
-        }
+        exchange.receivedAtMs = this.nowMs();
+        this.intake.take(exchange);
     }
 
     async close(): Promise<void> {
@@ -100,92 +79,10 @@
         return this.options.clock.monotonicMs();
     }
 
-    private admit(exchange: Exchange, service: Service, deadlineAtMs: number): void {
-        const result = this.admission.admit(service, callerIdOf(exchange));
-        if ("status" in result) {
-            exchange.answer(result);
-            return;
-        }
-        exchange.admitted = result;
-        const stated = statedLength(exchange.incoming);
-        const { limits } = this.options;
-        const maxBodyBytes = Math.min(limits.bodyBytes, service.limits.maxBodyBytes);
-        const isBuffered = (stated ?? 0) <= limits.bufferedBodyBytes;
-        const reservedBytes = isBuffered ? stated ?? limits.bufferedBodyBytes : 0;
-        if (!this.budget.canHold(reservedBytes)) {
-            exchange.answer(refuse(503, "memory", "The entry holds as many request bodies as it may.", memoryRetryMs));
-            return;
-        }
-        this.budget.add(reservedBytes);
-        exchange.reservedBytes = reservedBytes;
-        void this.receive(exchange, result, { ...limits, bodyBytes: maxBodyBytes }, deadlineAtMs);
-    }
-
-    private async receive(
-        exchange: Exchange,
-        admitted: Admitted,
-        limits: EntryLimits,
-        deadlineAtMs: number,
-    ): Promise<void> {
-        const result = await readBody(exchange.incoming, limits);
-        switch (result.kind) {
-            case "body":
-                exchange.body = result.body;
-                return this.submitWhenPlaced(exchange, admitted, deadlineAtMs);
-            case "too-large":
-                return exchange.answer(refuse(413, "body-too-large", "The request body is too large."));
-            case "too-slow":
-                return exchange.answer(refuse(408, "body-too-slow", "The request body took too long to arrive."));
-            case "gone":
-                return exchange.finish();
-        }
-    }
-
-    private async submitWhenPlaced(exchange: Exchange, admitted: Admitted, deadlineAtMs: number): Promise<void> {
-        const refusal = await admitted.waitForPlace(deadlineAtMs);
-        if (refusal !== undefined) {
-            exchange.answer(refusal);
-            return;
-        }
-        this.submit(exchange, deadlineAtMs);
-    }
-
     private onEnded(exchange: Exchange): void {
         measureRequest(exchange, this.options.metrics, this.nowMs());
         this.exchanges.delete(exchange.id);
-        this.budget.release(exchange.reservedBytes);
-        exchange.admitted?.release();
-    }
-
-    private submit(exchange: Exchange, deadlineAtMs: number): void {
-        if (exchange.isEnded) {
-            return;
-        }
-        const { incoming, body } = exchange;
-        const key = incoming.headers["idempotency-key"];
-        const request: RequestFacts = {
-            id: exchange.id,
-            service: exchange.service,
-            method: incoming.method ?? "GET",
-            path: exchange.path,
-            callerId: callerIdOf(exchange),
-            idempotencyKey: Array.isArray(key) ? key[0] : key,
-            bodyHash: body.buffer === undefined ? undefined : hashBody(body.buffer),
-            isBodyReplayable: body.buffer !== undefined,
-            deadlineAtMs,
-        };
-        this.run({ kind: "request", request });
-    }
-
-    private deadlineMs(exchange: Exchange): number | undefined {
-        const { maxDeadlineMs } = this.options.limits;
-        const text = exchange.incoming.headers["figwharf-deadline-ms"];
-        if (text === undefined) {
-            const service = this.core.config.catalogue.services[exchange.service];
-            return service?.limits.defaultDeadlineMs ?? defaultDeadlineMs;
-        }
-        const stated = parseCount(String(text));
-        return stated === undefined ? undefined : Math.min(stated, maxDeadlineMs);
+        this.intake.release(exchange);
     }
 
     private onCallerClosed(exchange: Exchange): void {
@@ -300,11 +197,3 @@
         });
     }
 }
-
-function callerIdOf(exchange: Exchange): string {
-    return exchange.incoming.socket.remoteAddress ?? "";
-}
-
-function hashBody(body: Buffer): string {
-    return body.length === 0 ? emptyBodyHash : createHash("sha256").update(body).digest("hex");
-}
--- /dev/null
+++ b/src/entry/requestIntake.ts
@@ -0,0 +1,146 @@
+import { createHash } from "node:crypto";
+import type { Service } from "../catalogue/model.js";
+import type { RequestFacts } from "../requests/model.js";
+import { Admission, type Admitted } from "./admission.js";
+import { refuse } from "./answers.js";
+import type { BufferBudget } from "./bufferBudget.js";
+import { type EntryCore, unconfirmedAnswer } from "./core.js";
+import type { Exchange } from "./exchange.js";
+import { parseCount } from "./headers.js";
+import type { EntryLimits, EntryOptions } from "./options.js";
+import { readBody, statedLength } from "./requestBody.js";
+
+const defaultDeadlineMs = 30_000;
+const memoryRetryMs = 1000;
+const emptyBodyHash = createHash("sha256").digest("hex");
+
+/** Takes callers' requests up to the point where the core decides on them: checks, admission, the body, a place. */
+export class RequestIntake {
+    private readonly admission: Admission;
+
+    constructor(
+        private readonly options: Pick<EntryOptions, "limits" | "clock">,
+        private readonly core: EntryCore,
+        private readonly budget: BufferBudget,
+        private readonly onRequest: (request: RequestFacts) => void,
+    ) {
+        this.admission = new Admission(options.limits, () => options.clock.monotonicMs());
+    }
+
+    tick(nowMs: number): void {
+        this.admission.tick(nowMs);
+    }
+
+    /** Takes a request, or answers it when it is refused. */
+    take(exchange: Exchange): void {
+        const deadlineMs = this.deadlineMs(exchange);
+        const row = this.core.config.catalogue.services[exchange.service];
+        if (deadlineMs === undefined) {
+            exchange.answer(refuse(400, "invalid-deadline", "Figwharf-Deadline-Ms is not a number of milliseconds."));
+        }
+        else if (!this.core.isServing(exchange.receivedAtMs)) {
+            exchange.answer(unconfirmedAnswer);
+        }
+        else if (row === undefined) {
+            exchange.answer(refuse(404, "unknown-service", "The catalogue has no such service."));
+        }
+        else {
+            this.admit(exchange, row, exchange.receivedAtMs + deadlineMs);
+        }
+    }
+
+    /** Frees what the request held. */
+    release(exchange: Exchange): void {
+        this.budget.release(exchange.reservedBytes);
+        exchange.admitted?.release();
+    }
+
+    private admit(exchange: Exchange, service: Service, deadlineAtMs: number): void {
+        const result = this.admission.admit(service, callerIdOf(exchange));
+        if ("status" in result) {
+            exchange.answer(result);
+            return;
+        }
+        exchange.admitted = result;
+        const stated = statedLength(exchange.incoming);
+        const { limits } = this.options;
+        const maxBodyBytes = Math.min(limits.bodyBytes, service.limits.maxBodyBytes);
+        const isBuffered = (stated ?? 0) <= limits.bufferedBodyBytes;
+        const reservedBytes = isBuffered ? stated ?? limits.bufferedBodyBytes : 0;
+        if (!this.budget.canHold(reservedBytes)) {
+            exchange.answer(refuse(503, "memory", "The entry holds as many request bodies as it may.", memoryRetryMs));
+            return;
+        }
+        this.budget.add(reservedBytes);
+        exchange.reservedBytes = reservedBytes;
+        void this.receive(exchange, result, { ...limits, bodyBytes: maxBodyBytes }, deadlineAtMs);
+    }
+
+    private async receive(
+        exchange: Exchange,
+        admitted: Admitted,
+        limits: EntryLimits,
+        deadlineAtMs: number,
+    ): Promise<void> {
+        const result = await readBody(exchange.incoming, limits);
+        switch (result.kind) {
+            case "body":
+                exchange.body = result.body;
+                return this.submitWhenPlaced(exchange, admitted, deadlineAtMs);
+            case "too-large":
+                return exchange.answer(refuse(413, "body-too-large", "The request body is too large."));
+            case "too-slow":
+                return exchange.answer(refuse(408, "body-too-slow", "The request body took too long to arrive."));
+            case "gone":
+                return exchange.finish();
+        }
+    }
+
+    private async submitWhenPlaced(exchange: Exchange, admitted: Admitted, deadlineAtMs: number): Promise<void> {
+        const refusal = await admitted.waitForPlace(deadlineAtMs);
+        if (refusal !== undefined) {
+            exchange.answer(refusal);
+            return;
+        }
+        this.submit(exchange, deadlineAtMs);
+    }
+
+    private submit(exchange: Exchange, deadlineAtMs: number): void {
+        if (exchange.isEnded) {
+            return;
+        }
+        const { incoming, body } = exchange;
+        const key = incoming.headers["idempotency-key"];
+        const request: RequestFacts = {
+            id: exchange.id,
+            service: exchange.service,
+            method: incoming.method ?? "GET",
+            path: exchange.path,
+            callerId: callerIdOf(exchange),
+            idempotencyKey: Array.isArray(key) ? key[0] : key,
+            bodyHash: body.buffer === undefined ? undefined : hashBody(body.buffer),
+            isBodyReplayable: body.buffer !== undefined,
+            deadlineAtMs,
+        };
+        this.onRequest(request);
+    }
+
+    private deadlineMs(exchange: Exchange): number | undefined {
+        const { maxDeadlineMs } = this.options.limits;
+        const text = exchange.incoming.headers["figwharf-deadline-ms"];
+        if (text === undefined) {
+            const service = this.core.config.catalogue.services[exchange.service];
+            return service?.limits.defaultDeadlineMs ?? defaultDeadlineMs;
+        }
+        const stated = parseCount(String(text));
+        return stated === undefined ? undefined : Math.min(stated, maxDeadlineMs);
+    }
+}
+
+function callerIdOf(exchange: Exchange): string {
+    return exchange.incoming.socket.remoteAddress ?? "";
+}
+
+function hashBody(body: Buffer): string {
+    return body.length === 0 ? emptyBodyHash : createHash("sha256").update(body).digest("hex");
+}
