--- a/bench/controlGroup.ts
+++ b/bench/controlGroup.ts
@@ -5,7 +5,6 @@
 import { TcpRelay } from "../src/transport/relay.js";
 import { availabilityZones, benchOperatorToken } from "./benchCatalogue.js";
 import type { ControlProcessOptions } from "./controlProcess.js";
-import { findFreePorts } from "./ports.js";
 import type { BenchProcess, Processes } from "./processes.js";
 
 const ticksPerSecond = 100;
@@ -18,6 +17,8 @@
     readonly relay: TcpRelay;
     readonly peerAddress: string;
     process: BenchProcess | undefined;
+    /** `host:port`; changes with each start. */
+    operatorAddress: string;
 }
 
 /** Control processes of one run. */
@@ -25,8 +26,7 @@
     private constructor(private readonly processes: Processes, readonly vms: readonly ControlVm[]) {}
 
     static async start(processes: Processes, count: number, folder: string, seed: number): Promise<ControlGroup> {
-        const ports = await findFreePorts(count * 2);
-        const relays = ports.slice(count).map(port => new TcpRelay("127.0.0.1", port));
+        const relays = Array.from({ length: count }, () => new TcpRelay("127.0.0.1", 0));
         const relayPorts = await Promise.all(relays.map(relay => relay.listen()));
         const members = relayPorts.map((port, index): Member => ({
             id: `control-${index + 1}`,
@@ -36,8 +36,9 @@
             options: {
                 id: member.id,
                 availabilityZone: availabilityZones[index % availabilityZones.length],
-                operatorPort: ports[index],
-                peerPort: ports[count + index],
+                // A fixed port could be taken by another process while the VM is down.
+                operatorPort: 0,
+                peerPort: 0,
                 members,
                 dataFolder: path.join(folder, member.id),
                 seed: seed * 100 + index,
@@ -45,6 +46,7 @@
             relay: relays[index],
             peerAddress: member.peerAddress,
             process: undefined,
+            operatorAddress: "",
         }));
         const group = new ControlGroup(processes, vms);
         await Promise.all(vms.map(vm => group.startVm(vm)));
@@ -53,6 +55,8 @@
 
     async startVm(vm: ControlVm): Promise<void> {
         vm.process = await this.processes.start("controlProcess.js", vm.options.id, vm.options);
+        vm.operatorAddress = vm.process.ready.address;
+        vm.relay.setTargetPort(Number(vm.process.ready.peerAddress.split(":")[1]));
     }
 
     async kill(vm: ControlVm): Promise<void> {
@@ -76,7 +80,7 @@
 
     /** Calls an operator's method. Rejects when the VM does not answer. */
     async call(vm: ControlVm, method: string, params: unknown, timeoutMs = operatorTimeoutMs): Promise<unknown> {
-        const response = await fetch(`http://127.0.0.1:${vm.options.operatorPort}/v1/rpc`, {
+        const response = await fetch(`http://${vm.operatorAddress}/v1/rpc`, {
             method: "POST",
             headers: { authorization: `Bearer ${benchOperatorToken}` },
             body: JSON.stringify({ jsonrpc: "2.0", id: 1, method, params }),
