--- a/src/cli/commands.test.ts
+++ b/src/cli/commands.test.ts
@@ -393,3 +393,13 @@
         t.regex(stdout.replace(/\s+/g, " "), /Exit codes: 0 done or accepted/);
     });
 }
+
+for (const daemon of ["entry", "control"]) {
+    test(`guards against a daemon that starts with invalid settings: ${daemon}`, async t => {
+        const file = `examples/settings/${daemon}.jsonc`;
+        const { exitCode, stdout, stderr } = await runCommand([daemon, "--settings", file]);
+        t.is(exitCode, 2);
+        t.is(stdout, "", "nothing was started");
+        t.regex(stderr, /examples\/settings\/\w+.jsonc:\d+: clusterSecretFile: expected file with at least 16 char/);
+    });
+}
