Bound the bytes of a message with log records

Sixty-four records of large declarations exceed the channel's limit of 16 MiB; the channel drops such a message, and the leader would send the same records again without end. Found by review. The new test fails when the bound is removed in a trial, and passes with it.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -149,7 +149,8 @@
             return;
         }
         const isFull = row.nextIndex - row.matchIndex > maxUnansweredRecords;
-        const records = log.slice(row.nextIndex, isFull ? 0 : limits.maxRecordsPerMessage);
+        const limit = isFull ? 0 : limits.maxRecordsPerMessage;
+        const records = log.sliceMessage(row.nextIndex, limit, limits.maxMessageBytes);
         const previousIndex = row.nextIndex - 1;
         const round = this.rounds.started;
         this.state.send(id, { kind: "append", term, previousIndex, previousTerm, records, commitIndex, round });
--- a/src/control/recordList.ts
+++ b/src/control/recordList.ts
@@ -3,6 +3,7 @@
 /** The log in memory: consecutive records after a base, which is covered by a snapshot or is the empty log. */
 export class RecordList {
     private records: LogRecord[] = [];
+    private readonly sizes = new WeakMap<LogRecord, number>();
 
     constructor(private baseIndex = 0, private baseTerm = 0) {}
 
@@ -38,6 +39,17 @@
         return this.records.slice(start, start + limit);
     }
 
+    /** Returns the records from an index on that fit one message: at most `limit`, and after the first one `maxBytes`. */
+    sliceMessage(fromIndex: number, limit: number, maxBytes: number): readonly LogRecord[] {
+        const records = this.slice(fromIndex, limit);
+        let sizeBytes = 0;
+        const end = records.findIndex((record, position) => {
+            sizeBytes += this.sizeOf(record);
+            return position > 0 && sizeBytes > maxBytes;
+        });
+        return end === -1 ? records : records.slice(0, end);
+    }
+
     /** Adds records; those held from the first one's index on are dropped. */
     append(records: readonly LogRecord[]): void {
         if (records.length > 0) {
@@ -67,4 +79,10 @@
     isCoveredBy(lastIndex: number, lastTerm: number): boolean {
         return lastTerm > this.lastTerm || (lastTerm === this.lastTerm && lastIndex >= this.lastIndex);
     }
+
+    private sizeOf(record: LogRecord): number {
+        const sizeBytes = this.sizes.get(record) ?? Buffer.byteLength(JSON.stringify(record));
+        this.sizes.set(record, sizeBytes);
+        return sizeBytes;
+    }
 }
--- a/src/control/replica.test.ts
+++ b/src/control/replica.test.ts
@@ -36,6 +36,14 @@
     return { replica, machine, receive };
 }
 
+function largeRecord(index: number): LogRecord {
+    const record = changeRecord(index, 1);
+    const from = "x".repeat(900 * 1024);
+    return record.command.kind === "change"
+        ? { ...record, command: { kind: "change", change: { ...record.command.change, from } } }
+        : record;
+}
+
 function sent(effects: readonly ControlEffect[], kind: ReplicationMessage["kind"]): readonly ReplicationMessage[] {
     return effects.flatMap(effect => effect.kind === "send" && effect.message.kind === kind ? [effect.message] : []);
 }
@@ -113,3 +121,19 @@
     t.deepEqual(answers, [[1, "lost"], [2, "refused"]]);
     t.is(group.replica.role, "follower");
 });
+
+test("guards against messages that the channel drops: large records are sent in several messages", t => {
+    const group = makeReplica(Array.from({ length: 30 }, (_unused, position) => largeRecord(position + 1)), 1);
+    elect(group);
+    const mismatch = { kind: "append-answer", term: 2, isMatch: false, matchIndex: 0, round: 0, revision: 0 } as const;
+    let effects = group.receive("b", mismatch);
+    let held = 0;
+    while (held < 31) {
+        const parts = sent(effects, "append").flatMap(message => message.kind === "append" ? [message.records] : []);
+        t.is(parts.length, 1);
+        t.true(parts[0].length >= 1 && Buffer.byteLength(JSON.stringify(parts[0])) < 4 * 1024 * 1024);
+        held = parts[0][parts[0].length - 1].index;
+        effects = group.receive("b", { ...mismatch, isMatch: true, matchIndex: held });
+    }
+    t.is(held, 31);
+});
--- a/src/control/replicaState.ts
+++ b/src/control/replicaState.ts
@@ -24,6 +24,8 @@
     /** Records kept behind a snapshot for followers that are slightly behind. */
     readonly keepRecords: number;
     readonly maxRecordsPerMessage: number;
+    /** A message above the channel's limit would be dropped, and the same records sent again without end. */
+    readonly maxMessageBytes: number;
     readonly snapshotChunkBytes: number;
 }
 
@@ -35,6 +37,7 @@
     compactAfterRecords: 1024,
     keepRecords: 256,
     maxRecordsPerMessage: 64,
+    maxMessageBytes: 2 * 1024 * 1024,
     snapshotChunkBytes: 256 * 1024,
 };
 
