Drop the setting that asserts a first start

Cause: two rules let a new cluster grant claims at once. The asserted one forgot claims when a process was restarted with it. Change: only the rule by revision stays; the fake cluster now uses it for starts and restarts, so the claims property covers it (300 runs). An entry that control has not answered yet reports this as a problem, and the benches wait for it before they apply the catalogue.

--- a/bench/entryProcess.ts
+++ b/bench/entryProcess.ts
@@ -15,8 +15,6 @@
     readonly clusterSecret: string;
     readonly seed: number;
     readonly limits?: Partial<EntryLimits>;
-    /** True for the first entries of a new system, which need not abstain from granting claims. */
-    readonly isFirstStart?: boolean;
 }
 
 const options = JSON.parse(process.argv[2]) as EntryProcessOptions;
@@ -29,7 +27,6 @@
     controlAddresses: options.controlAddresses,
     clusterSecret: options.clusterSecret,
     limits: { ...defaultEntryLimits, ...options.limits },
-    claims: { isFirstStart: options.isFirstStart ?? false },
     // Standard output carries the ready line only.
     logger: createLogger("entry", { format: "json", level: "error" }, []),
     metrics: createMetrics(undefined, {}),
--- a/bench/slopes/membership.ts
+++ b/bench/slopes/membership.ts
@@ -65,7 +65,6 @@
             address: "10.1.0.0:7400",
             peerAddress: "10.1.0.0:7401",
             random: new SeededRandom(1),
-            claims: { isFirstStart: true },
         });
         const services = Array.from({ length: serviceCount }, (_unused, index) => benchService(`service-${index}`));
         const entryVms = Array.from({ length: peerCount + 1 }, (_unused, index) => ({
--- a/bench/slopes/requests.ts
+++ b/bench/slopes/requests.ts
@@ -110,7 +110,8 @@
                 catalogue: () => catalogue,
                 peers: { selfId, availabilityZone: "a", livePeers: () => [], findPeer: () => undefined },
                 random: new SeededRandom(index),
-                settings: { ...defaultClaimSettings, isFirstStart: true },
+                settings: defaultClaimSettings,
+                firstControlRevision: () => 0,
                 outbox,
             });
             this.stacks.set(selfId, { stack, outbox });
--- a/bench/system.ts
+++ b/bench/system.ts
@@ -5,6 +5,7 @@
 import { ControlClient } from "../src/cli/controlClient.js";
 import type { Member } from "../src/control/messages.js";
 import type { Declarations } from "../src/control/operatorApi.js";
+import { noControlAnswer } from "../src/entry/core.js";
 import { TcpRelay } from "../src/transport/relay.js";
 import { availabilityZones, benchOperatorToken, benchRegion, benchSecret } from "./benchCatalogue.js";
 import type { ControlProcessOptions } from "./controlProcess.js";
@@ -68,7 +69,7 @@
     const entryAddresses = entryVms.map(vm => vm.address);
     const logs = new Set<string>();
     const upstreamRelays = new Map<string, UpstreamRelay>();
-    const startEntry = (index: number, isFirstStart = false) =>
+    const startEntry = (index: number) =>
         processes.start("entryProcess.js", entryVms[index].id, {
             id: entryVms[index].id,
             region: benchRegion,
@@ -78,9 +79,8 @@
             controlAddresses: controls.map(control => control.ready.peerAddress),
             clusterSecret: benchSecret,
             seed: options.seed * 100 + index,
-            isFirstStart,
         });
-    const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index, true)));
+    const entries = await Promise.all(entryVms.map((_vm, index) => startEntry(index)));
     await applyDeclarations(controls.map(control => control.ready.address), options.services, entryVms);
     return {
         controls,
@@ -157,6 +157,7 @@
         totalTimeoutMs: servingTimeoutMs,
         callTimeoutMs: servingTimeoutMs,
     });
+    await waitUntilKnown(client, entryVms);
     const declarations: Declarations = { services, entryVms, runbookCommands: [] };
     const operation = { kind: "declare", declarations } as const;
     const answer = await client.apply({ changeId: randomUUID(), baseRevision: 0, operation });
@@ -167,6 +168,16 @@
     console.log(`catalogue applied: ${answer.outcome}, revision ${answer.revision}`);
 }
 
+/** Waits until control has answered all entries; those that it answers later take the catalogue for an old one. */
+async function waitUntilKnown(client: ControlClient, entryVms: readonly EntryVm[]): Promise<void> {
+    for (let isKnown = false; !isKnown;) {
+        const { entries } = await client.status();
+        const answered = entries.filter(entry => !entry.problems.includes(noControlAnswer)).map(entry => entry.id);
+        isKnown = entryVms.every(vm => answered.includes(vm.id));
+        await new Promise(resolve => setTimeout(resolve, pollIntervalMs));
+    }
+}
+
 async function waitUntilServing(entryAddresses: readonly string[], services: readonly string[]): Promise<void> {
     const endAtMs = performance.now() + servingTimeoutMs;
     for (const address of entryAddresses) {
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -37,6 +37,9 @@
     sentAtMs: number | undefined;
 }
 
+/** Problem of an entry that knows of no revision yet; it is reported until control has answered with a quorum. */
+export const noControlAnswer = "no quorum of control VMs has answered since the start";
+
 /** Answer of an entry that cannot confirm its configuration; it says nothing about which services exist. */
 export const unconfirmedAnswer: GeneratedAnswer = {
     status: 503,
@@ -128,7 +131,8 @@
 
     /** Problems of this entry as `figwharf status` shows them. */
     listProblems(nowMs: number): readonly string[] {
-        return this.isServing(nowMs) ? [] : ["the configuration is not confirmed"];
+        const problems = this.isServing(nowMs) ? [] : ["the configuration is not confirmed"];
+        return this.config.firstControlRevision === undefined ? [...problems, noControlAnswer] : problems;
     }
 
     /** Upstream milliseconds per second that this entry spends on probes, by service. */
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -80,7 +80,7 @@
     readonly controlAddresses: readonly string[];
     readonly clusterSecret: string;
     readonly limits: EntryLimits;
-    /** Settings of claims that differ from the defaults, e.g. `isFirstStart` in a new cluster. */
+    /** Settings of claims that differ from the defaults. */
     readonly claims?: Partial<ClaimSettings>;
     readonly logger: Logger<ILogObj>;
     readonly metrics: StatsD;
--- a/src/requests/claimMessages.ts
+++ b/src/requests/claimMessages.ts
@@ -103,8 +103,6 @@
     readonly incarnation: number;
     readonly cursor: number;
     readonly isAbstaining: boolean;
-    /** Whether the replica abstains only because no entry has ever granted a claim. */
-    readonly isFirstStart: boolean;
     readonly rows: readonly SyncRow[];
     /** Undefined on the last page. */
     readonly nextCursor: number | undefined;
--- a/src/requests/claimStack.ts
+++ b/src/requests/claimStack.ts
@@ -21,11 +21,6 @@
     readonly maxClaims: number;
     /** Bodies of retained outcomes together. */
     readonly maxRetainedBytes: number;
-    /**
-     * Asserts that no entry has granted a claim within the retention time. Without it, all entries of a new cluster
-     * abstain until the retention time has passed. It must not be set when a process restarts.
-     */
-    readonly isFirstStart: boolean;
 }
 
 /** Settings of claims unless others are given. */
@@ -34,7 +29,6 @@
     maxClaimAgeMs: 30_000,
     maxClaims: 100_000,
     maxRetainedBytes: 32 * 1024 * 1024,
-    isFirstStart: false,
 };
 
 /** What claims need from their surroundings. */
@@ -62,14 +56,13 @@
     constructor(options: ClaimStackOptions) {
         const { selfId, incarnation, settings, outbox } = options;
         this.settings = settings;
-        const { retentionMs, maxClaimAgeMs, maxClaims, maxRetainedBytes, isFirstStart } = settings;
+        const { retentionMs, maxClaimAgeMs, maxClaims, maxRetainedBytes } = settings;
         const lists = new CountingEntryLists(options.catalogue, retentionMs);
         this.table = new ClaimTable({ retentionMs, maxRows: maxClaims, maxRetainedBytes });
         this.sync = new ClaimSync(
             {
                 selfId,
                 incarnation,
-                isFirstStart,
                 abstentionMs: retentionMs + maxClaimAgeMs,
                 entryLists: nowMs => lists.list(nowMs),
                 isNewList: list => list.revision > (options.firstControlRevision?.() ?? Number.POSITIVE_INFINITY),
--- a/src/requests/claimSync.test.ts
+++ b/src/requests/claimSync.test.ts
@@ -57,7 +57,6 @@
             {
                 selfId: "entry-1",
                 incarnation: 1,
-                isFirstStart: false,
                 abstentionMs: retentionMs,
                 entryLists: () => row.lists,
                 isNewList: list => list.revision > row.firstControlRevision,
--- a/src/requests/claimSync.ts
+++ b/src/requests/claimSync.ts
@@ -13,8 +13,6 @@
 export interface ClaimSyncOptions {
     readonly selfId: EntryId;
     readonly incarnation: number;
-    /** Asserts that no entry has granted a claim within the retention time. */
-    readonly isFirstStart: boolean;
     /** Time after the start at which every claim that an earlier incarnation granted has ended. */
     readonly abstentionMs: number;
     /** Whether the list did not exist yet when this process started, so that no earlier incarnation granted under it. */
@@ -27,7 +25,7 @@
     cursor: number;
     incarnation: number | undefined;
     nextSendAtMs: number;
-    state: "reading" | "read" | "first-start";
+    state: "reading" | "read";
 }
 
 /**
@@ -102,7 +100,6 @@
             incarnation: this.options.incarnation,
             cursor: request.cursor,
             isAbstaining,
-            isFirstStart: isAbstaining && this.options.isFirstStart,
             ...page,
         };
         this.outbox.send(from, ClaimMethod.synced, answer);
@@ -119,7 +116,6 @@
             return;
         }
         if (answer.isAbstaining) {
-            source.state = answer.isFirstStart ? "first-start" : "reading";
             return;
         }
         this.takePage(from, source, answer, nowMs);
@@ -171,7 +167,7 @@
     private hasRead(set: readonly EntryId[]): boolean {
         const others = this.othersOf(set);
         const readCount = others.filter(id => this.sources.get(id)?.state === "read").length;
-        return readCount >= syncQuorumOf(set.length) || this.isFirstStartOf(others);
+        return readCount >= syncQuorumOf(set.length);
     }
 
     // An answer to a restarted replica counts for every set that it shares with this one, so this one must have read
@@ -191,14 +187,6 @@
         const others = this.othersOf(list.entryIds);
         const setSize = replicaSetSizeOf(list.entryIds.length);
         const unreadCount = others.filter(id => this.sources.get(id)?.state !== "read").length;
-        return setSize - 1 - unreadCount >= syncQuorumOf(setSize) || this.isFirstStartOf(others);
-    }
-
-    // Replicas that restarted together after a failure must not take each other for new ones, so all others must agree.
-    private isFirstStartOf(others: readonly EntryId[]): boolean {
-        return this.options.isFirstStart && others.every(id => {
-            const state = this.sources.get(id)?.state;
-            return state === "read" || state === "first-start";
-        });
+        return setSize - 1 - unreadCount >= syncQuorumOf(setSize);
     }
 }
--- a/test/entryHarness.ts
+++ b/test/entryHarness.ts
@@ -44,7 +44,6 @@
         controlAddresses: [await control.listen()],
         clusterSecret: benchSecret,
         limits: { ...defaultEntryLimits, ...options.limits },
-        claims: { isFirstStart: true },
         logger: createLogger("entry", { format: "json", level: "error" }, []),
         metrics: createMetrics(undefined, {}),
         clock: new SystemClock(),
--- a/test/fakeEntries.ts
+++ b/test/fakeEntries.ts
@@ -70,11 +70,12 @@
         }
         const ids = Array.from({ length: options.entryCount }, (_, index) => `e${index}`);
         ids.forEach(id => this.catalogues.set(id, makeCatalogue(1, [ids.slice(0, options.listedCount)])));
-        ids.forEach(id => this.startEntry(id, options.claims?.isFirstStart ?? true));
+        ids.forEach(id => this.startEntry(id, 0));
         this.run(50);
     }
 
-    startEntry(id: string, isFirstStart = false): void {
+    /** Starts an entry to which control confirms this revision; for a restart, the newest one. */
+    startEntry(id: string, controlRevision = this.newestRevision()): void {
         const incarnation = (this.entries.get(id)?.incarnation ?? 0) + 1;
         const router = new FakeRouter(this.upstreams, this.random);
         const heard = new Map<string, number>();
@@ -86,7 +87,8 @@
             upstreams: this.upstreamView,
             catalogue: () => this.catalogues.get(id) ?? emptyCatalogue,
             random: new SeededRandom(this.random.nextInt(1 << 30)),
-            claims: { ...this.options.claims, isFirstStart },
+            claims: this.options.claims,
+            firstControlRevision: () => controlRevision,
         });
         this.entries.set(id, {
             id,
@@ -101,6 +103,10 @@
         });
     }
 
+    private newestRevision(): number {
+        return Math.max(...[...this.catalogues.values()].map(catalogue => catalogue.revision));
+    }
+
     kill(id: string): void {
         this.entry(id).isAlive = false;
     }
--- a/test/lifecycleDriver.ts
+++ b/test/lifecycleDriver.ts
@@ -40,7 +40,8 @@
             upstreams: { eligibleUpstreams: () => [], findUpstream },
             catalogue: () => makeCatalogue(1, [["e0"]]),
             random: new SeededRandom(1),
-            claims: { isFirstStart: true, ...claims },
+            claims,
+            firstControlRevision: () => 0,
         });
         this.tick(0);
     }
