--- a/bench/slopes/measure.ts
+++ b/bench/slopes/measure.ts
@@ -31,7 +31,8 @@
     return [...new FrameDecoder(frame.length).push(frame)];
 }
 
-function usedBytes(): number {
+/** Returns the memory in use after a garbage collection. */
+export function usedBytes(): number {
     setFlagsFromString("--expose-gc");
     const collect = runInNewContext("gc") as () => void;
     collect();
--- a/bench/slopes/requests.ts
+++ b/bench/slopes/requests.ts
@@ -1,6 +1,4 @@
 import { Packr } from "msgpackr";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { type Catalogue, emptyCatalogue, type EntryList } from "../../src/catalogue/model.js";
 import { SeededRandom } from "../../src/core/random.js";
 import type { EntryEffect } from "../../src/entry/messages.js";
@@ -10,6 +8,7 @@
 import { ClaimTable } from "../../src/requests/claimTable.js";
 import { Outbox } from "../../src/requests/outbox.js";
 import { chooseReplicas } from "../../src/requests/replicaSet.js";
+import { usedBytes } from "./measure.js";
 
 /** Total cost of a number of rows, messages or entries; the slope over the sizes is the cost of one. */
 export interface SlopeRow {
@@ -73,15 +72,6 @@
     };
 }
 
-function usedBytes(): number {
-    setFlagsFromString("--expose-gc");
-    const collect = runInNewContext("gc") as () => void;
-    collect();
-    collect();
-    const { heapUsed, arrayBuffers } = process.memoryUsage();
-    return heapUsed + arrayBuffers;
-}
-
 /** Claims with recorded outcomes over five entries: CPU time of all five together, and messages with their answers. */
 function measureClaims(size: number): SlopeRow[] {
     const cluster = new ClaimCluster();
