Tell routing the verdict of an attempt and whether this entry drains

Cause: a refusal without a load report reached routing as a bare 503 and counted as a failure, and a draining entry still took itself for the owner of services. Ruled out: reading the verdict from the load report, which an upstream need not send.

--- a/src/entry/core.test.ts
+++ b/src/entry/core.test.ts
@@ -153,3 +153,10 @@
     t.is(core.listEntries(10).entries.length, 0);
     t.is(findAnswer(core.handle(request("q", 10), 10)), undefined, "it still accepts requests");
 });
+
+test("guards against a draining entry that goes on as the owner of services", t => {
+    const core = createCore();
+    t.false(core.peers.isSelfDraining);
+    core.handle({ kind: "drain" }, 1);
+    t.true(core.peers.isSelfDraining);
+});
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -155,6 +155,7 @@
 
     private runTimers(nowMs: number): EntryEffect[] {
         this.upstreams.tick(nowMs);
+        this.peers.isSelfDraining = this.isDraining;
         this.peers.tick(nowMs);
         return [
             ...this.configSystem.tick(nowMs),
@@ -187,6 +188,7 @@
                 return this.configSystem.handleControlAnswer(event);
             case "drain":
                 this.isDrainingNow = true;
+                this.peers.isSelfDraining = true;
                 return this.peerSystem.sendHeartbeats(this.state(nowMs), nowMs);
             case "tick":
                 return this.runTimers(nowMs);
--- a/src/membership/peerTable.ts
+++ b/src/membership/peerTable.ts
@@ -57,6 +57,8 @@
 
 /** Table of the other entries of the region. */
 export class PeerTable implements PeerView {
+    /** A draining entry does not take itself for the owner of a service. */
+    isSelfDraining = false;
     private readonly rows = new Map<EntryId, PeerState>();
     private readonly lastMessages = new Map<EntryId, LastMessage>();
 
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -108,6 +108,7 @@
             failure,
             status: attempt.head?.status,
             load: attempt.load,
+            verdict,
         }, nowMs);
     }
 
--- a/src/requests/lifecycle.test.ts
+++ b/src/requests/lifecycle.test.ts
@@ -73,6 +73,8 @@
             "cancel-attempt r1/2",
             "answer r1 503 not-run upstream-refused",
         ]);
+        // Without the verdict, routing would take a refusal without a load report for a failure and eject the instance.
+        t.deepEqual(driver.router.finished.map(it => it.verdict), ["not-run", "not-run"]);
     }
 });
 
