--- a/src/routing/serviceRoute.ts
+++ b/src/routing/serviceRoute.ts
@@ -1,7 +1,6 @@
-import type { Catalogue, Service } from "../catalogue/model.js";
+import type { Service } from "../catalogue/model.js";
 import { PolicyName } from "../catalogue/model.js";
-import type { AttemptId, EntryId, ServiceName, UpstreamId } from "../core/ids.js";
-import type { RandomSource } from "../core/random.js";
+import type { AttemptId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { UpstreamRow } from "../membership/view.js";
 import type { RequestFacts } from "../requests/model.js";
 import type { AttemptOutcome, RouteDecision } from "../requests/router.js";
@@ -12,6 +11,7 @@
 import { effectiveSlots } from "./ramp.js";
 import { RateBucket } from "./rateBucket.js";
 import { RetryBudget } from "./retryBudget.js";
+import type { ServiceRouteContext } from "./routingContext.js";
 import type { Candidate, RoutingPolicy } from "./routingPolicy.js";
 import { SlotGrantsPolicy } from "./slotGrantsPolicy.js";
 import type { HeldSlot } from "./slotMessages.js";
@@ -20,16 +20,6 @@
 const retryAfterNoUpstreamMs = 1000;
 const minHedgeDelayMs = 1;
 
-/** What a service's local routing needs from its entry. */
-export interface ServiceRouteContext {
-    readonly selfId: EntryId;
-    readonly availabilityZone: string;
-    readonly random: RandomSource;
-    readonly catalogue: () => Catalogue;
-    readonly roster: (nowMs: number) => readonly EntryId[];
-    readonly eligible: (service: ServiceName, nowMs: number) => readonly UpstreamRow[];
-}
-
 /** Routing of one service with what this entry knows by itself. */
 export class ServiceRoute {
     readonly health = new InstanceHealth();
--- a/src/routing/serviceSlots.ts
+++ b/src/routing/serviceSlots.ts
@@ -1,13 +1,12 @@
 import type { Service } from "../catalogue/model.js";
 import type { AttemptId, EntryId, ServiceName, UpstreamId } from "../core/ids.js";
-import type { EntryEffect } from "../entry/messages.js";
 import { ServiceMeasuring } from "../measuring/serviceMeasuring.js";
-import type { UpstreamRow } from "../membership/view.js";
 import type { LoadReport, RequestFacts } from "../requests/model.js";
 import type { AttemptOutcome, RouteDecision } from "../requests/router.js";
 import { SampleKind } from "./instanceHealth.js";
 import { OwnerLookup } from "./ownership.js";
-import { refuse, ServiceRoute, type ServiceRouteContext } from "./serviceRoute.js";
+import type { ServiceSlotsContext } from "./routingContext.js";
+import { refuse, ServiceRoute } from "./serviceRoute.js";
 import { SharedReports } from "./sharedReports.js";
 import { type PendingAttempt, SlotClient } from "./slotClient.js";
 import { acquireParamsOf, SlotLink } from "./slotLink.js";
@@ -23,14 +22,6 @@
 
 const heldIntervalMs = 250;
 
-/** What the slots of a service need from their entry. */
-export interface ServiceSlotsContext extends ServiceRouteContext {
-    readonly findUpstream: (service: ServiceName, id: UpstreamId) => UpstreamRow | undefined;
-    readonly livePeerIds: (nowMs: number) => readonly EntryId[];
-    readonly emit: (effect: EntryEffect) => void;
-    readonly decide: (attemptId: AttemptId, decision: RouteDecision) => void;
-}
-
 /** One service at one entry: asks the owner for slots, or is the owner, and falls back to the local view. */
 export class ServiceSlots {
     readonly local: ServiceRoute;
