--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -3,6 +3,7 @@
 import type { ControlStore } from "../storage/controlStore.js";
 import { CatalogueLog, type ProposalEnd } from "./catalogueLog.js";
 import { CatalogueState } from "./catalogueState.js";
+import { performOnDisk } from "./diskEffects.js";
 import type { ChangeCommand, ControlAnswer, ControlEffect, ControlEvent, GroupMembers } from "./messages.js";
 import type { VoterStatus } from "./operatorApi.js";
 import type { ControlLogger } from "./options.js";
@@ -144,7 +145,7 @@
     }
 
     private perform(effects: readonly ControlEffect[]): void {
-        effects.forEach(effect => this.performOnDisk(effect));
+        effects.forEach(effect => performOnDisk(this.options.store, effect));
         if (effects.some(effect => effect.kind === "append" || effect.kind === "save-snapshot")) {
             this.options.store.sync();
             this.learnMembers();
@@ -152,21 +153,6 @@
         effects.forEach(effect => this.performElsewhere(effect));
     }
 
-    private performOnDisk(effect: ControlEffect): void {
-        const { store } = this.options;
-        switch (effect.kind) {
-            case "save-vote":
-                store.saveVote(effect.term, effect.votedFor);
-                break;
-            case "append":
-                store.append(effect.records);
-                break;
-            case "save-snapshot":
-                store.saveSnapshot(effect.snapshot, effect.records);
-                break;
-        }
-    }
-
     private performElsewhere(effect: ControlEffect): void {
         switch (effect.kind) {
             case "send":
--- a/src/control/testing/fakeGroup.ts
+++ b/src/control/testing/fakeGroup.ts
@@ -2,6 +2,7 @@
 import { ControlStore } from "../../storage/controlStore.js";
 import { FakeDisk, InjectedCrash } from "../../storage/fakeDisk.js";
 import { CatalogueState } from "../catalogueState.js";
+import { performOnDisk } from "../diskEffects.js";
 import type {
     ChangeCommand,
     ControlAnswer,
@@ -196,7 +197,7 @@
 
     private perform(vm: FakeVm, effects: readonly ControlEffect[]): void {
         try {
-            effects.forEach(effect => performOnDisk(vm.store, effect));
+            effects.forEach(effect => effect.kind === "sync" ? vm.store.sync() : performOnDisk(vm.store, effect));
         }
         catch (error) {
             if (error instanceof InjectedCrash) {
@@ -249,20 +250,3 @@
         return this.cutLinks.has(`${from.name}>${to.name}`);
     }
 }
-
-function performOnDisk(store: ControlStore, effect: ControlEffect): void {
-    switch (effect.kind) {
-        case "save-vote":
-            store.saveVote(effect.term, effect.votedFor);
-            break;
-        case "append":
-            store.append(effect.records);
-            break;
-        case "save-snapshot":
-            store.saveSnapshot(effect.snapshot, effect.records);
-            break;
-        case "sync":
-            store.sync();
-            break;
-    }
-}
