Run on the users' platform: replicated directory, entries that follow it, adapter

Cause: the platform gives a process three seed addresses and a settings file, routes by host and path, and finds instances by their heartbeats. The catalogue knows services by name, its members from settings, and its entries form a mesh whose bytes between availability zones are billed.

The replicated log takes any state machine.

Ruled out: the mesh of entries (17 entries with pings and digests across zones), a slot owner per service (it cannot know an instance's speed of the moment).

--- a/src/control/catalogueService.test.ts
+++ b/src/control/catalogueService.test.ts
@@ -1,12 +1,13 @@
 import test from "ava";
 import type { EntryVm, Service } from "../catalogue/model.js";
 import { ManualClock } from "../core/clock.js";
-import { CatalogueLog, type ProposalEnd } from "./catalogueLog.js";
+import { CatalogueLog } from "./catalogueLog.js";
 import { CatalogueService } from "./catalogueService.js";
 import { CatalogueState } from "./catalogueState.js";
 import { EntryTable } from "./entryTable.js";
-import type { ChangeCommand } from "./messages.js";
+import type { ChangeCommand, ChangeResult } from "./messages.js";
 import type { ApplyAnswer, ChangeOperation, ConfigSyncParams, VoterStatus } from "./operatorApi.js";
+import type { ProposalEnd } from "./replicatedLog.js";
 
 /** Log that takes changes at once, or loses them as the table says. */
 class FakeLog extends CatalogueLog {
@@ -14,13 +15,15 @@
     readonly selfId = "a1";
     isLeader = true;
     leaderAddress: string | undefined;
-    ends: ProposalEnd["kind"][] = [];
+    ends: ProposalEnd<ChangeResult>["kind"][] = [];
     confirmations = 0;
 
-    propose(change: ChangeCommand): Promise<ProposalEnd> {
+    propose(change: ChangeCommand): Promise<ProposalEnd<ChangeResult>> {
         const kind = this.ends.shift() ?? "applied";
         const result = kind === "refused" ? undefined : this.state.apply(change);
-        return Promise.resolve(kind === "applied" && result !== undefined ? { kind, result } : { kind } as ProposalEnd);
+        return Promise.resolve(
+            kind === "applied" && result !== undefined ? { kind, result } : { kind } as ProposalEnd<ChangeResult>,
+        );
     }
 
     confirmLeadership(): Promise<boolean> {
--- a/src/control/catalogueState.ts
+++ b/src/control/catalogueState.ts
@@ -11,6 +11,7 @@
     type ChangeOperation,
     type FieldDifference,
 } from "./operatorApi.js";
+import { StateMachine } from "./stateMachine.js";
 
 /** Claims are retained for 10 min; the lists they were spread over are kept one minute longer. */
 const entryListRetentionMs = 11 * 60 * 1000;
@@ -29,7 +30,7 @@
 }
 
 /** The replicated state: catalogue, audit trail and results by change id. Depends only on the commands applied. */
-export class CatalogueState {
+export class CatalogueState extends StateMachine {
     private catalogue: Catalogue = emptyCatalogue;
     private audit: AuditRecord[] = [];
     private differenceCount = 0;
--- a/src/control/daemon.ts
+++ b/src/control/daemon.ts
@@ -3,7 +3,9 @@
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
+import type { CatalogueHost } from "./catalogueHost.js";
 import { CatalogueService } from "./catalogueService.js";
+import { CatalogueState } from "./catalogueState.js";
 import { EntryTable } from "./entryTable.js";
 import { Formation, FormationMethod } from "./formation.js";
 import type { Member } from "./messages.js";
@@ -20,7 +22,7 @@
 /** Parts of a running control VM. */
 interface ControlParts {
     readonly entries: EntryTable;
-    readonly host: ReplicaHost;
+    readonly host: CatalogueHost;
     readonly service: CatalogueService;
     readonly gate: OperatorGate;
     readonly links: PeerLinks;
@@ -82,7 +84,8 @@
         const report = options.onFailed ?? (() => process.exit(1));
         close().then(() => report(error), () => report(error));
     };
-    const host = new ReplicaHost({ selfId, store, links, clock, random, logger, onFailed });
+    const machine = new CatalogueState();
+    const host: CatalogueHost = new ReplicaHost({ selfId, machine, store, links, clock, random, logger, onFailed });
     const entries = new EntryTable();
     const service = new CatalogueService(host, entries, clock);
     const gate = new OperatorGate(host, service, links);
--- a/src/control/formation.ts
+++ b/src/control/formation.ts
@@ -1,6 +1,6 @@
+import type { CatalogueHost } from "./catalogueHost.js";
 import type { Member } from "./messages.js";
 import type { PeerLinks } from "./peerLinks.js";
-import type { ReplicaHost } from "./replicaHost.js";
 
 const stepMs = 300;
 const callTimeoutMs = 1000;
@@ -26,7 +26,7 @@
     private isClosed = false;
 
     constructor(
-        private readonly host: ReplicaHost,
+        private readonly host: CatalogueHost,
         private readonly links: PeerLinks,
         private readonly self: Member,
         /** The VMs of the settings; their ids are names, not identities. */
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -5,6 +5,8 @@
 import type { AppliedRecord, ReplicaState } from "./replicaState.js";
 
 const joinValidMs = 2000;
+/** A member that said it leaves counts as lost for this long; after that it has restarted or does not answer. */
+const leavingValidMs = 8000;
 const caughtUpWithinMs = 500;
 /** A part of a snapshot that was not answered for this long is sent again. */
 const chunkResendMs = 300;
@@ -28,6 +30,8 @@
     /** Waiting proposals by log index. */
     private readonly proposals = new Map<number, number>();
     private readonly joining = new Map<VoterId, { readonly member: Member; readonly askedAtMs: number; }>();
+    /** Members that are about to stop, with the time of their message. */
+    private readonly leaving = new Map<VoterId, number>();
     private readonly termStartIndex: number;
     private nextHeartbeatMs: number;
 
@@ -76,10 +80,17 @@
     }
 
     join(member: Member): void {
+        this.leaving.delete(member.id);
         this.joining.set(member.id, { member, askedAtMs: this.nowMs });
         this.reviewMembers();
     }
 
+    /** Takes note that a member stops for good or for a restart; a learner that has caught up takes its place. */
+    noteLeaving(id: VoterId): void {
+        this.leaving.set(id, this.nowMs);
+        this.reviewMembers();
+    }
+
     noteAppendAnswer(from: VoterId, answer: AppendAnswer): void {
         const row = this.noteAnswer(from, answer.round);
         // A repeated answer must not cause another message, or duplicated messages would multiply without end.
@@ -241,7 +252,11 @@
             }
         }
         const joining = [...this.joining.values()].map(row => row.member);
-        const next = nextMembers(this.state.members, joining, member => this.isCaughtUp(member.id));
+        const next = nextMembers(this.state.members, joining, {
+            isCaughtUp: member => this.isCaughtUp(member.id),
+            isLost: member => this.isLost(member.id),
+            votersWanted: this.state.limits.votersWanted,
+        });
         if (next !== undefined && this.canChangeMembers(next)) {
             const voters = next.voters.map(member => member.id).join(", ");
             const learners = next.learners.map(member => member.id).join(", ");
@@ -256,6 +271,12 @@
         }
     }
 
+    private isLost(id: VoterId): boolean {
+        const silentMs = this.nowMs - this.progressOf(id).heardAtMs;
+        const isLeaving = this.nowMs - (this.leaving.get(id) ?? -Infinity) < leavingValidMs;
+        return isLeaving || (id !== this.state.selfId && silentMs > this.state.limits.lostAfterMs);
+    }
+
     private isCaughtUp(id: VoterId): boolean {
         const row = this.progressOf(id);
         return row.matchIndex >= this.state.commitIndex && this.nowMs - row.heardAtMs <= caughtUpWithinMs;
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -37,7 +37,8 @@
 export type Command =
     /** First record of a leader's term; commits the records of earlier terms. */
     | { readonly kind: "no-op"; }
-    | { readonly kind: "change"; readonly change: ChangeCommand; }
+    /** The change is a `ChangeCommand` in the log of the catalogue. */
+    | { readonly kind: "change"; readonly change: unknown; }
     | { readonly kind: "members"; readonly members: GroupMembers; };
 
 /** One record of the replicated log. */
@@ -142,11 +143,13 @@
     /** Starts a new group; ignored by a VM that already has one. */
     | { readonly kind: "found"; readonly members: GroupMembers; }
     /** A VM that is not a member asks to become one. */
-    | { readonly kind: "join"; readonly member: Member; };
+    | { readonly kind: "join"; readonly member: Member; }
+    /** A member is about to stop. */
+    | { readonly kind: "leaving"; readonly memberId: VoterId; };
 
 /** How a proposal or a read ended. */
 export type ControlAnswer =
-    | { readonly kind: "applied"; readonly index: number; readonly result: ChangeResult | undefined; }
+    | { readonly kind: "applied"; readonly index: number; readonly result: unknown; }
     | { readonly kind: "confirmed"; }
     /** The proposal was not taken. */
     | { readonly kind: "refused"; readonly leaderId: VoterId | undefined; }
--- a/src/control/operatorGate.ts
+++ b/src/control/operatorGate.ts
@@ -1,8 +1,8 @@
 import { ControlError, FigwharfError } from "../core/errors.js";
+import type { CatalogueHost } from "./catalogueHost.js";
 import type { CatalogueService, OperatorCaller } from "./catalogueService.js";
 import { type ApplyAnswer, ApplyOutcome, OperatorMethod } from "./operatorApi.js";
 import type { PeerLinks } from "./peerLinks.js";
-import type { ReplicaHost } from "./replicaHost.js";
 
 /** Method that hands an operator's call to the leader. */
 export const operateMethod = "replication.operate";
@@ -27,7 +27,7 @@
 /** Brings operators' calls to the VM that leads. */
 export class OperatorGate {
     constructor(
-        private readonly host: ReplicaHost,
+        private readonly host: CatalogueHost,
         private readonly service: CatalogueService,
         private readonly links: PeerLinks,
     ) {}
--- a/src/control/peerLinks.ts
+++ b/src/control/peerLinks.ts
@@ -41,6 +41,11 @@
         return this.client(address).call(method, params, timeoutMs);
     }
 
+    /** Sends a notification to an address; it is lost when there is no connection. */
+    notify(address: string, method: string, params: unknown): void {
+        this.client(address).notify(method, params);
+    }
+
     close(): void {
         this.clients.forEach(client => client.close());
     }
--- a/src/control/replica.test.ts
+++ b/src/control/replica.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { SeededRandom } from "../core/random.js";
 import { CatalogueState } from "./catalogueState.js";
-import type { ControlEffect, LogRecord, PersistedState, ReplicationMessage } from "./messages.js";
+import type { ChangeCommand, ControlEffect, LogRecord, PersistedState, ReplicationMessage } from "./messages.js";
 import { Replica } from "./replica.js";
 
 const members = {
@@ -40,7 +40,7 @@
     const record = changeRecord(index, 1);
     const from = "x".repeat(900 * 1024);
     return record.command.kind === "change"
-        ? { ...record, command: { kind: "change", change: { ...record.command.change, from } } }
+        ? { ...record, command: { kind: "change", change: { ...record.command.change as ChangeCommand, from } } }
         : record;
 }
 
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -101,6 +101,9 @@
             case "join":
                 this.leader?.join(event.member);
                 break;
+            case "leaving":
+                this.leader?.noteLeaving(event.memberId);
+                break;
         }
         this.resignIfRemoved();
         return this.state.takeEffects();
--- a/src/control/replicaHost.test.ts
+++ b/src/control/replicaHost.test.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from "../core/random.js";
 import { ControlStore } from "../storage/controlStore.js";
 import { FakeDisk } from "../storage/fakeDisk.js";
+import { CatalogueState } from "./catalogueState.js";
 import { PeerLinks } from "./peerLinks.js";
 import { ReplicaHost } from "./replicaHost.js";
 
@@ -27,6 +28,7 @@
         const logger = { info: () => 0, warn: () => 0, error: (text: string) => lines.push(text) };
         const host = new ReplicaHost({
             selfId,
+            machine: new CatalogueState(),
             store,
             links: new PeerLinks({ selfId, secret: "secret" }),
             clock: new ManualClock(),
--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -1,14 +1,15 @@
 import type { Clock } from "../core/clock.js";
 import type { RandomSource } from "../core/random.js";
 import type { ControlStore } from "../storage/controlStore.js";
-import { CatalogueLog, type ProposalEnd } from "./catalogueLog.js";
-import { CatalogueState } from "./catalogueState.js";
 import { performOnDisk } from "./diskEffects.js";
-import type { ChangeCommand, ControlAnswer, ControlEffect, ControlEvent, GroupMembers } from "./messages.js";
+import type { ControlAnswer, ControlEffect, ControlEvent, GroupMembers } from "./messages.js";
 import type { VoterStatus } from "./operatorApi.js";
 import type { ControlLogger } from "./options.js";
 import type { PeerLinks } from "./peerLinks.js";
 import { Replica } from "./replica.js";
+import { defaultReplicaLimits, type ReplicaLimits } from "./replicaState.js";
+import { type ProposalEnd, ReplicatedLog } from "./replicatedLog.js";
+import type { StateMachine } from "./stateMachine.js";
 
 const tickMs = 50;
 const proposalTimeoutMs = 5000;
@@ -16,8 +17,11 @@
 const silentAfterMs = 2000;
 
 /** What a replica host works with. */
-export interface ReplicaHostOptions {
+export interface ReplicaHostOptions<Machine extends StateMachine> {
     readonly selfId: string;
+    /** The state that the log drives. */
+    readonly machine: Machine;
+    readonly limits?: ReplicaLimits;
     readonly store: ControlStore;
     readonly links: PeerLinks;
     readonly clock: Clock;
@@ -30,8 +34,8 @@
 type Settle = (answer: ControlAnswer | undefined) => void;
 
 /** Drives a replica with its disk, its peers and the time. */
-export class ReplicaHost extends CatalogueLog {
-    readonly state = new CatalogueState();
+export class ReplicaHost<Machine extends StateMachine, Change, Result> extends ReplicatedLog<Machine, Change, Result> {
+    readonly state: Machine;
     private readonly replica: Replica;
     private readonly startedAtMs: number;
     private readonly ticker: NodeJS.Timeout;
@@ -40,12 +44,13 @@
     private queue: ControlEvent[] = [];
     private isStopped = false;
 
-    constructor(private readonly options: ReplicaHostOptions) {
+    constructor(private readonly options: ReplicaHostOptions<Machine>) {
         super();
-        const { selfId, store, random, clock } = options;
+        const { selfId, store, random, clock, machine, limits = defaultReplicaLimits } = options;
+        this.state = machine;
         this.startedAtMs = clock.monotonicMs();
         const persisted = store.load();
-        this.replica = new Replica({ selfId, persisted, machine: this.state, random, nowMs: this.startedAtMs });
+        this.replica = new Replica({ selfId, persisted, machine, random, limits, nowMs: this.startedAtMs });
         this.ticker = setInterval(() => this.run(), tickMs);
         this.learnMembers();
     }
@@ -67,6 +72,11 @@
         return this.replica.members;
     }
 
+    /** Returns whether this VM leads or heard the leader within the longest election timeout. */
+    get isLed(): boolean {
+        return this.replica.isLed(this.options.clock.monotonicMs());
+    }
+
     /** Returns whether this VM votes or learns in the group it knows. */
     get isMember(): boolean {
         const { voters, learners } = this.replica.members;
@@ -98,14 +108,14 @@
         }
     }
 
-    async propose(change: ChangeCommand): Promise<ProposalEnd> {
+    async propose(change: Change): Promise<ProposalEnd<Result>> {
         const answer = await this.ask(proposalTimeoutMs, requestId => ({
             kind: "propose",
             requestId,
             command: { kind: "change", change },
         }));
         if (answer?.kind === "applied" && answer.result !== undefined) {
-            return { kind: "applied", result: answer.result };
+            return { kind: "applied", result: answer.result as Result };
         }
         return { kind: answer?.kind === "refused" ? "refused" : "unknown" };
     }
--- a/src/control/replicaModel.ts
+++ b/src/control/replicaModel.ts
@@ -1,8 +1,8 @@
 import type { VoterId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
-import type { CatalogueState } from "./catalogueState.js";
 import type { PersistedState } from "./messages.js";
 import type { ReplicaLimits } from "./replicaState.js";
+import type { StateMachine } from "./stateMachine.js";
 
 /** What a replica does at the moment. */
 export const ReplicaRole = {
@@ -18,7 +18,7 @@
 export interface ReplicaOptions {
     readonly selfId: VoterId;
     readonly persisted: PersistedState;
-    readonly machine: CatalogueState;
+    readonly machine: StateMachine;
     readonly random: RandomSource;
     readonly nowMs: number;
     readonly limits?: ReplicaLimits;
--- a/src/control/replicaState.ts
+++ b/src/control/replicaState.ts
@@ -1,7 +1,5 @@
 import type { VoterId } from "../core/ids.js";
-import type { CatalogueState } from "./catalogueState.js";
 import type {
-    ChangeResult,
     Command,
     ControlEffect,
     GroupMembers,
@@ -11,10 +9,15 @@
     Snapshot,
 } from "./messages.js";
 import { RecordList } from "./recordList.js";
+import type { StateMachine } from "./stateMachine.js";
 
 /** Sizes and times of a replica. */
 export interface ReplicaLimits {
     readonly heartbeatMs: number;
+    /** VMs that vote; more VMs stay learners, which take the place of lost voters. */
+    readonly votersWanted: number;
+    /** A member that did not answer for this long can be replaced. */
+    readonly lostAfterMs: number;
     readonly minElectionMs: number;
     readonly maxElectionMs: number;
     /** A leader steps down when no quorum answered for this long. */
@@ -31,6 +34,8 @@
 
 export const defaultReplicaLimits: ReplicaLimits = {
     heartbeatMs: 100,
+    votersWanted: Infinity,
+    lostAfterMs: 10_000,
     minElectionMs: 700,
     maxElectionMs: 1400,
     quorumLossMs: 1200,
@@ -54,7 +59,7 @@
 /** A record that a majority holds, with the result of its change. */
 export interface AppliedRecord {
     readonly record: LogRecord;
-    readonly result: ChangeResult | undefined;
+    readonly result: unknown;
 }
 
 /** Tables of a replica: term, vote, log, members, and the effects that the current event has caused. */
@@ -73,7 +78,7 @@
     constructor(
         readonly selfId: VoterId,
         persisted: PersistedState,
-        readonly machine: CatalogueState,
+        readonly machine: StateMachine,
         readonly limits: ReplicaLimits,
     ) {
         const { snapshot, records } = persisted;
--- a/src/control/testing/operators.ts
+++ b/src/control/testing/operators.ts
@@ -1,4 +1,4 @@
-import type { ChangeCommand } from "../messages.js";
+import type { ChangeCommand, ChangeResult } from "../messages.js";
 import { ApplyOutcome } from "../operatorApi.js";
 import type { FakeGroup, FakeVm } from "./fakeGroup.js";
 
@@ -96,7 +96,7 @@
     private sendChange(vm: FakeVm, operation: Operation): boolean {
         return this.group.proposeChange(vm, this.toCommand(operation), answer => {
             if (answer.kind === "applied" && answer.result !== undefined) {
-                const { outcome, revision } = answer.result;
+                const { outcome, revision } = answer.result as ChangeResult;
                 const seen = outcome === ApplyOutcome.accepted ? operation.changeId : undefined;
                 this.finish(operation, outcome, revision, seen);
             }
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -1,6 +1,7 @@
 /** Messages of all errors, by code. Placeholders in braces are filled from the error's details. */
 export const errorMessages = {
     "settings-invalid": "{file}:{line}: {field}: expected {expected}, got {actual}",
+    "document-invalid": "{field}: expected {expected}, got {actual}",
     "file-missing": "{file}: the file does not exist or cannot be read",
     "channel-closed": "the connection to {peer} closed before the answer arrived",
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
@@ -38,6 +39,9 @@
 /** Settings or declarations that cannot be used. */
 export class SettingsError extends FigwharfError {}
 
+/** A message or file from outside whose content cannot be used. */
+export class DocumentError extends FigwharfError {}
+
 /** Settings or declarations with one or more problems. */
 export class ProblemListError extends FigwharfError {
     constructor(readonly problems: readonly SettingsError[]) {
--- /dev/null
+++ b/src/directory/validateRoutes.ts
@@ -0,0 +1,64 @@
+import type { Route, RouteTable } from "./model.js";
+
+/** Longest timeout of a route. Source: the operators' limit of ten minutes. */
+export const maxRouteTimeoutMs = 600_000;
+/** A target latency is at least this far below `timeout + limit`. Source: the operators' limit of a minute. */
+export const maxTargetExcessMs = 60_000;
+
+/** Returns what is wrong with a table in itself, or undefined. */
+export function findRouteProblem(table: RouteTable): string | undefined {
+    const services = new Set(table.services.map(row => row.name));
+    if (services.size < table.services.length) {
+        return "two services have the same name";
+    }
+    const names = new Set<string>();
+    for (const { host, routes } of table.hosts) {
+        const prefixes = new Set<string>();
+        for (const route of routes) {
+            const problem = findProblemOfRoute(route, services);
+            if (problem !== undefined) {
+                return `route ${route.name}: ${problem}`;
+            }
+            if (names.has(route.name)) {
+                return `two routes have the name ${route.name}`;
+            }
+            if (prefixes.has(route.pathPrefix)) {
+                return `two routes of ${host} have the prefix ${route.pathPrefix}`;
+            }
+            names.add(route.name);
+            prefixes.add(route.pathPrefix);
+        }
+    }
+    return undefined;
+}
+
+function findProblemOfRoute(route: Route, services: ReadonlySet<string>): string | undefined {
+    const { targets, timeoutMs, targetLatencyMs, maxAttempts, pathPrefix } = route;
+    const unknown = targets.find(target => !services.has(target.service));
+    if (unknown !== undefined) {
+        return `there is no service ${unknown.service}`;
+    }
+    if (targets.some(target => !(target.weight >= 0))) {
+        return "a weight is negative";
+    }
+    if (!(targets.reduce((sum, target) => sum + target.weight, 0) > 0)) {
+        return "the weights add up to 0";
+    }
+    if (timeoutMs !== undefined && !(timeoutMs > 0 && timeoutMs <= maxRouteTimeoutMs)) {
+        return `the timeout of ${timeoutMs} ms is not between 0 and ${maxRouteTimeoutMs} ms`;
+    }
+    if (targetLatencyMs !== undefined && !(targetLatencyMs > 0)) {
+        return `the target latency of ${targetLatencyMs} ms is not positive`;
+    }
+    const isFarAbove = timeoutMs !== undefined && targetLatencyMs !== undefined &&
+        targetLatencyMs >= timeoutMs + maxTargetExcessMs;
+    if (isFarAbove) {
+        return `the target latency of ${targetLatencyMs} ms is far above the timeout of ${timeoutMs} ms`;
+    }
+    if (!(maxAttempts >= 1)) {
+        return "fewer than one attempt is allowed";
+    }
+    return pathPrefix.startsWith("/") && pathPrefix.endsWith("/")
+        ? undefined
+        : `the prefix ${pathPrefix} does not begin and end with a slash`;
+}
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -5,7 +5,7 @@
 import type { Admitted } from "./admission.js";
 import type { Attempt, ResponseSink } from "./attempt.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
-import { formatProblem } from "./problem.js";
+import { formatProblem, formatRetryAfter } from "./problem.js";
 
 const notForwardedNames = new Set(["content-length", "figwharf-deadline-ms", "figwharf-request-id"]);
 
@@ -31,7 +31,7 @@
     mustClose = false;
     /** When the head of the request arrived, in monotonic milliseconds. */
     receivedAtMs = 0;
-    private isOver = false;
+    protected isOver = false;
     private fields: readonly HeaderField[] | undefined;
 
     constructor(
@@ -50,7 +50,7 @@
         return this.isOver;
     }
 
-    /** Header of a request to an upstream, as a flat list of names and values. */
+    /** Returns the header of a request to an upstream, as a flat list of names and values. */
     requestHeaders(timeoutMs: number): string[] {
         this.fields ??= selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
             .filter(([name]) => !notForwardedNames.has(name.toLowerCase()));
@@ -131,6 +131,9 @@
             return;
         }
         const { headers, body } = formatProblem(answer, this.id);
+        if (answer.retryAfterMs !== undefined) {
+            headers["Retry-After"] = this.formatRetryAfter(answer.retryAfterMs);
+        }
         if (this.mustClose || !this.incoming.complete) {
             // When the rest of the body is not read, the connection cannot carry another request.
             headers["Connection"] = "close";
@@ -140,6 +143,11 @@
         this.finish();
     }
 
+    /** Returns the value of `Retry-After`; whole seconds, as RFC 9110 has it. */
+    protected formatRetryAfter(retryAfterMs: number): string {
+        return formatRetryAfter(retryAfterMs);
+    }
+
     /** Ends the request with a retained response. */
     replay(response: RetainedResponse): void {
         this.writeHead(response, true);
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -19,6 +19,11 @@
     readonly body: string;
 }
 
+/** Returns the value of `Retry-After` in whole seconds, as RFC 9110 has it. */
+export function formatRetryAfter(retryAfterMs: number): string {
+    return String(Math.max(1, Math.ceil(retryAfterMs / 1000)));
+}
+
 /** Formats an answer as problem+json. */
 export function formatProblem(answer: GeneratedAnswer, requestId: string): ProblemResponse {
     const body: ProblemBody = {
@@ -41,7 +46,7 @@
         headers["Figwharf-Submission-Verdict"] = answer.submissionVerdict;
     }
     if (answer.retryAfterMs !== undefined) {
-        headers["Retry-After"] = String(Math.max(1, Math.ceil(answer.retryAfterMs / 1000)));
+        headers["Retry-After"] = formatRetryAfter(answer.retryAfterMs);
     }
     return { headers, body: text };
 }
--- /dev/null
+++ b/src/gateway/callerServer.ts
@@ -0,0 +1,90 @@
+import { randomUUID } from "node:crypto";
+import http, { type IncomingMessage, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { ListenAddress } from "../control/options.js";
+import { refuse } from "../entry/answers.js";
+import { findAmbiguity } from "../entry/framing.js";
+import type { EntryLimits } from "../entry/options.js";
+import { formatProblem } from "../entry/problem.js";
+
+const connectionCheckIntervalMs = 1000;
+
+/** Takes a request whose head is sound. */
+export type OnRequest = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+
+/** HTTP server of an entry whose callers name a host and a path. */
+export class CallerServer {
+    private readonly server: http.Server;
+    private readonly busySockets = new WeakMap<Socket, number>();
+    private readonly refusedSockets = new WeakSet<Socket>();
+
+    constructor(limits: EntryLimits, private readonly onRequest: OnRequest) {
+        this.server = http.createServer({
+            maxHeaderSize: limits.headBytes,
+            headersTimeout: limits.headTimeoutMs,
+            requestTimeout: 0,
+            requireHostHeader: false,
+            keepAliveTimeout: limits.keepAliveTimeoutMs,
+            connectionsCheckingInterval: connectionCheckIntervalMs,
+            noDelay: true,
+        }, (incoming, outgoing) => this.accept(incoming, outgoing));
+        this.server.maxConnections = limits.connections;
+        this.server.on("clientError", (_error, socket) => this.onClientError(socket as Socket));
+    }
+
+    listen({ host, port }: ListenAddress): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, () => resolve());
+        });
+    }
+
+    /** Sets the idle time after which connections are closed. */
+    setIdleTimeoutMs(idleTimeoutMs: number): void {
+        this.server.keepAliveTimeout = idleTimeoutMs;
+    }
+
+    /** Stops taking connections; closes those that are idle. */
+    stopListening(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    closeIdleConnections(): void {
+        this.server.closeIdleConnections();
+    }
+
+    closeAllConnections(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
+        const { socket } = incoming;
+        if (this.refusedSockets.has(socket)) {
+            return;
+        }
+        const ambiguity = findAmbiguity(incoming);
+        if (ambiguity !== undefined) {
+            this.refusedSockets.add(socket);
+            outgoing.shouldKeepAlive = false;
+            const { headers, body } = formatProblem(refuse(400, "ambiguous-request", ambiguity), randomUUID());
+            outgoing.writeHead(400, headers);
+            outgoing.end(body);
+            return;
+        }
+        this.busySockets.set(socket, (this.busySockets.get(socket) ?? 0) + 1);
+        outgoing.once("close", () => this.busySockets.set(socket, (this.busySockets.get(socket) ?? 1) - 1));
+        this.onRequest(incoming, outgoing);
+    }
+
+    /** A malformed byte is not answered while an answer may be under way on the connection. */
+    private onClientError(socket: Socket): void {
+        const isBusy = (this.busySockets.get(socket) ?? 0) > 0;
+        if (!socket.writable || isBusy || this.refusedSockets.has(socket)) {
+            socket.destroy();
+            return;
+        }
+        socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    }
+}
--- /dev/null
+++ b/src/gateway/gatewayExchange.ts
@@ -0,0 +1,29 @@
+import type { UpstreamId } from "../core/ids.js";
+import { Exchange } from "../entry/exchange.js";
+import { selectEndToEndFields, toHeaderFields } from "../entry/headers.js";
+import type { Dialect } from "./dialect.js";
+
+const framingHeaders = new Set(["content-length"]);
+
+/** A caller's request whose headers follow a dialect. */
+export class GatewayExchange extends Exchange {
+    dialect!: Dialect;
+
+    /** Returns the header of a request to an upstream, as a flat list of names and values. */
+    attemptHeaders(upstreamId: UpstreamId, remainingMs: number): string[] {
+        const { replacedHeaders } = this.dialect;
+        const headers = selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
+            .filter(([name]) => !replacedHeaders.has(name.toLowerCase()) && !framingHeaders.has(name.toLowerCase()))
+            .flat() as string[];
+        headers.push(...this.dialect.listAttemptHeaders(upstreamId, remainingMs));
+        if (this.body.buffer === undefined && this.body.lengthBytes !== undefined && this.body.content !== null) {
+            headers.push("Content-Length", String(this.body.lengthBytes));
+        }
+        return headers;
+    }
+
+    /** Callers of these routes accept fractions of a second. */
+    protected override formatRetryAfter(retryAfterMs: number): string {
+        return (Math.max(1, retryAfterMs) / 1000).toFixed(3);
+    }
+}
--- /dev/null
+++ b/src/gateway/gatewayRequest.ts
@@ -0,0 +1,245 @@
+import type { Clock } from "../core/clock.js";
+import type { UpstreamId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import { Verdict } from "../core/verdict.js";
+import type { Route, RoutedService } from "../directory/model.js";
+import type { BufferBudget } from "../entry/bufferBudget.js";
+import type { UpstreamPools } from "../entry/upstreamPools.js";
+import type { GeneratedAnswer } from "../requests/model.js";
+import type { Dialect } from "./dialect.js";
+import { type AttemptEnd, GatewayAttempt } from "./gatewayAttempt.js";
+import type { GatewayExchange } from "./gatewayExchange.js";
+import type { GatewayLogger } from "./options.js";
+import type { Placement } from "./placement.js";
+import type { Placer } from "./placer.js";
+import type { ResendBudget } from "./resendBudget.js";
+import { type UpstreamBoard, UseOutcome } from "./upstreamBoard.js";
+
+/** Part of the target latency that a request waits for an upstream with room before it is refused. */
+const patienceShare = 0.35;
+/** Target latency of a route that states none. */
+const defaultTargetLatencyMs = 1000;
+/** The upstream stops work this long after the route's timeout, so that its own answer comes before the entry's. */
+const upstreamGraceMs = 80;
+/** The entry answers this long after the route's timeout when the upstream has not. */
+const answerGraceMs = 180;
+/** A request with less time than this is not sent any more. */
+const minRemainingMs = 10;
+/** A refused caller comes back at a random moment of this span, so that those refused together come back apart. */
+const minRetryAfterMs = 200;
+const retryAfterSpreadMs = 400;
+
+/** What requests work with. */
+export interface RequestParts {
+    readonly placer: Placer;
+    readonly board: UpstreamBoard;
+    readonly pools: UpstreamPools;
+    readonly resends: ResendBudget;
+    readonly budget: BufferBudget;
+    readonly dialect: Dialect;
+    readonly logger: GatewayLogger;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
+
+/** Facts of a request that do not change. */
+export interface RequestPlan {
+    readonly exchange: GatewayExchange;
+    readonly requestId: string | undefined;
+    readonly route: Route;
+    readonly service: RoutedService;
+    readonly deadlineAtMs: number;
+}
+
+/** One request of a caller on its way: placing, attempts, resends and the answer. */
+export class GatewayRequest {
+    private readonly excluded = new Set<UpstreamId>();
+    private readonly timeoutAtMs: number;
+    private attempt: GatewayAttempt | undefined;
+    /** A failure of an upstream that is delivered when nothing better comes. */
+    private held: GatewayAttempt | undefined;
+    private mayHaveRun = false;
+    private attemptCount = 0;
+
+    constructor(private readonly plan: RequestPlan, private readonly parts: RequestParts) {
+        const { route, exchange, deadlineAtMs } = plan;
+        this.timeoutAtMs = Math.min(exchange.receivedAtMs + (route.timeoutMs ?? Infinity), deadlineAtMs);
+    }
+
+    /** Runs the request to its end. */
+    async run(): Promise<void> {
+        const timer = setTimeout(() => this.onTimeout(), this.timeoutAtMs + answerGraceMs - this.nowMs());
+        this.parts.resends.countRequest(this.plan.service.name, this.nowMs());
+        try {
+            let goesOn = true;
+            while (goesOn && !this.plan.exchange.isEnded) {
+                goesOn = await this.tryOnce();
+            }
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+
+    /** The caller has closed its connection. Work that may be repeated is stopped; other work is completed. */
+    onCallerGone(): void {
+        this.log("caller left", { mayHaveRun: this.mayHaveRun });
+        if (this.plan.route.isIdempotent || this.attempt?.mayHaveRun === false) {
+            this.attempt?.cancel();
+        }
+    }
+
+    /** Returns whether another attempt follows. */
+    private async tryOnce(): Promise<boolean> {
+        const placement = await this.findPlacement();
+        if (this.plan.exchange.isEnded) {
+            return false;
+        }
+        if (placement === undefined) {
+            this.giveUp("no-room", "No upstream had room for the request in time.");
+            return false;
+        }
+        const end = await this.send(placement);
+        return this.handleEnd(placement, end);
+    }
+
+    private findPlacement(): Promise<Placement | undefined> {
+        const { route, service, exchange } = this.plan;
+        const patienceMs = patienceShare * (route.targetLatencyMs ?? defaultTargetLatencyMs);
+        const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
+        return this.parts.placer.place({
+            service,
+            excluded: this.excluded,
+            untilMs: Math.min(startMs + patienceMs, this.timeoutAtMs - minRemainingMs),
+            isOver: () => exchange.isEnded,
+        });
+    }
+
+    private async send({ row, cost }: Placement): Promise<AttemptEnd> {
+        const { exchange, requestId, deadlineAtMs } = this.plan;
+        const { pools, dialect, budget } = this.parts;
+        const sentAtMs = this.nowMs();
+        const remainingMs = Math.floor(Math.min(deadlineAtMs, this.timeoutAtMs + upstreamGraceMs) - sentAtMs);
+        const { id, address } = row.registration;
+        const headers = exchange.attemptHeaders(id, remainingMs);
+        const attempt = new GatewayAttempt({ exchange, requestId, headers }, dialect, budget);
+        this.attempt = attempt;
+        this.attemptCount++;
+        row.openSentAtMs.add(sentAtMs);
+        this.log("placed", {
+            upstream: id,
+            attempt: this.attemptCount,
+            cost,
+            load: row.load,
+            loadAgeMs: Math.round(sentAtMs - row.loadAskedAtMs),
+            remainingMs,
+        });
+        const end = await attempt.start(pools.use(address, sentAtMs));
+        row.openSentAtMs.delete(sentAtMs);
+        this.mayHaveRun ||= attempt.mayHaveRun;
+        return end;
+    }
+
+    private handleEnd({ row }: Placement, end: AttemptEnd): boolean {
+        const { exchange } = this.plan;
+        const isOwnDoing = "failure" in end && end.failure === "cancelled";
+        if (!isOwnDoing && this.parts.board.noteOutcome(row, toUseOutcome(end), this.nowMs())) {
+            this.log("ejected an upstream", { upstream: row.registration.id, failuresInRow: row.failuresInRow });
+        }
+        if (end.kind === "delivered" || exchange.isEnded) {
+            return false;
+        }
+        this.log("attempt ended", { upstream: row.registration.id, ...end, mayHaveRun: this.mayHaveRun });
+        if (end.kind === "cut-off") {
+            exchange.destroyCaller();
+            return false;
+        }
+        if (end.kind === "failed-answer") {
+            this.held = this.attempt;
+        }
+        this.excluded.add(row.registration.id);
+        if (this.mayTryAgain()) {
+            return true;
+        }
+        this.giveUp("attempt-failed", "The upstream failed, and the request cannot be sent again.");
+        return false;
+    }
+
+    private mayTryAgain(): boolean {
+        const { route, service, exchange } = this.plan;
+        const isSafe = route.isIdempotent || !this.mayHaveRun;
+        return isSafe && this.attemptCount < route.maxAttempts && exchange.body.buffer !== undefined &&
+            this.nowMs() < this.timeoutAtMs - minRemainingMs && this.parts.resends.take(service.name, this.nowMs());
+    }
+
+    /** Answers with the best there is: an upstream's failure, or a refusal, or a failure of the entry. */
+    private giveUp(reason: string, detail: string): void {
+        if (this.held !== undefined) {
+            this.held.deliver();
+            return;
+        }
+        this.answer(this.mayHaveRun ? 502 : 503, reason, detail);
+    }
+
+    private onTimeout(): void {
+        if (this.plan.exchange.isEnded) {
+            return;
+        }
+        if (this.held !== undefined) {
+            this.held.deliver();
+        }
+        else {
+            const mayRun = this.mayHaveRun || this.attempt?.mayHaveRun === true;
+            const isWaiting = this.attempt !== undefined && !this.attempt.mayHaveRun;
+            if (isWaiting) {
+                this.attempt?.cancel();
+            }
+            this.mayHaveRun = mayRun;
+            this.answer(mayRun ? 504 : 503, "timeout", "The time of the route has passed.");
+        }
+        if (this.plan.route.isIdempotent) {
+            this.attempt?.cancel();
+        }
+    }
+
+    private answer(status: number, reason: string, detail: string): void {
+        const verdict = this.mayHaveRun ? Verdict.mayHaveRun : Verdict.notRun;
+        const retryAfterMs = this.mayHaveRun ? undefined : this.drawRetryAfterMs();
+        const answer: GeneratedAnswer = { status, verdict, reason, detail, retryAfterMs };
+        this.log("answered without an upstream", {
+            status,
+            verdict,
+            reason,
+            retryAfterMs,
+            attempts: this.attemptCount,
+        });
+        this.plan.exchange.answer(answer);
+    }
+
+    private drawRetryAfterMs(): number {
+        return minRetryAfterMs + this.parts.random.nextUnit() * retryAfterSpreadMs;
+    }
+
+    private nowMs(): number {
+        return this.parts.clock.monotonicMs();
+    }
+
+    private log(text: string, fields: object): void {
+        const { requestId, route, exchange } = this.plan;
+        const ageMs = Math.round(this.nowMs() - exchange.receivedAtMs);
+        this.parts.logger.info(text, { requestId, route: route.name, ageMs, ...fields });
+    }
+}
+
+function toUseOutcome(end: AttemptEnd): UseOutcome {
+    switch (end.kind) {
+        case "delivered":
+            return UseOutcome.good;
+        case "failed-answer":
+            return UseOutcome.failed;
+        case "not-run":
+            return UseOutcome.refused;
+        default:
+            return UseOutcome.broken;
+    }
+}
--- /dev/null
+++ b/src/gateway/options.ts
@@ -0,0 +1,42 @@
+import type { ListenAddress } from "../control/options.js";
+import type { Clock } from "../core/clock.js";
+import type { EntryId } from "../core/ids.js";
+import type { RandomSource } from "../core/random.js";
+import type { EntryLimits } from "../entry/options.js";
+import type { Dialect } from "./dialect.js";
+import type { ResendLimits } from "./resendBudget.js";
+
+/** Receives the log lines of an entry; a tslog logger fits. */
+export interface GatewayLogger {
+    debug(text: string, fields?: object): unknown;
+    info(text: string, fields?: object): unknown;
+    warn(text: string, fields?: object): unknown;
+    error(text: string, fields?: object): unknown;
+}
+
+/** Times that bound the stop of an entry. */
+export interface StopTimes {
+    /** From the request to stop until the process is killed. */
+    readonly graceMs: number;
+    /** How long callers may keep an answer that names the entry. */
+    readonly addressLifetimeMs: number;
+}
+
+/** Options of an entry that follows a directory. */
+export interface GatewayOptions {
+    readonly id: EntryId;
+    readonly availabilityZone: string;
+    readonly listen: ListenAddress;
+    /** Peer addresses of control VMs. */
+    readonly seeds: readonly string[];
+    /** Availability zones of the system, for shares of what all entries may use together. */
+    readonly availabilityZoneCount: number;
+    readonly clusterSecret: string;
+    readonly limits: EntryLimits;
+    readonly resends: ResendLimits;
+    readonly stop: StopTimes;
+    readonly dialect: Dialect;
+    readonly logger: GatewayLogger;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
--- a/src/transport/channel.ts
+++ b/src/transport/channel.ts
@@ -222,6 +222,7 @@
     private socket: net.Socket | undefined;
     private retryTimer: NodeJS.Timeout | undefined;
     private isClosed = false;
+    private readonly waiting = new Set<() => void>();
 
     /** `address` is `host:port`. */
     constructor(
@@ -232,6 +233,22 @@
         this.connect();
     }
 
+    /** Resolves with whether the channel is open within the time. */
+    async waitConnected(timeoutMs: number): Promise<boolean> {
+        if (this.connection !== undefined) {
+            return true;
+        }
+        return new Promise(resolve => {
+            const settle = () => {
+                clearTimeout(timer);
+                this.waiting.delete(settle);
+                resolve(this.connection !== undefined);
+            };
+            const timer = setTimeout(settle, timeoutMs);
+            this.waiting.add(settle);
+        });
+    }
+
     isConnected(): boolean {
         return this.connection !== undefined;
     }
@@ -267,7 +284,10 @@
             ChannelRole.initiator,
             this.options,
             this.handler,
-            connection => this.connection = connection,
+            connection => {
+                this.connection = connection;
+                this.waiting.forEach(settle => settle());
+            },
             () => undefined,
         );
     }
