Send a request on the connection on which its upstream has just answered

Cause: the pool gave a request any of its connections, so a request could meet one that had been closed or had gone silent, although the upstream had just answered on another. Each connection now has one user at a time, and the one that carried the question for the load carries the request.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,4 +1,4 @@
-import type { Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import { AttemptFailure, type ResponseHead, type RetainedResponse } from "../requests/model.js";
 import type { BufferBudget } from "./bufferBudget.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
@@ -62,9 +62,9 @@
         this.retained = request.retainedBytesLimit > 0 ? [] : undefined;
     }
 
-    start(pool: Pool): void {
+    start(dispatcher: Dispatcher): void {
         const { method, path, headers, body } = this.request;
-        pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
+        dispatcher.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this);
     }
 
     /** Sends the response to the caller from now on. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -7,7 +7,6 @@
 import { refuse } from "../entry/answers.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { readBody } from "../entry/requestBody.js";
-import { UpstreamPools } from "../entry/upstreamPools.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { GatewayExchange } from "./gatewayExchange.js";
@@ -18,9 +17,10 @@
 import { ResendBudget } from "./resendBudget.js";
 import { RouteLookup } from "./routeLookup.js";
 import { UpstreamBoard } from "./upstreamBoard.js";
+import { UpstreamConnections } from "./upstreamConnections.js";
 import { WeightedChoice } from "./weightedChoice.js";
 
-const poolCheckMs = 5000;
+const connectionCheckMs = 5000;
 const drainPollMs = 50;
 /** Part of the grace after which requests are refused: one that comes later may not end before the kill. */
 const acceptShare = 0.6;
@@ -59,13 +59,14 @@
     private readonly weights = new WeightedChoice();
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
+    private readonly connections: UpstreamConnections;
     private readonly parts: RequestParts;
-    private poolTimer: NodeJS.Timeout | undefined;
+    private connectionTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: GatewayOptions) {
         const { id, clock, random, dialect, logger, limits, availabilityZone, seeds, clusterSecret } = options;
-        const pools = new UpstreamPools(limits);
-        const inquiry = new LoadInquiry(this.board, pools, dialect, clock);
+        this.connections = new UpstreamConnections(limits);
+        const inquiry = new LoadInquiry(this.board, this.connections, dialect, clock);
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
             channel: { selfId: `${id}.${this.idPrefix}`, secret: clusterSecret },
@@ -81,7 +82,6 @@
         this.parts = {
             placer: new Placer(this.board, inquiry, availabilityZone, clock, random),
             board: this.board,
-            pools,
             resends: new ResendBudget(options.resends, countEntries),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
@@ -94,7 +94,7 @@
     async start(): Promise<void> {
         await this.server.listen(this.options.listen);
         void this.watch.run();
-        this.poolTimer = setInterval(() => this.parts.pools.tick(this.nowMs()), poolCheckMs);
+        this.connectionTimer = setInterval(() => this.connections.tick(this.nowMs()), connectionCheckMs);
         this.options.logger.info("entry started", { id: this.options.id, incarnation: this.idPrefix });
     }
 
@@ -118,7 +118,7 @@
         this.server.stopListening();
         await this.waitUntil(startMs + endShare * stop.graceMs, () => this.exchanges.size === 0);
         logger.info("entry drained", { inFlight: this.exchanges.size, afterMs: Math.round(this.nowMs() - startMs) });
-        clearInterval(this.poolTimer);
+        clearInterval(this.connectionTimer);
         this.watch.close();
         this.server.closeAllConnections();
     }
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -1,4 +1,4 @@
-import type { Pool } from "undici";
+import type { Dispatcher } from "undici";
 import { Attempt } from "../entry/attempt.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import { AttemptFailure, type ResponseHead } from "../requests/model.js";
@@ -62,10 +62,10 @@
     }
 
     /** Sends the request and resolves when the attempt has ended. */
-    start(pool: Pool): Promise<AttemptEnd> {
+    start(dispatcher: Dispatcher): Promise<AttemptEnd> {
         return new Promise(resolve => {
             this.settle = resolve;
-            this.attempt.start(pool);
+            this.attempt.start(dispatcher);
         });
     }
 
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -4,14 +4,12 @@
 import { Verdict } from "../core/verdict.js";
 import type { Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
-import type { UpstreamPools } from "../entry/upstreamPools.js";
 import type { GeneratedAnswer } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import { type AttemptEnd, GatewayAttempt } from "./gatewayAttempt.js";
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
-import type { Placement } from "./placement.js";
-import type { Placer } from "./placer.js";
+import type { LeasedPlacement, Placer } from "./placer.js";
 import type { ResendBudget } from "./resendBudget.js";
 import { type UpstreamBoard, UseOutcome } from "./upstreamBoard.js";
 
@@ -33,7 +31,6 @@
 export interface RequestParts {
     readonly placer: Placer;
     readonly board: UpstreamBoard;
-    readonly pools: UpstreamPools;
     readonly resends: ResendBudget;
     readonly budget: BufferBudget;
     readonly dialect: Dialect;
@@ -103,7 +100,7 @@
         return this.handleEnd(placement, end);
     }
 
-    private findPlacement(): Promise<Placement | undefined> {
+    private findPlacement(): Promise<LeasedPlacement | undefined> {
         const { route, service, exchange } = this.plan;
         const patienceMs = patienceShare * (route.targetLatencyMs ?? defaultTargetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
@@ -115,17 +112,18 @@
         });
     }
 
-    private async send({ row, cost }: Placement): Promise<AttemptEnd> {
+    private async send({ row, cost, connection }: LeasedPlacement): Promise<AttemptEnd> {
         const { exchange, requestId, deadlineAtMs } = this.plan;
-        const { pools, dialect, budget } = this.parts;
+        const { dialect, budget } = this.parts;
         const sentAtMs = this.nowMs();
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.timeoutAtMs + upstreamGraceMs) - sentAtMs);
-        const { id, address } = row.registration;
+        const { id } = row.registration;
         const headers = exchange.attemptHeaders(id, remainingMs);
         const attempt = new GatewayAttempt({ exchange, requestId, headers }, dialect, budget);
         this.attempt = attempt;
         this.attemptCount++;
         row.openSentAtMs.add(sentAtMs);
+        row.isUsed = true;
         this.log("placed", {
             upstream: id,
             attempt: this.attemptCount,
@@ -134,13 +132,19 @@
             loadAgeMs: Math.round(sentAtMs - row.loadAskedAtMs),
             remainingMs,
         });
-        const end = await attempt.start(pools.use(address, sentAtMs));
+        const end = await attempt.start(connection.dispatcher);
+        if (isReusable(end)) {
+            connection.release();
+        }
+        else {
+            connection.discard();
+        }
         row.openSentAtMs.delete(sentAtMs);
         this.mayHaveRun ||= attempt.mayHaveRun;
         return end;
     }
 
-    private handleEnd({ row }: Placement, end: AttemptEnd): boolean {
+    private handleEnd({ row }: LeasedPlacement, end: AttemptEnd): boolean {
         const { exchange } = this.plan;
         const isOwnDoing = "failure" in end && end.failure === "cancelled";
         if (!isOwnDoing && this.parts.board.noteOutcome(row, toUseOutcome(end), this.nowMs())) {
@@ -231,6 +235,11 @@
     }
 }
 
+/** Bytes of a broken exchange may still arrive on its connection. */
+function isReusable({ kind }: AttemptEnd): boolean {
+    return kind === "delivered" || kind === "failed-answer" || kind === "not-run";
+}
+
 function toUseOutcome(end: AttemptEnd): UseOutcome {
     switch (end.kind) {
         case "delivered":
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,6 +8,8 @@
 const crowdedAbove = 0.8;
 /** How much longer work takes on an upstream that has just started. */
 const warmupFactor = 2;
+/** An upstream that was never used is tried early, so that a new one does not stay idle. */
+const firstUseFactor = 0.4;
 /** Weight of failures: an upstream that fails a third of its requests counts as twice as slow. */
 const failureFactor = 3;
 
@@ -61,5 +63,6 @@
     const isCrowded = slots > 1 && (busy + 1) / slots > crowdedAbove;
     const isWarming = row.warmUntilMs > nowMs;
     return (row.load?.slowdown ?? 1) * (isCrowded ? crowdedFactor : 1) * (isWarming ? warmupFactor : 1) *
+        (row.isUsed ? 1 : firstUseFactor) *
         (1 + failureFactor * row.failureShare);
 }
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -2,9 +2,10 @@
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import type { RoutedService } from "../directory/model.js";
-import type { LoadInquiry } from "./loadInquiry.js";
+import type { InquiryAnswer, LoadInquiry } from "./loadInquiry.js";
 import { choosePlacement, type Placement } from "./placement.js";
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
+import type { LeasedConnection } from "./upstreamConnections.js";
 
 /** Upstreams of other availability zones that are asked at once; their bytes are billed. */
 const remoteSampleSize = 4;
@@ -29,6 +30,14 @@
     readonly isOver: () => boolean;
 }
 
+/** Where a request goes, on a connection that is leased for it. */
+export interface LeasedPlacement {
+    readonly row: UpstreamRow;
+    /** Expected duration as a multiple of the usual one. */
+    readonly cost: number;
+    readonly connection: LeasedConnection;
+}
+
 /** Finds upstreams with room for requests, by asking them just before. */
 export class Placer {
     constructor(
@@ -40,14 +49,18 @@
     ) {}
 
     /** Waits for an upstream with room. Undefined when there was none until the request had to give up. */
-    async place(request: PlacementRequest): Promise<Placement | undefined> {
+    async place(request: PlacementRequest): Promise<LeasedPlacement | undefined> {
         const startMs = this.clock.monotonicMs();
         const crowdAtMs = startMs + crowdAfterShare * (request.untilMs - startMs);
         for (;;) {
             const canCrowd = this.clock.monotonicMs() >= crowdAtMs;
             const placement = await this.tryPlace(request, canCrowd);
-            if (placement !== undefined || request.isOver()) {
-                return request.isOver() ? undefined : placement;
+            if (request.isOver()) {
+                placement?.connection.release();
+                return undefined;
+            }
+            if (placement !== undefined) {
+                return placement;
             }
             const pauseMs = minAskAgainMs + this.random.nextUnit() * (maxAskAgainMs - minAskAgainMs);
             if (this.clock.monotonicMs() + pauseMs > request.untilMs) {
@@ -57,17 +70,27 @@
         }
     }
 
-    private async tryPlace(request: PlacementRequest, canCrowd: boolean): Promise<Placement | undefined> {
+    private async tryPlace(request: PlacementRequest, canCrowd: boolean): Promise<LeasedPlacement | undefined> {
         const { near, far } = this.split(request.service.name, request.excluded);
         const { healthPath } = request.service;
-        const best = this.choose(await this.inquiry.ask(near, healthPath), canCrowd);
+        const nearAnswers = await this.inquiry.ask(near, healthPath);
+        const best = this.choose(nearAnswers, canCrowd);
         if ((best !== undefined && best.cost <= slowCost) || far.length === 0 || request.isOver()) {
-            return this.confirm(best);
+            return this.settle(nearAnswers, best);
         }
         const sample = this.sample(far, near.length === 0 ? 2 * remoteSampleSize : remoteSampleSize);
-        const remote = this.choose(await this.inquiry.ask(sample, healthPath), canCrowd);
+        const farAnswers = await this.inquiry.ask(sample, healthPath);
+        const remote = this.choose(farAnswers, canCrowd);
         const isRemoteBetter = remote !== undefined && (best === undefined || remote.cost * remoteGain < best.cost);
-        return this.confirm(isRemoteBetter ? remote : best);
+        return this.settle([...nearAnswers, ...farAnswers], isRemoteBetter ? remote : best);
+    }
+
+    /** Keeps the connection of the chosen upstream. The upstream may have left while it was asked. */
+    private settle(answers: readonly InquiryAnswer[], choice: Placement | undefined): LeasedPlacement | undefined {
+        const row = choice !== undefined && this.board.isCurrent(choice.row) ? choice.row : undefined;
+        const chosen = answers.find(answer => answer.row === row);
+        answers.filter(answer => answer !== chosen).forEach(answer => answer.connection.release());
+        return chosen === undefined || choice === undefined ? undefined : { ...chosen, cost: choice.cost };
     }
 
     private split(service: ServiceName, excluded: ReadonlySet<UpstreamId>) {
@@ -76,15 +99,11 @@
         return { near: rows.filter(isNear), far: rows.filter(row => !isNear(row)) };
     }
 
-    private choose(rows: readonly UpstreamRow[], canCrowd: boolean): Placement | undefined {
+    private choose(answers: readonly InquiryAnswer[], canCrowd: boolean): Placement | undefined {
+        const rows = answers.map(answer => answer.row);
         return choosePlacement(rows, canCrowd, this.random, this.clock.monotonicMs());
     }
 
-    /** The upstream may have left while it was asked. */
-    private confirm(placement: Placement | undefined): Placement | undefined {
-        return placement !== undefined && this.board.isCurrent(placement.row) ? placement : undefined;
-    }
-
     private sample(rows: readonly UpstreamRow[], count: number): readonly UpstreamRow[] {
         const pool = [...rows];
         const chosen: UpstreamRow[] = [];
--- a/src/gateway/upstreamBoard.ts
+++ b/src/gateway/upstreamBoard.ts
@@ -30,6 +30,8 @@
     warmUntilMs: number;
     /** When requests of this entry that are open were sent. */
     readonly openSentAtMs: Set<number>;
+    /** Whether this entry has sent it a request. */
+    isUsed: boolean;
     load: InstanceLoad | undefined;
     /** When the question that `load` answers was sent. */
     loadAskedAtMs: number;
@@ -53,6 +55,7 @@
             registration,
             warmUntilMs: nowMs + registration.warmupMs,
             openSentAtMs: new Set(),
+            isUsed: false,
             load: undefined,
             loadAskedAtMs: -Infinity,
             failuresInRow: 0,
