--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../core/clock.js";
 import { ControlError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
+import { serveMetrics } from "../metrics/metricsServer.js";
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
@@ -47,6 +48,8 @@
     readonly peerListen: ListenAddress;
     /** For upstreams and operators, `host:port`; told to the other processes. */
     readonly operatorAddress: string;
+    /** Where metrics are served; nowhere when undefined. */
+    readonly metricsListen: ListenAddress | undefined;
     readonly dataFolder: string;
     /** Shared by all processes of the system. */
     readonly clusterSecret: string;
@@ -114,8 +117,11 @@
     }
 
     async start(): Promise<void> {
-        const { peerListen, logger } = this.options;
+        const { peerListen, metricsListen, logger } = this.options;
         await this.peers.listen(peerListen.host, peerListen.port);
+        if (metricsListen !== undefined) {
+            await serveMetrics(metricsListen, this.service.metrics.registry);
+        }
         this.formation.start();
         this.timer = setInterval(() => this.keepHouse(), housekeepingMs);
         logger.info("control VM started", { id: this.self.id, isMember: this.host.isMember });
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -1,8 +1,10 @@
+import type { GroupMembers } from "../control/messages.js";
 import type { ControlLogger } from "../control/options.js";
 import type { PeerLinks } from "../control/peerLinks.js";
 import type { ReplicatedLog } from "../control/replicatedLog.js";
 import type { Clock } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
+import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryRoster } from "./entryRoster.js";
 import {
@@ -28,7 +30,7 @@
 
 /** What the service works with. */
 export interface DirectoryServiceOptions {
-    readonly log: DirectoryLog & { readonly isLed: boolean; };
+    readonly log: DirectoryLog & { readonly isLed: boolean; readonly members: GroupMembers; };
     readonly links: Pick<PeerLinks, "call" | "notify">;
     readonly clock: Clock;
     readonly logger: ControlLogger;
@@ -43,8 +45,20 @@
     private readonly heardAtMs = new Map<UpstreamId, number>();
     private unreported = new Set<UpstreamId>();
     private ledSinceMs: number | undefined;
+    readonly metrics: DirectoryMetrics;
 
     constructor(private readonly options: DirectoryServiceOptions) {
+        const { log } = options;
+        this.metrics = new DirectoryMetrics({
+            isLeader: () => log.isLeader,
+            isLed: () => log.isLed,
+            version: () => log.state.revision,
+            routesVersion: () => log.state.routes.version,
+            voters: () => log.members.voters.length,
+            learners: () => log.members.learners.length,
+            registrations: () => log.state.registrations.size,
+            entries: () => this.roster.count(this.nowMs()),
+        });
         options.log.state.onChange = () => this.watchers.forEach(wake => wake());
     }
 
@@ -54,6 +68,7 @@
         const end = await this.submit({ kind: "routes", proposedAtMs, ...change });
         const version = change.table?.version ?? change.update?.version;
         const { baseVersion } = change;
+        this.metrics.changes.inc({ outcome: end.kind === "applied" ? end.result.outcome : end.kind });
         if (end.kind !== "applied") {
             this.options.logger.warn("no clear answer to a change of the routes", {
                 baseVersion,
@@ -69,7 +84,9 @@
     /** Returns the newest routes, or undefined when this VM cannot be sure of them. */
     async readRoutes(): Promise<RouteTable | undefined> {
         const version = await this.findReadVersion();
-        if (version === undefined || !await this.waitForVersion(version)) {
+        const isConfirmed = version !== undefined && await this.waitForVersion(version);
+        this.metrics.reads.inc({ confirmed: String(isConfirmed) });
+        if (!isConfirmed) {
             this.options.logger.warn("cannot confirm the newest routes", { version, held: this.state.revision });
             return undefined;
         }
@@ -80,6 +97,7 @@
     async register(registration: Registration): Promise<boolean> {
         this.noteHeard(registration.id);
         if (!this.state.registrations.isNews(registration)) {
+            this.metrics.reports.inc({ end: "known" });
             return true;
         }
         const { id, state, service, address } = registration;
@@ -165,6 +183,7 @@
     private async record(change: DirectoryChange, fields: object): Promise<boolean> {
         const end = await this.submit(change);
         const isRecorded = end.kind === "applied";
+        this.metrics.reports.inc({ end: isRecorded ? "recorded" : "not-recorded" });
         this.options.logger.info("recorded a report", { ...fields, isRecorded, version: this.state.revision });
         return isRecorded;
     }
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -7,6 +7,8 @@
 import { refuse } from "../entry/answers.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { readBody } from "../entry/requestBody.js";
+import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { serveMetrics } from "../metrics/metricsServer.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { GatewayExchange } from "./gatewayExchange.js";
@@ -27,6 +29,7 @@
 /** Part of the grace after which the process ends even though callers keep connections open. */
 const endShare = 0.9;
 const idPrefixBytes = 6;
+const msPerSecond = 1000;
 /** Wait of a caller that came before the entry knew the routes. */
 const notReadyRetryMs = 300;
 
@@ -61,12 +64,22 @@
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
     private readonly parts: RequestParts;
+    private readonly metrics: GatewayMetrics;
     private connectionTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: GatewayOptions) {
         const { id, clock, random, dialect, logger, limits, availabilityZone, seeds, clusterSecret } = options;
         this.connections = new UpstreamConnections(limits);
-        const inquiry = new LoadInquiry(this.board, this.connections, dialect, clock);
+        this.metrics = new GatewayMetrics({
+            inFlight: () => this.exchanges.size,
+            directoryVersion: () => this.watch.version,
+            routesVersion: () => this.lookup.table.version,
+            isConfirmed: () => this.watch.isConfirmed,
+            upstreams: () => this.board.list().length,
+            ejectedUpstreams: () => this.board.countEjected(this.nowMs()),
+        });
+        const { metrics } = this;
+        const inquiry = new LoadInquiry(this.board, this.connections, dialect, clock, metrics);
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
             channel: { selfId: `${id}.${this.idPrefix}`, secret: clusterSecret },
@@ -75,6 +88,7 @@
             clock,
             random,
             logger,
+            metrics,
             describeEntry: () => this.describe(),
             onDelta: delta => this.onDelta(delta),
         });
@@ -85,6 +99,7 @@
             resends: new ResendBudget(options.resends, countEntries),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
+            metrics,
             logger,
             clock,
             random,
@@ -92,7 +107,11 @@
     }
 
     async start(): Promise<void> {
-        await this.server.listen(this.options.listen);
+        const { listen, metricsListen } = this.options;
+        await this.server.listen(listen);
+        if (metricsListen !== undefined) {
+            await serveMetrics(metricsListen, this.metrics.registry);
+        }
         void this.watch.run();
         this.connectionTimer = setInterval(() => this.connections.tick(this.nowMs()), connectionCheckMs);
         this.options.logger.info("entry started", { id: this.options.id, incarnation: this.idPrefix });
@@ -158,7 +177,7 @@
         const id = `${this.idPrefix}-${this.nextNumber++}`;
         const { stallTimeoutMs } = this.options.limits;
         const path = incoming.url ?? "/";
-        const onEnd = () => this.exchanges.delete(exchange);
+        const onEnd = () => this.onEnd(exchange);
         const exchange = new GatewayExchange(id, "", path, incoming, outgoing, stallTimeoutMs, onEnd);
         exchange.dialect = this.options.dialect;
         exchange.mustClose = this.isDraining;
@@ -176,6 +195,14 @@
         });
     }
 
+    private onEnd(exchange: GatewayExchange): void {
+        this.exchanges.delete(exchange);
+        const { outgoing, source } = exchange;
+        const seconds = (this.nowMs() - exchange.receivedAtMs) / msPerSecond;
+        this.metrics.requests.inc({ status: outgoing.headersSent ? outgoing.statusCode : "none", source });
+        this.metrics.requestSeconds.observe({ source }, seconds);
+    }
+
     private async accept(exchange: GatewayExchange): Promise<void> {
         const { dialect } = this.options;
         const { headers } = exchange.incoming;
@@ -258,6 +285,7 @@
         const { version } = this.watch;
         const routesVersion = this.lookup.table.version;
         this.options.logger.info("refused a request", { requestId, status, reason, version, routesVersion });
+        this.metrics.refusals.inc({ reason });
         exchange.answer(refuse(status, reason, detail, retryAfterMs));
     }
 }
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -3,6 +3,7 @@
 import type { DirectoryDelta } from "../directory/directoryState.js";
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import type { ControlNode } from "../directory/model.js";
+import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
 import type { GatewayLogger } from "./options.js";
 
@@ -27,6 +28,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: GatewayLogger;
+    readonly metrics: GatewayMetrics;
     readonly describeEntry: () => EntryReport;
     /** Takes what is new; versions only rise. */
     readonly onDelta: (delta: DirectoryDelta) => void;
@@ -93,6 +95,7 @@
 
     private detach(): void {
         if (this.client !== undefined) {
+            this.options.metrics.controlLost.inc();
             this.options.logger.warn("lost a control VM", { address: this.client.address, version: this.version });
             this.failedAtMs.set(this.client.address, this.nowMs());
             this.client.close();
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -72,6 +72,7 @@
     /** Delivers a held answer. */
     deliver(): void {
         this.isForwarded = true;
+        this.plan.exchange.source = "upstream";
         this.attempt.forwardTo(this.plan.exchange);
     }
 
--- a/src/gateway/gatewayExchange.ts
+++ b/src/gateway/gatewayExchange.ts
@@ -8,6 +8,8 @@
 /** A caller's request whose headers follow a dialect. */
 export class GatewayExchange extends Exchange {
     dialect!: Dialect;
+    /** Who makes the answer, for metrics. */
+    source: "upstream" | "entry" = "entry";
 
     /** Returns the header of a request to an upstream, as a flat list of names and values. */
     attemptHeaders(upstreamId: UpstreamId, remainingMs: number): string[] {
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -4,6 +4,7 @@
 import { Verdict } from "../core/verdict.js";
 import type { Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
+import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { GeneratedAnswer } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import { type AttemptEnd, GatewayAttempt } from "./gatewayAttempt.js";
@@ -27,6 +28,8 @@
 const minRetryAfterMs = 200;
 const retryAfterSpreadMs = 400;
 
+const msPerSecond = 1000;
+
 /** What requests work with. */
 export interface RequestParts {
     readonly placer: Placer;
@@ -34,6 +37,7 @@
     readonly resends: ResendBudget;
     readonly budget: BufferBudget;
     readonly dialect: Dialect;
+    readonly metrics: GatewayMetrics;
     readonly logger: GatewayLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -80,6 +84,7 @@
 
     /** The caller has closed its connection. Work that may be repeated is stopped; other work is completed. */
     onCallerGone(): void {
+        this.parts.metrics.callersGone.inc();
         this.log("caller left", { mayHaveRun: this.mayHaveRun });
         if (this.plan.route.isIdempotent || this.attempt?.mayHaveRun === false) {
             this.attempt?.cancel();
@@ -122,6 +127,9 @@
         const attempt = new GatewayAttempt({ exchange, requestId, headers }, dialect, budget);
         this.attempt = attempt;
         this.attemptCount++;
+        if (this.attemptCount === 1) {
+            this.parts.metrics.placementSeconds.observe((sentAtMs - exchange.receivedAtMs) / msPerSecond);
+        }
         row.openSentAtMs.add(sentAtMs);
         row.isUsed = true;
         this.log("placed", {
@@ -145,9 +153,12 @@
     }
 
     private handleEnd({ row }: LeasedPlacement, end: AttemptEnd): boolean {
-        const { exchange } = this.plan;
+        const { exchange, service } = this.plan;
+        const { metrics } = this.parts;
+        metrics.attempts.inc({ end: end.kind });
         const isOwnDoing = "failure" in end && end.failure === "cancelled";
         if (!isOwnDoing && this.parts.board.noteOutcome(row, toUseOutcome(end), this.nowMs())) {
+            metrics.ejections.inc({ service: service.name });
             this.log("ejected an upstream", { upstream: row.registration.id, failuresInRow: row.failuresInRow });
         }
         if (end.kind === "delivered" || exchange.isEnded) {
@@ -171,9 +182,16 @@
 
     private mayTryAgain(): boolean {
         const { route, service, exchange } = this.plan;
+        const { resends, metrics } = this.parts;
         const isSafe = route.isIdempotent || !this.mayHaveRun;
-        return isSafe && this.attemptCount < route.maxAttempts && exchange.body.buffer !== undefined &&
-            this.nowMs() < this.timeoutAtMs - minRemainingMs && this.parts.resends.take(service.name, this.nowMs());
+        const isPossible = isSafe && this.attemptCount < route.maxAttempts && exchange.body.buffer !== undefined &&
+            this.nowMs() < this.timeoutAtMs - minRemainingMs;
+        if (!isPossible) {
+            return false;
+        }
+        const isWithinBudget = resends.take(service.name, this.nowMs());
+        (isWithinBudget ? metrics.resends : metrics.resendsDenied).inc({ service: service.name });
+        return isWithinBudget;
     }
 
     /** Answers with the best there is: an upstream's failure, or a refusal, or a failure of the entry. */
@@ -210,6 +228,7 @@
         const verdict = this.mayHaveRun ? Verdict.mayHaveRun : Verdict.notRun;
         const retryAfterMs = this.mayHaveRun ? undefined : this.drawRetryAfterMs();
         const answer: GeneratedAnswer = { status, verdict, reason, detail, retryAfterMs };
+        this.parts.metrics.refusals.inc({ reason });
         this.log("answered without an upstream", {
             status,
             verdict,
--- a/src/gateway/loadInquiry.ts
+++ b/src/gateway/loadInquiry.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from "undici";
 import type { Clock } from "../core/clock.js";
 import { toHeaderFields } from "../entry/headers.js";
+import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import { type UpstreamBoard, type UpstreamRow, UseOutcome } from "./upstreamBoard.js";
@@ -19,14 +20,12 @@
 
 /** Asks upstreams for their load just before a request is placed. */
 export class LoadInquiry {
-    /** Questions that were sent. */
-    askedCount = 0;
-
     constructor(
         private readonly board: UpstreamBoard,
         private readonly connections: UpstreamConnections,
         private readonly dialect: Dialect,
         private readonly clock: Clock,
+        private readonly metrics: GatewayMetrics,
     ) {}
 
     /** Asks all rows; returns those that answered that they are well. Their `load` is then up to date. */
@@ -42,14 +41,15 @@
         if (connection === undefined) {
             return undefined;
         }
-        this.askedCount++;
         const head = await requestHead(connection.dispatcher, healthPath);
         const isRight = head !== undefined && (this.dialect.readUpstreamId(head) ?? id) === id;
         if (!isRight || head.status !== 200) {
             connection.discard();
+            this.metrics.loadQuestions.inc({ end: head === undefined ? "silent" : "unwell" });
             this.board.noteOutcome(row, UseOutcome.broken, this.clock.monotonicMs());
             return undefined;
         }
+        this.metrics.loadQuestions.inc({ end: "answered" });
         const load = this.dialect.readLoad(head);
         if (load !== undefined) {
             row.load = load;
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -27,6 +27,8 @@
     readonly id: EntryId;
     readonly availabilityZone: string;
     readonly listen: ListenAddress;
+    /** Where metrics are served; nowhere when undefined. */
+    readonly metricsListen: ListenAddress | undefined;
     /** Peer addresses of control VMs. */
     readonly seeds: readonly string[];
     /** Availability zones of the system, for shares of what all entries may use together. */
--- a/src/gateway/upstreamBoard.ts
+++ b/src/gateway/upstreamBoard.ts
@@ -77,6 +77,10 @@
         return [...this.rows.values()];
     }
 
+    countEjected(nowMs: number): number {
+        return this.list().filter(row => row.ejectedUntilMs > nowMs).length;
+    }
+
     /** Returns whether a new request may still go to a row that was chosen a moment ago. */
     isCurrent(row: UpstreamRow): boolean {
         return this.rows.get(row.registration.id) === row && row.registration.state === RegistrationState.ready;
--- /dev/null
+++ b/src/metrics/directoryMetrics.ts
@@ -0,0 +1,52 @@
+import { Counter, Registry } from "prom-client";
+import { registerGauge } from "./gauges.js";
+
+/** Values that a control VM reports when its metrics are read. */
+export interface DirectoryGauges {
+    readonly isLeader: () => boolean;
+    readonly isLed: () => boolean;
+    readonly version: () => number;
+    readonly routesVersion: () => number;
+    readonly voters: () => number;
+    readonly learners: () => number;
+    readonly registrations: () => number;
+    readonly entries: () => number;
+}
+
+/** Metrics of a control VM of a directory. */
+export class DirectoryMetrics {
+    readonly registry = new Registry();
+    readonly changes = new Counter({
+        name: "figwharf_route_changes_total",
+        help: "Changes of the routes that were answered here, by outcome",
+        labelNames: ["outcome"] as const,
+        registers: [this.registry],
+    });
+    readonly reads = new Counter({
+        name: "figwharf_route_reads_total",
+        help: "Reads of the routes, by whether they could be confirmed",
+        labelNames: ["confirmed"] as const,
+        registers: [this.registry],
+    });
+    readonly reports = new Counter({
+        name: "figwharf_reports_total",
+        help: "Messages of instances, by what came of them",
+        labelNames: ["end"] as const,
+        registers: [this.registry],
+    });
+
+    constructor(gauges: DirectoryGauges) {
+        this.gauge("figwharf_control_is_leader", "1 while this VM leads", () => gauges.isLeader() ? 1 : 0);
+        this.gauge("figwharf_control_is_led", "1 while this VM hears the leader", () => gauges.isLed() ? 1 : 0);
+        this.gauge("figwharf_directory_version", "Version of the directory that is applied", gauges.version);
+        this.gauge("figwharf_routes_version", "Version of the routes that is applied", gauges.routesVersion);
+        this.gauge("figwharf_control_voters", "Control VMs that vote", gauges.voters);
+        this.gauge("figwharf_control_learners", "Control VMs that only receive the log", gauges.learners);
+        this.gauge("figwharf_registrations", "Instances that are registered", gauges.registrations);
+        this.gauge("figwharf_entries_attached", "Entries that follow the directory through this VM", gauges.entries);
+    }
+
+    private gauge(name: string, help: string, read: () => number): void {
+        registerGauge(this.registry, name, help, read);
+    }
+}
