Report the reset of a response without a length as an error

Cause: undici ends a response without a length as complete when its connection is reset (client-h1.js, its listener for socket errors), so callers got a part of a response framed as a whole one. The connector of both entries now changes the code of the error before undici sees it.

--- a/src/entry/proxying.test.ts
+++ b/src/entry/proxying.test.ts
@@ -97,18 +97,26 @@
     });
 }
 
-test("guards against a part of a response that looks whole: a reset within the content", async t => {
-    let upstreamSocket: Socket | undefined;
-    const system = await startTestSystem(request => {
-        upstreamSocket = request.socket;
-        upstreamSocket.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc");
+const cutHeads: readonly (readonly [name: string, head: string])[] = [
+    ["with a length", "Content-Length: 100\r\n"],
+    ["without a length", ""],
+    ["without a length, on a connection that closes", "Connection: close\r\n"],
+];
+
+for (const [name, fields] of cutHeads) {
+    test(`guards against a part of a response that looks whole: a reset within the content ${name}`, async t => {
+        let upstreamSocket: Socket | undefined;
+        const system = await startTestSystem(request => {
+            upstreamSocket = request.socket;
+            upstreamSocket.write(`HTTP/1.1 200 OK\r\n${fields}\r\nabc`);
+        });
+        // A reset discards bytes that were not read, so it follows when the caller has got the first of them.
+        const exchange = await exchangeRaw(system.entry.address, post, () => upstreamSocket?.resetAndDestroy());
+        await system.close();
+        t.regex(exchange.text, /^HTTP\/1.1 200 OK/);
+        t.true(exchange.isReset);
     });
-    // A reset discards bytes that were not read, so it follows when the caller has got the first of them.
-    const exchange = await exchangeRaw(system.entry.address, post, () => upstreamSocket?.resetAndDestroy());
-    await system.close();
-    t.regex(exchange.text, /^HTTP\/1.1 200 OK/);
-    t.true(exchange.isReset);
-});
+}
 
 interface BodyCase {
     readonly name: string;
--- a/src/entry/upstreamPools.ts
+++ b/src/entry/upstreamPools.ts
@@ -1,5 +1,6 @@
 import { Pool } from "undici";
 import type { EntryLimits } from "./options.js";
+import { createUpstreamConnector } from "./upstreamConnector.js";
 
 /** Pools without a request for this long are closed. */
 const unusedPoolMs = 60_000;
@@ -51,7 +52,7 @@
             keepAliveMaxTimeout: this.limits.upstreamIdleMs,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: this.limits.connectTimeoutMs, noDelay: true },
+            connect: createUpstreamConnector(this.limits.connectTimeoutMs),
         });
         const row = { pool, usedAtMs: nowMs };
         this.rows.set(address, row);
--- a/src/gateway/upstreamConnections.ts
+++ b/src/gateway/upstreamConnections.ts
@@ -1,5 +1,6 @@
 import { Client, type Dispatcher } from "undici";
 import type { EntryLimits } from "../entry/options.js";
+import { createUpstreamConnector } from "../entry/upstreamConnector.js";
 
 /** A connection to an upstream that one user has at a time. */
 export interface LeasedConnection {
@@ -76,7 +77,7 @@
             keepAliveMaxTimeout: upstreamIdleMs,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: connectTimeoutMs, noDelay: true },
+            connect: createUpstreamConnector(connectTimeoutMs),
         });
     }
 }
