Queue requests of a service in front of its upstreams and refuse those that cannot be in time

Cause: in bursts every waiting request asked all upstreams of its zone again every 20 to 40 ms and took any free slot. Now one question at a time serves all waiting requests of a service, within the operators' budget; an upstream that ends a request is offered at once; a request goes only where it is in time, or to an upstream without work; the other zones are asked with probability 0.5 or more when the own zone has no room.

A control VM that starts holds its first election within 400 ms.

--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -33,7 +33,7 @@
         this.nowMs = options.nowMs;
         this.state = new ReplicaState(options.selfId, options.persisted, options.machine, limits);
         this.follower = new Follower(this.state);
-        this.postponeElection();
+        this.electionAtMs = options.nowMs + this.random.nextInt(limits.firstElectionMs);
         if (this.state.isQuorum(() => false)) {
             this.electionAtMs = options.nowMs;
         }
--- a/src/control/replicaState.ts
+++ b/src/control/replicaState.ts
@@ -20,6 +20,8 @@
     readonly lostAfterMs: number;
     readonly minElectionMs: number;
     readonly maxElectionMs: number;
+    /** Longest wait of a VM that has just started; when all start together, none has to wait for a leader to be missed. */
+    readonly firstElectionMs: number;
     /** A leader steps down when no quorum answered for this long. */
     readonly quorumLossMs: number;
     /** Records held before a snapshot is made. */
@@ -38,6 +40,7 @@
     lostAfterMs: 10_000,
     minElectionMs: 700,
     maxElectionMs: 1400,
+    firstElectionMs: 1400,
     quorumLossMs: 1200,
     compactAfterRecords: 1024,
     keepRecords: 256,
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -37,6 +37,7 @@
     heartbeatMs: 250,
     minElectionMs: 900,
     maxElectionMs: 1700,
+    firstElectionMs: 400,
     quorumLossMs: 1500,
     lostAfterMs: 1500,
 };
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -11,6 +11,7 @@
 import { serveMetrics } from "../metrics/metricsServer.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
+import { DurationEstimates } from "./durationEstimates.js";
 import { GatewayExchange } from "./gatewayExchange.js";
 import { GatewayRequest, type RequestParts, type RequestPlan } from "./gatewayRequest.js";
 import { LoadInquiry } from "./loadInquiry.js";
@@ -94,9 +95,17 @@
         });
         const countEntries = () => this.watch.entryCount * options.availabilityZoneCount;
         this.parts = {
-            placer: new Placer(this.board, inquiry, availabilityZone, clock, random),
+            placer: new Placer({
+                board: this.board,
+                inquiry,
+                availabilityZone,
+                asksPerSecond: () => options.asksPerUpstreamSecond / countEntries(),
+                clock,
+                random,
+            }),
             board: this.board,
             resends: new ResendBudget(options.resends, countEntries),
+            durations: new DurationEstimates(),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
             metrics,
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -61,6 +61,11 @@
         return this.isSent && !this.isNotRun;
     }
 
+    /** Head of the upstream's answer, once it has arrived. */
+    get answerHead(): ResponseHead | undefined {
+        return this.head;
+    }
+
     /** Sends the request and resolves when the attempt has ended. */
     start(dispatcher: Dispatcher): Promise<AttemptEnd> {
         return new Promise(resolve => {
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -7,15 +7,19 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { GeneratedAnswer } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
+import type { DurationEstimates } from "./durationEstimates.js";
 import { type AttemptEnd, GatewayAttempt } from "./gatewayAttempt.js";
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
 import type { LeasedPlacement, Placer } from "./placer.js";
 import type { ResendBudget } from "./resendBudget.js";
-import { type UpstreamBoard, UseOutcome } from "./upstreamBoard.js";
+import { type UpstreamBoard, type UpstreamRow, UseOutcome } from "./upstreamBoard.js";
 
-/** Part of the target latency that a request waits for an upstream with room before it is refused. */
-const patienceShare = 0.35;
+/** Part of the target latency during which a request looks only for room where it would be in time. */
+const inTimeShare = 0.35;
+/** Parts of the target latency and of the whole time after which a request without room is refused. */
+const patienceShareOfTarget = 0.4;
+const patienceShareOfTime = 0.4;
 /** Target latency of a route that states none. */
 const defaultTargetLatencyMs = 1000;
 /** The upstream stops work this long after the route's timeout, so that its own answer comes before the entry's. */
@@ -35,6 +39,7 @@
     readonly placer: Placer;
     readonly board: UpstreamBoard;
     readonly resends: ResendBudget;
+    readonly durations: DurationEstimates;
     readonly budget: BufferBudget;
     readonly dialect: Dialect;
     readonly metrics: GatewayMetrics;
@@ -107,18 +112,25 @@
 
     private findPlacement(): Promise<LeasedPlacement | undefined> {
         const { route, service, exchange } = this.plan;
-        const patienceMs = patienceShare * (route.targetLatencyMs ?? defaultTargetLatencyMs);
+        const targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
         return this.parts.placer.place({
             service,
             excluded: this.excluded,
-            untilMs: Math.min(startMs + patienceMs, this.timeoutAtMs - minRemainingMs),
+            priority: route.priority,
+            targetAtMs: exchange.receivedAtMs + targetLatencyMs,
+            inTimeUntilMs: startMs + inTimeShare * targetLatencyMs,
+            untilMs: Math.min(
+                startMs + patienceShareOfTarget * targetLatencyMs,
+                startMs + patienceShareOfTime * (this.timeoutAtMs - startMs),
+            ),
+            usualMs: this.parts.durations.get(route.name, targetLatencyMs),
             isOver: () => exchange.isEnded,
         });
     }
 
     private async send({ row, cost, connection }: LeasedPlacement): Promise<AttemptEnd> {
-        const { exchange, requestId, deadlineAtMs } = this.plan;
+        const { exchange, requestId, deadlineAtMs, route, service } = this.plan;
         const { dialect, budget } = this.parts;
         const sentAtMs = this.nowMs();
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.timeoutAtMs + upstreamGraceMs) - sentAtMs);
@@ -141,17 +153,38 @@
             remainingMs,
         });
         const end = await attempt.start(connection.dispatcher);
-        if (isReusable(end)) {
+        this.noteLoad(row, attempt);
+        if (!isReusable(end)) {
+            connection.discard();
+        }
+        else if (!this.parts.placer.offer(service.name, row, connection)) {
             connection.release();
         }
-        else {
-            connection.discard();
+        if (end.kind === "delivered") {
+            const durationMs = this.nowMs() - sentAtMs;
+            this.parts.durations.note(route.name, durationMs, cost);
+            this.log("delivered", {
+                upstream: id,
+                status: end.status,
+                durationMs: Math.round(durationMs),
+                cost,
+                load: row.load,
+            });
         }
         row.openSentAtMs.delete(sentAtMs);
         this.mayHaveRun ||= attempt.mayHaveRun;
         return end;
     }
 
+    /** The load that an answer tells is the newest there is. */
+    private noteLoad(row: UpstreamRow, attempt: GatewayAttempt): void {
+        const load = attempt.answerHead === undefined ? undefined : this.parts.dialect.readLoad(attempt.answerHead);
+        if (load !== undefined) {
+            row.load = load;
+            row.loadAskedAtMs = this.nowMs();
+        }
+    }
+
     private handleEnd({ row }: LeasedPlacement, end: AttemptEnd): boolean {
         const { exchange, service } = this.plan;
         const { metrics } = this.parts;
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -36,6 +36,8 @@
     readonly clusterSecret: string;
     readonly limits: EntryLimits;
     readonly resends: ResendLimits;
+    /** Questions for its load that one upstream may get in a second from all entries together. */
+    readonly asksPerUpstreamSecond: number;
     readonly stop: StopTimes;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -59,10 +59,77 @@
     return best;
 }
 
+/** A request that waits for an upstream, as far as the choice is concerned. */
+export interface WaitingRequest {
+    /** 0 goes first. */
+    readonly priority: number;
+    /** Moment until which an answer is worth most to the caller. */
+    readonly targetAtMs: number;
+    /** Until when the request looks only for room where it would be in time. */
+    readonly inTimeUntilMs: number;
+    /** Moment at which the request is refused. */
+    readonly untilMs: number;
+    /** How long such a request usually takes at a cost of 1. */
+    readonly usualMs: number;
+}
+
+/**
+ * Returns the requests in the order in which they get room: those that can be in time before those that are late, then
+ * the more urgent ones, then by the end of their wait.
+ */
+export function sortWaiting<Waiting extends WaitingRequest>(
+    waiting: readonly Waiting[],
+    nowMs: number,
+): readonly Waiting[] {
+    const isLate = (request: WaitingRequest) => nowMs >= request.inTimeUntilMs ? 1 : 0;
+    return [...waiting].sort((first, second) =>
+        isLate(first) - isLate(second) || first.priority - second.priority || first.untilMs - second.untilMs
+    );
+}
+
+/**
+ * Chooses among upstreams whose load was just asked for. While a request can be in time, it does not go where it would
+ * be late: the load changes within moments, and the slot serves another request in time. A late request takes only
+ * upstreams without work; otherwise late requests fill the slots, and those that could be in time are late too.
+ */
+export function placeWaiting(
+    request: WaitingRequest,
+    rows: readonly UpstreamRow[],
+    random: RandomSource,
+    nowMs: number,
+): Placement | undefined {
+    const inTimeCost = (request.targetAtMs - nowMs) / request.usualMs;
+    const roomy = choosePlacement(rows, false, random, nowMs);
+    if (roomy !== undefined && roomy.cost <= inTimeCost) {
+        return roomy;
+    }
+    if (nowMs < request.inTimeUntilMs) {
+        return undefined;
+    }
+    const crowded = choosePlacement(rows, true, random, nowMs);
+    if (crowded !== undefined && crowded.cost <= inTimeCost) {
+        return crowded;
+    }
+    return choosePlacement(rows.filter(row => countBusy(row) === 0), true, random, nowMs);
+}
+
+/**
+ * Returns whether a request that arrives now is refused at once, since the requests before it take all room until its
+ * wait ends. `placedPerSecond` is how many requests found room lately.
+ */
+export function isHopeless(waitingBefore: number, placedPerSecond: number, patienceMs: number): boolean {
+    // Room comes in bursts, and requests before this one can leave, so twice the expected number may wait.
+    const msPerSecond = 1000;
+    const expected = 2 * placedPerSecond * patienceMs / msPerSecond;
+    return waitingBefore > Math.max(minWaiting, expected);
+}
+
+/** As many requests wait whatever the rate is, since it is not known before the first ones are placed. */
+const minWaiting = 4;
+
 function estimateCost(row: UpstreamRow, busy: number, slots: number, nowMs: number): number {
     const isCrowded = slots > 1 && (busy + 1) / slots > crowdedAbove;
     const isWarming = row.warmUntilMs > nowMs;
     return (row.load?.slowdown ?? 1) * (isCrowded ? crowdedFactor : 1) * (isWarming ? warmupFactor : 1) *
-        (row.isUsed ? 1 : firstUseFactor) *
-        (1 + failureFactor * row.failureShare);
+        (row.isUsed ? 1 : firstUseFactor) * (1 + failureFactor * row.failureShare);
 }
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -2,30 +2,28 @@
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import type { RoutedService } from "../directory/model.js";
+import { AskBudget } from "./askBudget.js";
 import type { InquiryAnswer, LoadInquiry } from "./loadInquiry.js";
-import { choosePlacement, type Placement } from "./placement.js";
+import { isHopeless, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 
 /** Upstreams of other availability zones that are asked at once; their bytes are billed. */
-const remoteSampleSize = 4;
-/** An upstream of another availability zone is asked only when the best near one is this much slower than usual. */
-const slowCost = 2.2;
-/** A far upstream is taken only when it is expected to be faster than the near one by this factor. */
-const remoteGain = 1.5;
-/** Shortest and longest pause before upstreams without room are asked again. */
-const minAskAgainMs = 20;
-const maxAskAgainMs = 40;
-/** After this part of the wait, the last slots of upstreams are used too. */
-const crowdAfterShare = 0.4;
+const remoteSampleSize = 5;
+/** Weight of the newest outcome in the share of remote questions that found room, and the least share assumed. */
+const remoteWeight = 0.1;
+const minRemoteShare = 0.5;
+/** Pause before upstreams without room are asked again; loads change within about 150 ms. */
+const askAgainMs = 25;
+/** Part of the operators' budget for questions that entries use together; the rest covers those that join. */
+const askShare = 0.8;
+const rateWindowMs = 1000;
 
 /** A request that looks for an upstream. */
-export interface PlacementRequest {
+export interface PlacementRequest extends WaitingRequest {
     readonly service: RoutedService;
     /** Upstreams that have already failed the request. */
     readonly excluded: ReadonlySet<UpstreamId>;
-    /** When to give up, in monotonic milliseconds. */
-    readonly untilMs: number;
     /** Returns whether the caller has left or has been answered. */
     readonly isOver: () => boolean;
 }
@@ -38,77 +36,176 @@
     readonly connection: LeasedConnection;
 }
 
-/** Finds upstreams with room for requests, by asking them just before. */
+/** What placers work with. */
+export interface PlacerOptions {
+    readonly board: UpstreamBoard;
+    readonly inquiry: LoadInquiry;
+    readonly availabilityZone: string;
+    /** Questions per upstream and second that this entry may send, over all upstreams. */
+    readonly asksPerSecond: () => number;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
+
+/** Finds upstreams with room for requests. */
 export class Placer {
-    constructor(
-        private readonly board: UpstreamBoard,
-        private readonly inquiry: LoadInquiry,
-        private readonly availabilityZone: string,
-        private readonly clock: Clock,
-        private readonly random: RandomSource,
-    ) {}
+    private readonly services = new Map<ServiceName, ServicePlacer>();
+
+    constructor(private readonly options: PlacerOptions) {}
 
     /** Waits for an upstream with room. Undefined when there was none until the request had to give up. */
-    async place(request: PlacementRequest): Promise<LeasedPlacement | undefined> {
-        const startMs = this.clock.monotonicMs();
-        const crowdAtMs = startMs + crowdAfterShare * (request.untilMs - startMs);
-        for (;;) {
-            const canCrowd = this.clock.monotonicMs() >= crowdAtMs;
-            const placement = await this.tryPlace(request, canCrowd);
-            if (request.isOver()) {
-                placement?.connection.release();
-                return undefined;
-            }
-            if (placement !== undefined) {
-                return placement;
-            }
-            const pauseMs = minAskAgainMs + this.random.nextUnit() * (maxAskAgainMs - minAskAgainMs);
-            if (this.clock.monotonicMs() + pauseMs > request.untilMs) {
-                return undefined;
-            }
-            await new Promise(resolve => setTimeout(resolve, pauseMs));
+    place(request: PlacementRequest): Promise<LeasedPlacement | undefined> {
+        return this.placerOf(request.service.name).place(request);
+    }
+
+    /** Offers the connection of an upstream that has just ended a request. Returns whether it was taken. */
+    offer(service: ServiceName, row: UpstreamRow, connection: LeasedConnection): boolean {
+        return this.services.get(service)?.offer({ row, connection }) ?? false;
+    }
+
+    /** Requests that wait for an upstream. */
+    countWaiting(): number {
+        return [...this.services.values()].reduce((sum, placer) => sum + placer.waitingCount, 0);
+    }
+
+    private placerOf(service: ServiceName): ServicePlacer {
+        const placer = this.services.get(service) ?? new ServicePlacer(service, this.options);
+        this.services.set(service, placer);
+        return placer;
+    }
+}
+
+interface Waiting extends PlacementRequest {
+    readonly settle: (placement: LeasedPlacement | undefined) => void;
+}
+
+/** The requests of one service that look for an upstream. One question at a time is asked for all of them. */
+class ServicePlacer {
+    private readonly waiting = new Set<Waiting>();
+    private readonly budget = new AskBudget();
+    private isAsking = false;
+    /** Whether a request arrived while the question for others was under way. */
+    private hasNewcomer = false;
+    private askTimer: NodeJS.Timeout | undefined;
+    private remoteShare = 1;
+    private placedAtMs: number[] = [];
+
+    constructor(private readonly service: ServiceName, private readonly options: PlacerOptions) {}
+
+    get waitingCount(): number {
+        return this.waiting.size;
+    }
+
+    place(request: PlacementRequest): Promise<LeasedPlacement | undefined> {
+        const nowMs = this.nowMs();
+        const before = [...this.waiting].filter(other => other.priority <= request.priority).length;
+        const isNobodyThere = this.listEligible(request.excluded).length === 0;
+        if (isNobodyThere || isHopeless(before, this.ratePerSecond(nowMs), request.untilMs - nowMs)) {
+            return Promise.resolve(undefined);
+        }
+        return new Promise(resolve => {
+            const timer = setTimeout(() => this.settle(waiting, undefined), request.untilMs - nowMs);
+            const settle = (placement: LeasedPlacement | undefined) => {
+                clearTimeout(timer);
+                resolve(placement);
+            };
+            const waiting: Waiting = { ...request, settle };
+            this.waiting.add(waiting);
+            void this.ask();
+        });
+    }
+
+    offer(answer: InquiryAnswer): boolean {
+        return this.waiting.size > 0 && this.match([answer]).length === 0;
+    }
+
+    private nowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
+    private listEligible(excluded: ReadonlySet<UpstreamId> = new Set()): readonly UpstreamRow[] {
+        return this.options.board.listEligible(this.service, excluded, this.nowMs());
+    }
+
+    /** Asks for loads as long as requests wait. */
+    private async ask(): Promise<void> {
+        if (this.isAsking || this.waiting.size === 0) {
+            this.hasNewcomer = this.isAsking;
+            return;
+        }
+        clearTimeout(this.askTimer);
+        this.isAsking = true;
+        this.hasNewcomer = false;
+        const rows = this.listEligible();
+        const isNear = (row: UpstreamRow) => row.registration.availabilityZone === this.options.availabilityZone;
+        const near = rows.filter(isNear);
+        await this.askRows(near, near.length);
+        if (this.waiting.size > 0 && this.options.random.nextUnit() < this.remoteShare) {
+            await this.askRemote(rows.filter(row => !isNear(row)), near.length === 0);
+        }
+        this.isAsking = false;
+        if (this.waiting.size > 0) {
+            this.askTimer = setTimeout(() => void this.ask(), this.hasNewcomer ? 0 : askAgainMs);
         }
     }
 
-    private async tryPlace(request: PlacementRequest, canCrowd: boolean): Promise<LeasedPlacement | undefined> {
-        const { near, far } = this.split(request.service.name, request.excluded);
-        const { healthPath } = request.service;
-        const nearAnswers = await this.inquiry.ask(near, healthPath);
-        const best = this.choose(nearAnswers, canCrowd);
-        if ((best !== undefined && best.cost <= slowCost) || far.length === 0 || request.isOver()) {
-            return this.settle(nearAnswers, best);
+    private async askRemote(rows: readonly UpstreamRow[], isAlone: boolean): Promise<void> {
+        const before = this.waiting.size;
+        await this.askRows(rows, isAlone ? rows.length : remoteSampleSize);
+        const hasHelped = this.waiting.size < before;
+        const share = this.remoteShare + remoteWeight * ((hasHelped ? 1 : 0) - this.remoteShare);
+        this.remoteShare = isAlone ? 1 : Math.max(minRemoteShare, share);
+    }
+
+    private async askRows(rows: readonly UpstreamRow[], count: number): Promise<void> {
+        const rate = askShare * this.options.asksPerSecond() * this.listEligible().length;
+        const allowed = this.budget.take(Math.min(count, rows.length), rate, this.nowMs());
+        const [first] = this.waiting;
+        if (allowed === 0 || first === undefined) {
+            return;
         }
-        const sample = this.sample(far, near.length === 0 ? 2 * remoteSampleSize : remoteSampleSize);
-        const farAnswers = await this.inquiry.ask(sample, healthPath);
-        const remote = this.choose(farAnswers, canCrowd);
-        const isRemoteBetter = remote !== undefined && (best === undefined || remote.cost * remoteGain < best.cost);
-        return this.settle([...nearAnswers, ...farAnswers], isRemoteBetter ? remote : best);
+        const answers = await this.options.inquiry.ask(this.sample(rows, allowed), first.service.healthPath);
+        this.match(answers).forEach(answer => answer.connection.release());
     }
 
-    /** Keeps the connection of the chosen upstream. The upstream may have left while it was asked. */
-    private settle(answers: readonly InquiryAnswer[], choice: Placement | undefined): LeasedPlacement | undefined {
-        const row = choice !== undefined && this.board.isCurrent(choice.row) ? choice.row : undefined;
-        const chosen = answers.find(answer => answer.row === row);
-        answers.filter(answer => answer !== chosen).forEach(answer => answer.connection.release());
-        return chosen === undefined || choice === undefined ? undefined : { ...chosen, cost: choice.cost };
+    /** Places what it can; returns the answers whose connections were not used. */
+    private match(answers: readonly InquiryAnswer[]): readonly InquiryAnswer[] {
+        const nowMs = this.nowMs();
+        const free = new Map(answers.map(answer => [answer.row, answer]));
+        for (const waiting of sortWaiting([...this.waiting], nowMs)) {
+            if (waiting.isOver()) {
+                this.settle(waiting, undefined);
+                continue;
+            }
+            const rows = [...free.keys()].filter(row =>
+                !waiting.excluded.has(row.registration.id) && this.options.board.isCurrent(row)
+            );
+            const choice = placeWaiting(waiting, rows, this.options.random, nowMs);
+            const answer = choice === undefined ? undefined : free.get(choice.row);
+            if (choice !== undefined && answer !== undefined) {
+                free.delete(choice.row);
+                this.placedAtMs.push(nowMs);
+                this.settle(waiting, { row: choice.row, cost: choice.cost, connection: answer.connection });
+            }
+        }
+        return [...free.values()];
     }
 
-    private split(service: ServiceName, excluded: ReadonlySet<UpstreamId>) {
-        const rows = this.board.listEligible(service, excluded, this.clock.monotonicMs());
-        const isNear = (row: UpstreamRow) => row.registration.availabilityZone === this.availabilityZone;
-        return { near: rows.filter(isNear), far: rows.filter(row => !isNear(row)) };
+    private settle(waiting: Waiting, placement: LeasedPlacement | undefined): void {
+        this.waiting.delete(waiting);
+        waiting.settle(placement);
     }
 
-    private choose(answers: readonly InquiryAnswer[], canCrowd: boolean): Placement | undefined {
-        const rows = answers.map(answer => answer.row);
-        return choosePlacement(rows, canCrowd, this.random, this.clock.monotonicMs());
+    private ratePerSecond(nowMs: number): number {
+        this.placedAtMs = this.placedAtMs.filter(atMs => nowMs - atMs < rateWindowMs);
+        return this.placedAtMs.length;
     }
 
     private sample(rows: readonly UpstreamRow[], count: number): readonly UpstreamRow[] {
         const pool = [...rows];
         const chosen: UpstreamRow[] = [];
         while (chosen.length < count && pool.length > 0) {
-            chosen.push(...pool.splice(this.random.nextInt(pool.length), 1));
+            chosen.push(...pool.splice(this.options.random.nextInt(pool.length), 1));
         }
         return chosen;
     }
