--- /dev/null
+++ b/src/control/replacement.property.test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import fc from "fast-check";
+import { ApplyOutcome } from "./operatorApi.js";
+import { FakeGroup, type FakeVm, testLimits } from "./testing/fakeGroup.js";
+import { FakeOperator } from "./testing/operators.js";
+
+/** Time after which a replaced or wiped VM must not count as a loss any more. */
+const catchUpMs = 4000;
+const replacementKinds = ["lost", "planned", "wiped", "lost with its leader paused"] as const;
+
+interface Replacement {
+    readonly kind: typeof replacementKinds[number];
+    readonly vm: number;
+    /** Time between the loss and the new VM. */
+    readonly gapMs: number;
+    /** Time after the replacement has had `catchUpMs`. */
+    readonly restMs: number;
+}
+
+const replacements = fc.array(
+    fc.record<Replacement>({
+        kind: fc.constantFrom(...replacementKinds),
+        vm: fc.nat(2),
+        gapMs: fc.integer({ min: 100, max: 2500 }),
+        restMs: fc.integer({ min: 0, max: 600 }),
+    }),
+    { minLength: 3, maxLength: 6 },
+);
+
+const limits = { ...testLimits, votersWanted: 3, lostAfterMs: 1500, quorumLossMs: 1500 };
+
+/** Replaces the VMs of a group one after the other, each as soon as the former one has had its time. */
+class ReplacementRun {
+    readonly group: FakeGroup;
+    private readonly operators: readonly FakeOperator[];
+    private addedCount = 0;
+
+    constructor(seed: number) {
+        this.group = new FakeGroup(seed, ["a", "b", "c"], limits);
+        this.operators = ["ann", "bob"].map(name => new FakeOperator(this.group, name));
+        this.run(2500);
+    }
+
+    run(durationMs: number): void {
+        this.group.run(durationMs, () => this.operators.forEach(operator => operator.step()));
+    }
+
+    replace({ kind, vm: index, gapMs, restMs }: Replacement): void {
+        const { group } = this;
+        const vm = group.vms[index];
+        if (kind === "wiped") {
+            group.crash(vm);
+            vm.disk.wipe();
+            vm.generation++;
+            this.run(gapMs);
+            group.restart(vm);
+        }
+        else if (kind === "planned") {
+            this.add();
+            this.run(gapMs + catchUpMs);
+            group.announceLeaving(vm);
+            this.run(gapMs / 4);
+            group.removeVm(vm);
+        }
+        else {
+            if (kind === "lost with its leader paused") {
+                this.pauseLeader(vm);
+            }
+            group.removeVm(vm);
+            this.run(gapMs);
+            this.add();
+        }
+        this.run(catchUpMs + restMs);
+    }
+
+    /** Returns what is wrong when the group should be whole. */
+    findProblems(): string[] {
+        const { group } = this;
+        const accepted = group.vms.map(vm => vm.machine.listAudit({ outcome: ApplyOutcome.accepted }));
+        const longest = Math.max(...accepted.map(audit => audit.length));
+        const leader = group.vms.find(vm => vm.replica?.role === "leader");
+        const voters = leader?.replica?.members.voters.map(member => member.id).sort().join();
+        const expected = group.vms.map(vm => vm.id).sort().join();
+        const lost = this.operators.flatMap(operator => operator.operations).filter(operation =>
+            operation.outcome === ApplyOutcome.accepted && operation.revision > longest
+        );
+        return [
+            ...voters === expected ? [] : [`the voters are ${voters}, not ${expected}`],
+            ...lost.map(operation => `${operation.changeId} was accepted and is lost`),
+            ...[...group.leadersByTerm].filter(([, ids]) => ids.size > 1).map(([term]) => `two leaders in ${term}`),
+        ];
+    }
+
+    get acceptedCount(): number {
+        return Math.max(...this.group.vms.map(vm => vm.machine.revision));
+    }
+
+    private add(): FakeVm {
+        return this.group.addVm(`n${this.addedCount++}`);
+    }
+
+    private pauseLeader(except: FakeVm): void {
+        const leader = this.group.vms.find(vm => vm !== except && vm.replica?.role === "leader");
+        if (leader !== undefined) {
+            leader.pausedUntilMs = this.group.nowMs + 300;
+        }
+    }
+}
+
+test("guards against a second loss that meets a group which has not replaced the first one", t => {
+    let changes = 0;
+    const check = (seed: number, steps: readonly Replacement[]) => {
+        const run = new ReplacementRun(seed);
+        for (const step of steps) {
+            run.replace(step);
+            const problems = run.findProblems();
+            if (problems.length > 0) {
+                throw new Error(`${problems.slice(0, 4).join("\n")} after ${JSON.stringify(step)}`);
+            }
+        }
+        changes += run.acceptedCount;
+    };
+    t.notThrows(() =>
+        fc.assert(fc.property(fc.nat(), replacements, check), {
+            seed: 20261204,
+            numRuns: 40,
+            includeErrorInReport: true,
+        })
+    );
+    t.log(`${changes} changes accepted`);
+    t.true(changes > 500);
+});
+
+test("guards against a VM that stays out when all restart at once with their disks", t => {
+    const run = new ReplacementRun(11);
+    const { group } = run;
+    const before = run.acceptedCount;
+    group.vms.forEach(vm => group.crash(vm));
+    run.run(1000);
+    group.vms.forEach(vm => group.restart(vm));
+    run.run(3000);
+    t.deepEqual(run.findProblems(), []);
+    t.true(run.acceptedCount > before);
+});
--- a/src/control/testing/fakeGroup.ts
+++ b/src/control/testing/fakeGroup.ts
@@ -22,7 +22,7 @@
 const duplicationShare = 0.03;
 
 /** Small limits, so that short runs make snapshots and send them in several parts. */
-const testLimits: ReplicaLimits = {
+export const testLimits: ReplicaLimits = {
     ...defaultReplicaLimits,
     // Safety must not depend on a leader stepping down in time.
     quorumLossMs: 5000,
@@ -64,13 +64,17 @@
     readonly cutLinks = new Set<string>();
     extraDelayMs = 0;
     readonly leadersByTerm = new Map<number, Set<string>>();
-    readonly vms: readonly FakeVm[];
+    readonly vms: FakeVm[];
     readonly random: SeededRandom;
     private deliveries: Delivery[] = [];
     private readonly waiting = new Map<number, OnAnswer>();
     private nextRequestId = 1;
 
-    constructor(seed: number, names: readonly string[] = ["a", "b", "c"]) {
+    constructor(
+        seed: number,
+        names: readonly string[] = ["a", "b", "c"],
+        private readonly limits: ReplicaLimits = testLimits,
+    ) {
         this.random = new SeededRandom(seed);
         this.vms = names.map(name => this.makeVm(name));
         const voters = this.vms.map(vm => ({ id: vm.id, peerAddress: vm.name }));
@@ -111,6 +115,26 @@
         return vm.replica !== undefined && vm.pausedUntilMs <= this.nowMs;
     }
 
+    /** Adds a VM with an empty disk, which asks the others to let it join. */
+    addVm(name: string): FakeVm {
+        const vm = this.makeVm(name);
+        this.vms.push(vm);
+        return vm;
+    }
+
+    /** Takes a VM away for good. */
+    removeVm(vm: FakeVm): void {
+        this.crash(vm);
+        this.vms.splice(this.vms.indexOf(vm), 1);
+    }
+
+    /** Lets a VM say that it is about to stop. */
+    announceLeaving(vm: FakeVm): void {
+        this.vms.filter(other => this.isRunning(other) && !this.isCut(vm, other)).forEach(other =>
+            this.submit(other, { kind: "leaving", memberId: vm.id })
+        );
+    }
+
     crash(vm: FakeVm): void {
         vm.replica = undefined;
     }
@@ -172,7 +196,7 @@
         const { id: selfId, machine } = vm;
         const persisted = vm.store.load();
         const { random, nowMs } = this;
-        vm.replica = new Replica({ selfId, persisted, machine, random, nowMs, limits: testLimits });
+        vm.replica = new Replica({ selfId, persisted, machine, random, nowMs, limits: this.limits });
     }
 
     private submit(vm: FakeVm, event: ControlEvent): void {
