--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -9,10 +9,7 @@
 import type { LeasedConnection } from "./upstreamConnections.js";
 
 /** Upstreams of other availability zones that are asked at once; their bytes are billed. */
-const remoteSampleSize = 5;
-/** Weight of the newest outcome in the share of remote questions that found room, and the least share assumed. */
-const remoteWeight = 0.1;
-const minRemoteShare = 0.5;
+const remoteSampleSize = 8;
 /** Pause before upstreams without room are asked again; loads change within about 150 ms. */
 const askAgainMs = 25;
 /** Part of the operators' budget for questions that entries use together; the rest covers those that join. */
@@ -87,7 +84,6 @@
     /** Whether a request arrived while the question for others was under way. */
     private hasNewcomer = false;
     private askTimer: NodeJS.Timeout | undefined;
-    private remoteShare = 1;
     private placedAtMs: number[] = [];
 
     constructor(private readonly service: ServiceName, private readonly options: PlacerOptions) {}
@@ -140,8 +136,9 @@
         const isNear = (row: UpstreamRow) => row.registration.availabilityZone === this.options.availabilityZone;
         const near = rows.filter(isNear);
         await this.askRows(near, near.length);
-        if (this.waiting.size > 0 && this.options.random.nextUnit() < this.remoteShare) {
-            await this.askRemote(rows.filter(row => !isNear(row)), near.length === 0);
+        if (this.waiting.size > 0) {
+            const far = rows.filter(row => !isNear(row));
+            await this.askRows(far, near.length === 0 ? far.length : remoteSampleSize);
         }
         this.isAsking = false;
         if (this.waiting.size > 0) {
@@ -149,14 +146,6 @@
         }
     }
 
-    private async askRemote(rows: readonly UpstreamRow[], isAlone: boolean): Promise<void> {
-        const before = this.waiting.size;
-        await this.askRows(rows, isAlone ? rows.length : remoteSampleSize);
-        const hasHelped = this.waiting.size < before;
-        const share = this.remoteShare + remoteWeight * ((hasHelped ? 1 : 0) - this.remoteShare);
-        this.remoteShare = isAlone ? 1 : Math.max(minRemoteShare, share);
-    }
-
     private async askRows(rows: readonly UpstreamRow[], count: number): Promise<void> {
         const rate = askShare * this.options.asksPerSecond() * this.listEligible().length;
         const allowed = this.budget.take(Math.min(count, rows.length), rate, this.nowMs());
