Keep instances that the leader has not heard yet, and let silent ones come back

Cause: the leader dropped a registration when it had led for 30 s and had not heard the instance itself; the control VM that had registered it reports only once a second. The end also blocked the life of the instance for good. An unused upstream goes first only where its machine is as fast as usual: with the earlier factor on the cost, requests of the first seconds went to machines five times slower.

Two rows of directoryService.test.ts and one of placement.test.ts failed before.

--- /dev/null
+++ b/src/directory/directoryService.test.ts
@@ -0,0 +1,113 @@
+import test from "ava";
+import { ManualClock } from "../core/clock.js";
+import { type DirectoryLog, DirectoryService } from "./directoryService.js";
+import { type DirectoryChange, DirectoryState } from "./directoryState.js";
+import type { ForwardedEnd } from "./messages.js";
+import { makeRegistration, makeTable } from "./testing.js";
+
+const heartbeatIntervalMs = 1000;
+
+interface Setup {
+    readonly service: DirectoryService;
+    readonly clock: ManualClock;
+    readonly state: DirectoryState;
+    readonly log: { isLeader: boolean; isLed: boolean; leaderAddress: string | undefined; };
+    readonly calls: string[];
+}
+
+/** A service over a log that applies at once, and links whose calls fail. */
+function makeService(): Setup {
+    const clock = new ManualClock();
+    const state = new DirectoryState();
+    const calls: string[] = [];
+    const log = {
+        isLeader: true,
+        isLed: true,
+        leaderAddress: undefined as string | undefined,
+        selfId: "a",
+        state,
+        members: { voters: [], learners: [] },
+        propose: (change: DirectoryChange): Promise<ForwardedEnd> =>
+            Promise.resolve({ kind: "applied", result: state.apply(change) }),
+        confirmLeadership: () => Promise.resolve(log.isLeader),
+    };
+    const links = {
+        call: (_address: string, method: string) => {
+            calls.push(method);
+            return Promise.reject(new Error("no answer"));
+        },
+        notify: (_address: string, method: string) => void calls.push(method),
+    };
+    const logger = { info: () => 0, warn: () => 0, error: () => 0 };
+    const service = new DirectoryService({
+        log: log as unknown as DirectoryLog & typeof log,
+        links,
+        clock,
+        logger,
+        heartbeatIntervalMs,
+    });
+    return { service, clock, state, log, calls };
+}
+
+function keepHouse({ service, clock }: Setup, seconds: number): void {
+    for (let second = 0; second < seconds; second++) {
+        clock.advance(1000);
+        service.keepHouse();
+    }
+}
+
+test("guards against a new instance that is dropped because the leader has not heard it yet", async t => {
+    const setup = makeService();
+    keepHouse(setup, 60);
+    // Registered through another control VM, which reports what it heard a moment later.
+    setup.state.apply({ kind: "register", registration: makeRegistration() });
+    setup.service.keepHouse();
+    t.is(setup.state.registrations.size, 1);
+    keepHouse(setup, 30);
+    t.is(setup.state.registrations.size, 0, "nobody heard it for 20 intervals");
+});
+
+test("guards against an instance that stays out after it was silent for long", async t => {
+    const setup = makeService();
+    t.true(await setup.service.register(makeRegistration()));
+    keepHouse(setup, 40);
+    t.is(setup.state.registrations.size, 0);
+    t.true(await setup.service.register(makeRegistration({ sequence: 40 })));
+    t.is(setup.state.registrations.size, 1);
+    t.true(await setup.service.deregister("i-1", undefined));
+    t.true(await setup.service.register(makeRegistration({ sequence: 41 })));
+    t.is(setup.state.registrations.size, 0, "a departure is final");
+});
+
+test("guards against an acknowledgement of a drain that is not recorded", async t => {
+    const { service, log, state, calls } = makeService();
+    state.apply({ kind: "register", registration: makeRegistration() });
+    log.isLeader = false;
+    t.false(await service.register(makeRegistration({ state: "draining", sequence: 5 })), "no leader is known");
+    log.leaderAddress = "10.0.0.9:7000";
+    t.false(await service.register(makeRegistration({ state: "draining", sequence: 6 })), "the leader does not answer");
+    t.deepEqual(calls, ["directory.propose"]);
+    t.true(await service.register(makeRegistration({ sequence: 7 })), "what is recorded is acknowledged from memory");
+});
+
+test("guards against a read that shows old routes: without a confirmed leader there is no answer", async t => {
+    const { service, log, state } = makeService();
+    state.apply({ kind: "routes", baseVersion: 0, table: makeTable(3), update: undefined, proposedAtMs: 0 });
+    t.is((await service.readRoutes())?.version, 3);
+    log.isLeader = false;
+    t.is(await service.readRoutes(), undefined);
+    log.leaderAddress = "10.0.0.9:7000";
+    t.is(await service.readRoutes(), undefined);
+});
+
+test("guards against callers that are sent to an entry which is gone or stops", t => {
+    const { service, clock } = makeService();
+    const report = { id: "e-1", address: "10.0.1.1:80", availabilityZone: "az-1", isServing: true };
+    service.noteEntry(report);
+    service.noteEntry({ ...report, id: "e-2", address: "10.0.2.1:80", availabilityZone: "az-2" });
+    t.deepEqual(service.listCallerAddresses("az-1"), ["10.0.1.1:80"]);
+    service.noteEntry({ ...report, isServing: false });
+    t.deepEqual(service.listCallerAddresses("az-1"), ["10.0.2.1:80"], "another availability zone is better than none");
+    clock.advance(1500);
+    t.deepEqual(service.listCallerAddresses("az-1"), []);
+});
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -246,11 +246,15 @@
         const { log, heartbeatIntervalMs, logger } = this.options;
         const limitMs = heartbeatIntervalMs * silentIntervals;
         for (const { id, bornAtMs } of this.state.registrations.list()) {
-            const silentMs = this.nowMs() - Math.max(this.heardAtMs.get(id) ?? -Infinity, ledSinceMs);
+            if (!this.heardAtMs.has(id)) {
+                // Another control VM has registered it; what that one hears is reported later.
+                this.heardAtMs.set(id, this.nowMs());
+            }
+            const silentMs = this.nowMs() - Math.max(this.heardAtMs.get(id) ?? 0, ledSinceMs);
             if (silentMs > limitMs) {
                 logger.warn("dropping an instance that is silent", { id, silentMs: Math.round(silentMs) });
                 this.heardAtMs.delete(id);
-                void log.propose({ kind: "end", id, bornAtMs });
+                void log.propose({ kind: "expire", id, bornAtMs });
             }
         }
     }
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -29,8 +29,10 @@
 export type DirectoryChange =
     | RouteChange
     | { readonly kind: "register"; readonly registration: Registration; }
-    /** The instance has left, or was not heard for long; `bornAtMs` names its life, if known. */
+    /** The instance has left; `bornAtMs` names its life, if known. */
     | { readonly kind: "end"; readonly id: UpstreamId; readonly bornAtMs: number | undefined; }
+    /** The instance was not heard for long; it may come back. */
+    | { readonly kind: "expire"; readonly id: UpstreamId; readonly bornAtMs: number; }
     | { readonly kind: "node"; readonly node: ControlNode; };
 
 /** How a change of the routes ended. */
@@ -132,7 +134,8 @@
                 this.noteRows(this.registrations.register(change.registration));
                 return accepted;
             case "end":
-                if (this.registrations.end(change.id, change.bornAtMs)) {
+            case "expire":
+                if (this.registrations.end(change.id, change.bornAtMs, change.kind === "end")) {
                     this.noteRows([change.id]);
                 }
                 return accepted;
--- a/src/directory/registrations.test.ts
+++ b/src/directory/registrations.test.ts
@@ -60,7 +60,7 @@
         const table = new RegistrationTable();
         for (const message of messages) {
             if ("end" in message) {
-                table.end(message.end, message.bornAtMs);
+                table.end(message.end, message.bornAtMs, true);
             }
             else {
                 table.register(makeRegistration(message));
@@ -73,7 +73,7 @@
 test("guards against a departure that is forgotten with a snapshot", t => {
     const table = new RegistrationTable();
     table.register(makeRegistration());
-    table.end("i-1", undefined);
+    table.end("i-1", undefined, true);
     const restored = new RegistrationTable();
     restored.fromImage(table.toImage());
     restored.register(makeRegistration({ sequence: 7 }));
--- a/src/directory/registrations.ts
+++ b/src/directory/registrations.ts
@@ -44,13 +44,21 @@
         return [message.id, ...former.map(row => row.id)];
     }
 
-    /** Ends a life. `bornAtMs` names it; without it the one in the table ends. */
-    end(id: UpstreamId, bornAtMs: number | undefined): boolean {
+    /**
+     * Ends a life. `bornAtMs` names it; without it the one in the table ends. When the end is not final, a later message
+     * of the same life brings the instance back.
+     */
+    end(id: UpstreamId, bornAtMs: number | undefined, isFinal: boolean): boolean {
         const row = this.rows.get(id);
         if (row === undefined || (bornAtMs !== undefined && bornAtMs < row.bornAtMs)) {
             return false;
         }
-        this.endRow(row);
+        if (isFinal) {
+            this.endRow(row);
+        }
+        else {
+            this.rows.delete(id);
+        }
         return true;
     }
 
--- a/src/gateway/placement.test.ts
+++ b/src/gateway/placement.test.ts
@@ -52,6 +52,16 @@
         rows: [{ load: load(0, 3), failureShare: 0.5 }, { load: load(0, 3, 2) }],
         chosen: "i-1",
     },
+    {
+        name: "a new one that would stay idle during its cold start",
+        rows: [{ load: load(0, 3) }, { load: load(0, 3), isUsed: false, warmupMs: 3000 }],
+        chosen: "i-1",
+    },
+    {
+        name: "a slow one that was never used",
+        rows: [{ load: load(0, 3, 2.2) }, { load: load(0, 3, 5), isUsed: false }],
+        chosen: "i-0",
+    },
     {
         name: "an upstream never used",
         rows: [{ load: load(0, 3) }, { load: load(0, 3, 1.5), isUsed: false }],
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,8 +8,9 @@
 const crowdedAbove = 0.8;
 /** How much longer work takes on an upstream that has just started. */
 const warmupFactor = 2;
-/** An upstream that was never used is tried early, so that a new one does not stay idle. */
+/** An upstream that was never used goes before others that are as fast, so that a new one does not stay idle. */
 const firstUseFactor = 0.4;
+const firstUseMaxSlowdown = 1.6;
 /** Weight of failures: an upstream that fails a third of its requests counts as twice as slow. */
 const failureFactor = 3;
 
@@ -42,6 +43,7 @@
     nowMs: number,
 ): Placement | undefined {
     let best: Placement | undefined;
+    let bestRank = Infinity;
     let tieBreak = 0;
     for (const row of rows) {
         const slots = Math.max(1, row.load?.slots ?? row.registration.slots);
@@ -51,8 +53,11 @@
         }
         const cost = estimateCost(row, busy, slots, nowMs);
         const draw = random.nextUnit();
-        if (best === undefined || cost < best.cost || (cost === best.cost && draw > tieBreak)) {
+        const isFirstUse = !row.isUsed && (row.load?.slowdown ?? 1) <= firstUseMaxSlowdown;
+        const rank = isFirstUse ? cost * firstUseFactor : cost;
+        if (rank < bestRank || (rank === bestRank && draw > tieBreak)) {
             best = { row, cost };
+            bestRank = rank;
             tieBreak = draw;
         }
     }
@@ -131,5 +136,5 @@
     const isCrowded = slots > 1 && (busy + 1) / slots > crowdedAbove;
     const isWarming = row.warmUntilMs > nowMs;
     return (row.load?.slowdown ?? 1) * (isCrowded ? crowdedFactor : 1) * (isWarming ? warmupFactor : 1) *
-        (row.isUsed ? 1 : firstUseFactor) * (1 + failureFactor * row.failureShare);
+        (1 + failureFactor * row.failureShare);
 }
