--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -10,6 +10,7 @@
     "control-unavailable": "no control VM could answer: {reason}",
     "operator-unauthorized": "{address} does not accept the token of the settings file",
     "runbook-command-unknown": "there is no runbook command {name}; the catalogue has {known}",
+    "request-unknown": "no line of {count} files is about the request {id}",
     "runbook-arguments": "{name} takes {expected} arguments, got {actual}",
     "body-too-large": "the body of the request exceeds the limit of {limitBytes} bytes",
     "message-too-large": "a message of {sizeBytes} bytes exceeds the limit of {limitBytes} bytes",
