Give back the connection of a placement whose caller has left, and refuse health paths that cannot be asked

Cause: found by reading. A placement that resolved after its caller had left kept its connection for good (64 per upstream). A health path that undici refuses could end the process through an unhandled rejection; it is now refused as an invalid configuration, and a refused question counts as no answer. Three added rows of directoryState.test.ts failed before.

--- a/src/directory/directoryState.test.ts
+++ b/src/directory/directoryState.test.ts
@@ -55,6 +55,14 @@
     });
 }
 
+for (const healthPath of ["healthz", "/health z", "/h\r\nX: y"]) {
+    test(`guards against a health path that cannot be asked: ${JSON.stringify(healthPath)}`, t => {
+        const table = makeTable(1);
+        const services = table.services.map(row => ({ ...row, healthPath }));
+        t.is(new DirectoryState().apply(replaceRoutes(0, { ...table, services })).outcome, "invalid");
+    });
+}
+
 test("guards against a version that does not rise", t => {
     const state = new DirectoryState();
     state.apply(replaceRoutes(0, makeTable(5)));
--- a/src/directory/validateRoutes.ts
+++ b/src/directory/validateRoutes.ts
@@ -2,15 +2,22 @@
 
 /** Longest timeout of a route. Source: the operators' limit of ten minutes. */
 export const maxRouteTimeoutMs = 600_000;
-/** A target latency is at least this far below `timeout + limit`. Source: the operators' limit of a minute. */
+/** How far a target latency stays below the timeout of its route plus this limit. Source: the operators' minute. */
 export const maxTargetExcessMs = 60_000;
 
+/** A path without characters that end a request line. */
+const healthPathPattern = /^\/[\x21-\x7e]*$/;
+
 /** Returns what is wrong with a table in itself, or undefined. */
 export function findRouteProblem(table: RouteTable): string | undefined {
     const services = new Set(table.services.map(row => row.name));
     if (services.size < table.services.length) {
         return "two services have the same name";
     }
+    const unreadable = table.services.find(row => !healthPathPattern.test(row.healthPath));
+    if (unreadable !== undefined) {
+        return `service ${unreadable.name}: the health path ${unreadable.healthPath} is not a path`;
+    }
     const names = new Set<string>();
     for (const { host, routes } of table.hosts) {
         const prefixes = new Set<string>();
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -100,6 +100,7 @@
     private async tryOnce(): Promise<boolean> {
         const placement = await this.findPlacement();
         if (this.plan.exchange.isEnded) {
+            placement?.connection.release();
             return false;
         }
         if (placement === undefined) {
--- a/src/gateway/loadInquiry.ts
+++ b/src/gateway/loadInquiry.ts
@@ -75,7 +75,7 @@
             controller?.abort(new Error("the answer took too long"));
         };
         let timer = setTimeout(giveUp, connectTimeoutMs);
-        dispatcher.dispatch({ method: "GET", path }, {
+        const handler: Dispatcher.DispatchHandler = {
             onRequestStart(started) {
                 controller = started;
                 if (isOver) {
@@ -92,6 +92,13 @@
             onResponseEnd: () => finish(head),
             // An upstream that cannot be asked is handled by the caller like one that does not answer.
             onResponseError: () => finish(undefined),
-        });
+        };
+        try {
+            dispatcher.dispatch({ method: "GET", path }, handler);
+        }
+        catch {
+            // undici refuses a path that it cannot write; the upstream counts as one that does not answer.
+            finish(undefined);
+        }
     });
 }
