Turn to the control VM of the own zone as soon as it is known

Cause: an entry attaches to a random seed before it knows the control VMs' zones, and turned home only 2.5 s later, so a control VM could know just one entry of another zone. The 2.5 s guarded against a home VM that fails; the time of its failure already does that, so the wait after attaching goes. Ruled out: a wrong order in the roster (it lists the near zone first whenever a near entry is attached).

directoryWatch.test.ts failed first (32,399 questions to the far VM, then 1).

--- /dev/null
+++ b/src/gateway/directoryWatch.test.ts
@@ -0,0 +1,80 @@
+import test from "ava";
+import { SystemClock } from "../core/clock.js";
+import { SeededRandom } from "../core/random.js";
+import { DirectoryMethod, type WatchAnswer, type WatchParams } from "../directory/messages.js";
+import type { ControlNode } from "../directory/model.js";
+import { emptyRouteTable } from "../directory/model.js";
+import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { ChannelServer } from "../transport/channel.js";
+import { DirectoryWatch } from "./directoryWatch.js";
+
+const secret = "test-secret";
+const silentLogger = { debug: () => 0, info: () => 0, warn: () => 0, error: () => 0 };
+
+/** A control VM that answers each question at once with the same directory. */
+class ControlStandIn {
+    readonly questions: WatchParams[] = [];
+    nodes: readonly ControlNode[] = [];
+    private readonly server = new ChannelServer({ selfId: "control", secret }, (method, params) => {
+        if (method !== DirectoryMethod.watch) {
+            return undefined;
+        }
+        this.questions.push(params as WatchParams);
+        const delta = {
+            version: 1,
+            isFull: true,
+            table: emptyRouteTable,
+            registrations: [],
+            ended: [],
+            nodes: this.nodes,
+        };
+        return { isLed: true, delta, entryCount: 1 } satisfies WatchAnswer;
+    });
+
+    async start(): Promise<string> {
+        return `127.0.0.1:${await this.server.listen("127.0.0.1", 0)}`;
+    }
+
+    close(): Promise<void> {
+        return this.server.close();
+    }
+}
+
+function makeNode(peerAddress: string, availabilityZone: string): ControlNode {
+    return { peerAddress, operatorAddress: peerAddress, availabilityZone };
+}
+
+test("guards against an entry that stays with the control VM of another zone after its start", async t => {
+    const near = new ControlStandIn();
+    const far = new ControlStandIn();
+    const nearAddress = await near.start();
+    const farAddress = await far.start();
+    near.nodes = far.nodes = [makeNode(nearAddress, "az-1"), makeNode(farAddress, "az-2")];
+    const clock = new SystemClock();
+    const watch: DirectoryWatch = new DirectoryWatch({
+        channel: { selfId: "entry", secret },
+        availabilityZone: "az-1",
+        seeds: [farAddress],
+        clock,
+        random: new SeededRandom(1),
+        logger: silentLogger,
+        metrics: new GatewayMetrics({
+            inFlight: () => 0,
+            directoryVersion: () => 0,
+            routesVersion: () => 0,
+            isConfirmed: () => true,
+            upstreams: () => 0,
+            ejectedUpstreams: () => 0,
+        }),
+        describeEntry: () => ({ id: "entry", address: "127.0.0.1:1", availabilityZone: "az-1", isServing: true }),
+        onDelta: () => {
+            if (near.questions.length > 0) {
+                watch.close();
+            }
+        },
+    });
+    await watch.run();
+    t.is(far.questions.length, 1, "the first answer names the control VM of the own zone");
+    await near.close();
+    await far.close();
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -14,7 +14,7 @@
 const retryMs = 50;
 /** A VM that failed is asked again after this time, unless no other is left. */
 const avoidMs = 2000;
-/** An entry that is attached elsewhere turns to a VM of its own availability zone again after this time. */
+/** A VM of the own availability zone that failed is tried again after this time. */
 const returnHomeMs = 2500;
 /** The view counts as confirmed for this long after an answer of a control VM that hears the leader. */
 const confirmedMs = 1500;
@@ -42,7 +42,6 @@
     version = 0;
     private nodes: readonly ControlNode[] = [];
     private client: ChannelClient | undefined;
-    private attachedAtMs = 0;
     private confirmedAtMs = -Infinity;
     private isClosed = false;
     private readonly failedAtMs = new Map<string, number>();
@@ -88,7 +87,6 @@
         const address = this.listCandidates().at(0);
         if (address !== undefined) {
             this.client = new ChannelClient(address, this.options.channel);
-            this.attachedAtMs = this.nowMs();
         }
         return this.client;
     }
@@ -126,8 +124,7 @@
         const { client } = this;
         const home = this.nodes.find(node => this.isNear(node.peerAddress));
         const isAway = client !== undefined && home !== undefined && !this.isNear(client.address);
-        return isAway && this.nowMs() - this.attachedAtMs > returnHomeMs &&
-            this.nowMs() - (this.failedAtMs.get(home.peerAddress) ?? -Infinity) > returnHomeMs;
+        return isAway && this.nowMs() - (this.failedAtMs.get(home.peerAddress) ?? -Infinity) > returnHomeMs;
     }
 
     private async ask(client: ChannelClient): Promise<boolean> {
