Start the programs from one file with its compiled code

A start of an entry used 0.68 to 0.83 s of processor time; on 0.54 of a core that is over a second before a restarted entry serves. A profile of the start is loading of modules and their compilation.

The build now bundles the program, with the parts of undici, prom-client and msgpackr that it uses, and stores the code that V8 makes of it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 export default tseslint.config(
     { ignores: ["dist/**", "node_modules/**"] },
     {
-        files: ["src/**/*.ts", "bench/**/*.ts", "test/**/*.ts", "tools/**/*.ts", "platform/**/*.ts"],
+        files: ["src/**/*.ts", "bench/**/*.ts", "test/**/*.ts", "tools/**/*.ts", "tools/**/*.cts", "platform/**/*.ts"],
         extends: [...tseslint.configs.recommended],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
--- /dev/null
+++ b/test/bundle.test.ts
@@ -0,0 +1,38 @@
+import test from "ava";
+import { spawnSync } from "node:child_process";
+import fs from "node:fs";
+import os from "node:os";
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+
+const toolsFolder = fileURLToPath(new URL("../tools", import.meta.url));
+const startFile = path.join(toolsFolder, "start.cjs");
+
+function startWithoutSettings(file: string): ReturnType<typeof spawnSync> {
+    return spawnSync(process.execPath, [file], { env: { PATH: process.env.PATH }, encoding: "utf8" });
+}
+
+test("guards against a start that compiles the program: V8 takes the code that the build made", t => {
+    const { stdout, stderr, status } = startWithoutSettings(startFile);
+    t.is(String(stderr), "", "no compiled code was refused");
+    t.regex(String(stdout), /the process cannot start/, "the program ran; it has no settings here");
+    t.is(status, 1);
+});
+
+test("guards against a program that does not start with another version of V8: refused code is reported and replaced", t => {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "figwharf-bundle-"));
+    fs.cpSync(toolsFolder, folder, { recursive: true });
+    fs.writeFileSync(path.join(folder, "figwharf.cache"), "made by another version");
+    const { stdout, stderr } = startWithoutSettings(path.join(folder, "start.cjs"));
+    t.regex(String(stderr), /no compiled code fits/);
+    t.regex(String(stdout), /the process cannot start/);
+    fs.rmSync(folder, { recursive: true });
+});
+
+test("guards against a start that loads whole libraries", t => {
+    const text = fs.readFileSync(path.join(toolsFolder, "figwharf.cjs"), "utf8");
+    // Texts of undici's server-sent events, of prom-client's cluster support and of msgpackr's native decoder.
+    for (const part of ["text/event-stream", "prom-client:getMetricsReq", "msgpackr-extract"]) {
+        t.false(text.includes(part), `${part} is not in the program`);
+    }
+});
