Bring shed requests back at once, and keep upstreams in use that all shed alike

Upstreams that answer are left out only when they fail clearly more than their service. The failure share orders upstreams and no longer counts as duration.

--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -12,6 +12,7 @@
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
 import type { LeasedPlacement, Placer } from "./placer.js";
+import { drawRetryAfterMs, RefusalCause, type RefusedRequest } from "./refusals.js";
 import type { ResendBudget } from "./resendBudget.js";
 import { type UpstreamBoard, type UpstreamRow, UseOutcome } from "./upstreamBoard.js";
 
@@ -28,9 +29,6 @@
 const answerGraceMs = 180;
 /** A request with less time than this is not sent any more. */
 const minRemainingMs = 10;
-/** A refused caller comes back at a random moment of this span, so that those refused together come back apart. */
-const minRetryAfterMs = 200;
-const retryAfterSpreadMs = 400;
 
 const msPerSecond = 1000;
 
@@ -260,7 +258,7 @@
 
     private answer(status: number, reason: string, detail: string): void {
         const verdict = this.mayHaveRun ? Verdict.mayHaveRun : Verdict.notRun;
-        const retryAfterMs = this.mayHaveRun ? undefined : this.drawRetryAfterMs();
+        const retryAfterMs = this.mayHaveRun ? undefined : this.chooseRetryAfterMs();
         const answer: GeneratedAnswer = { status, verdict, reason, detail, retryAfterMs };
         this.parts.metrics.refusals.inc({ reason });
         this.log("answered without an upstream", {
@@ -273,8 +271,15 @@
         this.plan.exchange.answer(answer);
     }
 
-    private drawRetryAfterMs(): number {
-        return minRetryAfterMs + this.parts.random.nextUnit() * retryAfterSpreadMs;
+    private chooseRetryAfterMs(): number {
+        const { route, exchange } = this.plan;
+        const targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
+        const request: RefusedRequest = {
+            cause: this.attemptCount > 0 ? RefusalCause.shed : RefusalCause.noRoom,
+            untilTargetMs: exchange.receivedAtMs + targetLatencyMs - this.nowMs(),
+            usualMs: this.parts.durations.get(route.name, targetLatencyMs),
+        };
+        return drawRetryAfterMs(request, this.parts.random);
     }
 
     private nowMs(): number {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -11,10 +11,13 @@
 /** An upstream that was never used goes before others that are as fast, so that a new one does not stay idle. */
 const firstUseFactor = 0.4;
 const firstUseMaxSlowdown = 1.6;
-/** Weight of failures: an upstream that fails a third of its requests counts as twice as slow. */
+/** Weight of failures in the order of choice: an upstream that fails a third of its requests ranks as twice as slow. */
 const failureFactor = 3;
 
-/** An upstream that can take a request now, with the expected duration as a multiple of the usual one. */
+/**
+ * An upstream that can take a request now, with the expected duration as a multiple of the usual one. Failures do not
+ * count as duration: when all upstreams refuse alike, waiting brings nothing.
+ */
 export interface Placement {
     readonly row: UpstreamRow;
     readonly cost: number;
@@ -54,7 +57,7 @@
         const cost = estimateCost(row, busy, slots, nowMs);
         const draw = random.nextUnit();
         const isFirstUse = !row.isUsed && (row.load?.slowdown ?? 1) <= firstUseMaxSlowdown;
-        const rank = isFirstUse ? cost * firstUseFactor : cost;
+        const rank = cost * (isFirstUse ? firstUseFactor : 1) * (1 + failureFactor * row.failureShare);
         if (rank < bestRank || (rank === bestRank && draw > tieBreak)) {
             best = { row, cost };
             bestRank = rank;
@@ -135,6 +138,5 @@
 function estimateCost(row: UpstreamRow, busy: number, slots: number, nowMs: number): number {
     const isCrowded = slots > 1 && (busy + 1) / slots > crowdedAbove;
     const isWarming = row.warmUntilMs > nowMs;
-    return (row.load?.slowdown ?? 1) * (isCrowded ? crowdedFactor : 1) * (isWarming ? warmupFactor : 1) *
-        (1 + failureFactor * row.failureShare);
+    return (row.load?.slowdown ?? 1) * (isCrowded ? crowdedFactor : 1) * (isWarming ? warmupFactor : 1);
 }
--- a/src/gateway/upstreamBoard.ts
+++ b/src/gateway/upstreamBoard.ts
@@ -9,6 +9,12 @@
 const failuresToEject = 2;
 /** Weight of the newest outcome in the failure share. */
 const failureWeight = 0.15;
+/**
+ * An upstream that answers is left out only when its failure share is above that of its service by this factor and this
+ * share. When all upstreams shed load alike, leaving some out gives the others more to shed.
+ */
+const outlierFactor = 1.5;
+const outlierShare = 0.1;
 
 /** How a use of an upstream ended, as far as placement is concerned. */
 export const UseOutcome = {
@@ -104,8 +110,17 @@
         if (row.failuresInRow < failuresToEject || row.ejectedUntilMs > nowMs) {
             return false;
         }
+        if (outcome !== UseOutcome.broken && !this.isOutlier(row)) {
+            return false;
+        }
         const ejectionMs = firstEjectionMs * 2 ** Math.min(10, row.failuresInRow - failuresToEject);
         row.ejectedUntilMs = nowMs + Math.min(maxEjectionMs, ejectionMs);
         return true;
     }
+
+    private isOutlier(row: UpstreamRow): boolean {
+        const peers = this.list().filter(other => other.registration.service === row.registration.service);
+        const meanShare = peers.reduce((sum, other) => sum + other.failureShare, 0) / Math.max(1, peers.length);
+        return row.failureShare > outlierFactor * meanShare + outlierShare;
+    }
 }
