Count a caller's time from its first request, and bring refused callers back after a part of their time

Cause: a request that comes back after a refusal was treated as new: it got room before requests that could still be in time, although its answer was late already.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -9,6 +9,7 @@
 import { readBody } from "../entry/requestBody.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import { CallerAges } from "./callerAge.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -65,6 +66,7 @@
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly board = new UpstreamBoard();
     private readonly weights = new WeightedChoice();
+    private readonly callerAges = new CallerAges();
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -284,7 +286,8 @@
             this.refuse(exchange, 503, "no-service", "The route's service is not known.", this.drawNotReadyMs());
             return undefined;
         }
-        return { exchange, requestId, route, service, deadlineAtMs };
+        const callerAgeMs = this.callerAges.note(route.name, deadlineAtMs - exchange.receivedAtMs);
+        return { exchange, requestId, route, service, deadlineAtMs, callerAgeMs };
     }
 
     private drawNotReadyMs(): number {
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -53,12 +53,17 @@
     readonly route: Route;
     readonly service: RoutedService;
     readonly deadlineAtMs: number;
+    /** How long the caller has waited when the request arrived, with the requests that were refused before. */
+    readonly callerAgeMs: number;
 }
 
 /** One request of a caller on its way: placing, attempts, resends and the answer. */
 export class GatewayRequest {
     private readonly excluded = new Set<UpstreamId>();
     private readonly timeoutAtMs: number;
+    /** Until when an answer is worth most to the caller. */
+    private readonly targetAtMs: number;
+    private readonly targetLatencyMs: number;
     private attempt: GatewayAttempt | undefined;
     /** A failure of an upstream that is delivered when nothing better comes. */
     private held: GatewayAttempt | undefined;
@@ -66,7 +71,9 @@
     private attemptCount = 0;
 
     constructor(private readonly plan: RequestPlan, private readonly parts: RequestParts) {
-        const { route, exchange, deadlineAtMs } = plan;
+        const { route, exchange, deadlineAtMs, callerAgeMs } = plan;
+        this.targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
+        this.targetAtMs = exchange.receivedAtMs - callerAgeMs + this.targetLatencyMs;
         this.timeoutAtMs = Math.min(exchange.receivedAtMs + (route.timeoutMs ?? Infinity), deadlineAtMs);
     }
 
@@ -111,19 +118,21 @@
 
     private findPlacement(): Promise<LeasedPlacement | undefined> {
         const { route, service, exchange } = this.plan;
-        const targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
+        const { targetLatencyMs, targetAtMs } = this;
+        const usualMs = this.parts.durations.get(route.name, targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
         return this.parts.placer.place({
             service,
             excluded: this.excluded,
             priority: route.priority,
-            targetAtMs: exchange.receivedAtMs + targetLatencyMs,
-            inTimeUntilMs: startMs + inTimeShare * targetLatencyMs,
+            targetAtMs,
+            // A caller whose answer is late anyway does not wait for room where it would be in time.
+            inTimeUntilMs: Math.min(startMs + inTimeShare * targetLatencyMs, targetAtMs - usualMs),
             untilMs: Math.min(
                 startMs + patienceShareOfTarget * targetLatencyMs,
                 startMs + patienceShareOfTime * (this.timeoutAtMs - startMs),
             ),
-            usualMs: this.parts.durations.get(route.name, targetLatencyMs),
+            usualMs,
             isOver: () => exchange.isEnded,
         });
     }
@@ -272,12 +281,11 @@
     }
 
     private chooseRetryAfterMs(): number {
-        const { route, exchange } = this.plan;
-        const targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
         const request: RefusedRequest = {
             cause: this.attemptCount > 0 ? RefusalCause.shed : RefusalCause.noRoom,
-            untilTargetMs: exchange.receivedAtMs + targetLatencyMs - this.nowMs(),
-            usualMs: this.parts.durations.get(route.name, targetLatencyMs),
+            untilTargetMs: this.targetAtMs - this.nowMs(),
+            untilDeadlineMs: this.plan.deadlineAtMs - this.nowMs(),
+            usualMs: this.parts.durations.get(this.plan.route.name, this.targetLatencyMs),
         };
         return drawRetryAfterMs(request, this.parts.random);
     }
@@ -289,7 +297,8 @@
     private log(text: string, fields: object): void {
         const { requestId, route, exchange } = this.plan;
         const ageMs = Math.round(this.nowMs() - exchange.receivedAtMs);
-        this.parts.logger.info(text, { requestId, route: route.name, ageMs, ...fields });
+        const { callerAgeMs } = this.plan;
+        this.parts.logger.info(text, { requestId, route: route.name, ageMs, callerAgeMs, ...fields });
     }
 }
 
--- a/src/gateway/refusals.test.ts
+++ b/src/gateway/refusals.test.ts
@@ -10,17 +10,17 @@
 const cases: readonly { readonly name: string; readonly request: RefusedRequest; readonly isPrompt: boolean; }[] = [
     {
         name: "shed with time left",
-        request: { cause: RefusalCause.shed, untilTargetMs: 280, usualMs: 120 },
+        request: { cause: RefusalCause.shed, untilTargetMs: 280, usualMs: 120, untilDeadlineMs: 2400 },
         isPrompt: true,
     },
     {
         name: "shed and late",
-        request: { cause: RefusalCause.shed, untilTargetMs: 100, usualMs: 120 },
+        request: { cause: RefusalCause.shed, untilTargetMs: 100, usualMs: 120, untilDeadlineMs: 2400 },
         isPrompt: false,
     },
     {
         name: "no room with time left",
-        request: { cause: RefusalCause.noRoom, untilTargetMs: 280, usualMs: 120 },
+        request: { cause: RefusalCause.noRoom, untilTargetMs: 280, usualMs: 120, untilDeadlineMs: 2400 },
         isPrompt: false,
     },
 ];
@@ -29,7 +29,7 @@
     test(`guards against refused callers that come back too late or all at once: ${name}`, t => {
         const random = new SeededRandom(1);
         const waits = Array.from({ length: 50 }, () => drawRetryAfterMs(request, random));
-        t.true(isPrompt ? Math.max(...waits) < 20 : Math.min(...waits) >= 200);
+        t.true(isPrompt ? Math.max(...waits) < 20 : Math.min(...waits) >= 360 && Math.max(...waits) < 800);
         t.is(new Set(waits).size, waits.length, "they come back apart");
     });
 }
