--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -121,6 +121,28 @@
     return choosePlacement(rows.filter(row => countBusy(row) === 0), true, random, nowMs);
 }
 
+/** A machine that is slow, or busy, mostly stays so for this long; its upstream is not asked again sooner. */
+const loadStaysMs = 75;
+
+/**
+ * Returns whether a new load figure of an upstream can help one of the requests. Questions are limited, so an upstream
+ * that was too slow for all of them a moment ago is left out; one whose slots are taken can get a free one any moment.
+ */
+export function isWorthAsking(row: UpstreamRow, waiting: Iterable<WaitingRequest>, nowMs: number): boolean {
+    if (row.load === undefined || nowMs - row.loadAskedAtMs >= loadStaysMs) {
+        return true;
+    }
+    const cost = estimateCost(row, 0, Math.max(1, row.load.slots), nowMs);
+    for (const request of waiting) {
+        const isLate = nowMs >= request.inTimeUntilMs;
+        const isInTime = cost * request.usualMs <= request.targetAtMs - nowMs;
+        if (isInTime || (isLate && countBusy(row) === 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * Returns whether a request that arrives now is refused at once, since the requests before it take all room until its
  * wait ends. `placedPerSecond` is how many requests found room lately.
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -4,7 +4,7 @@
 import type { RoutedService } from "../directory/model.js";
 import { AskBudget } from "./askBudget.js";
 import type { InquiryAnswer, LoadInquiry } from "./loadInquiry.js";
-import { isHopeless, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
+import { isHopeless, isWorthAsking, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 
@@ -147,13 +147,15 @@
     }
 
     private async askRows(rows: readonly UpstreamRow[], count: number): Promise<void> {
+        const nowMs = this.nowMs();
+        const useful = rows.filter(row => isWorthAsking(row, this.waiting, nowMs));
         const rate = askShare * this.options.asksPerSecond() * this.listEligible().length;
-        const allowed = this.budget.take(Math.min(count, rows.length), rate, this.nowMs());
+        const allowed = this.budget.take(Math.min(count, useful.length), rate, nowMs);
         const [first] = this.waiting;
         if (allowed === 0 || first === undefined) {
             return;
         }
-        const answers = await this.options.inquiry.ask(this.sample(rows, allowed), first.service.healthPath);
+        const answers = await this.options.inquiry.ask(this.sample(useful, allowed), first.service.healthPath);
         this.match(answers).forEach(answer => answer.connection.release());
     }
 
--- a/src/gateway/queueing.test.ts
+++ b/src/gateway/queueing.test.ts
@@ -4,7 +4,7 @@
 import { AskBudget } from "./askBudget.js";
 import type { InstanceLoad } from "./dialect.js";
 import { DurationEstimates } from "./durationEstimates.js";
-import { isHopeless, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
+import { isHopeless, isWorthAsking, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
 import { UpstreamBoard, type UpstreamRow } from "./upstreamBoard.js";
 
 const nowMs = 10_000;
@@ -80,6 +80,17 @@
     t.deepEqual(order.map(row => row.name), ["urgent", "urgent, later", "less urgent", "late"]);
 });
 
+test("guards against questions that cannot help, while they are limited", t => {
+    const loads = [load(0, 5), load(3, 1), load(1, 1)];
+    const rows = makeRows(loads);
+    const ask = (request: Partial<WaitingRequest>, atMs: number) =>
+        rows.filter(row => isWorthAsking(row, [makeWaiting(request)], atMs)).map(row => row.registration.id);
+    t.deepEqual(ask({}, nowMs + 25), ["i-1", "i-2"], "a slow machine stays slow for a while");
+    t.deepEqual(ask({}, nowMs + 80), ["i-0", "i-1", "i-2"]);
+    const past = { inTimeUntilMs: nowMs - 1, targetAtMs: nowMs - 1 };
+    t.deepEqual(ask(past, nowMs + 25), ["i-0"], "a late request goes only where there is no work");
+});
+
 test("guards against waits that cannot end well: a request behind too many others is refused at once", t => {
     t.false(isHopeless(3, 0, 100), "a few may wait before a rate is known");
     t.false(isHopeless(10, 60, 100));
