Ask four instead of eight upstreams of other zones at once

Cause: each round of questions to other zones costs bytes, and since rounds go on while requests wait, half as many per round find nearly as much. Most bytes are the requests themselves.

--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -8,8 +8,8 @@
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 
-/** Upstreams of other availability zones that are asked at once; their bytes are billed. */
-const remoteSampleSize = 8;
+/** Upstreams of other availability zones that are asked at once; their bytes are billed. Source: `docs/measurements.md`. */
+const remoteSampleSize = 4;
 /** Pause before upstreams without room are asked again; loads change within about 150 ms. */
 const askAgainMs = 25;
 /** Part of the operators' budget for questions that entries use together; the rest covers those that join. */
