--- a/src/control/replacement.property.test.ts
+++ b/src/control/replacement.property.test.ts
@@ -17,17 +17,20 @@
     readonly restMs: number;
 }
 
-const replacements = fc.array(
-    fc.record<Replacement>({
-        kind: fc.constantFrom(...replacementKinds),
-        vm: fc.nat(2),
-        gapMs: fc.integer({ min: 100, max: 2500 }),
-        restMs: fc.integer({ min: 0, max: 600 }),
-    }),
-    { minLength: 3, maxLength: 6 },
-);
+function makeReplacements(vmCount: number): fc.Arbitrary<Replacement[]> {
+    return fc.array(
+        fc.record<Replacement>({
+            kind: fc.constantFrom(...replacementKinds),
+            vm: fc.nat(vmCount - 1),
+            gapMs: fc.integer({ min: 100, max: 2500 }),
+            restMs: fc.integer({ min: 0, max: 600 }),
+        }),
+        { minLength: 3, maxLength: 6 },
+    );
+}
 
 const limits = { ...testLimits, votersWanted: 3, lostAfterMs: 1500, quorumLossMs: 1500 };
+const threeVms = ["a", "b", "c"];
 
 /** Replaces the VMs of a group one after the other, each as soon as the former one has had its time. */
 class ReplacementRun {
@@ -35,8 +38,8 @@
     private readonly operators: readonly FakeOperator[];
     private addedCount = 0;
 
-    constructor(seed: number) {
-        this.group = new FakeGroup(seed, ["a", "b", "c"], limits);
+    constructor(seed: number, names: readonly string[]) {
+        this.group = new FakeGroup(seed, names, { ...limits, votersWanted: names.length });
         this.operators = ["ann", "bob"].map(name => new FakeOperator(this.group, name));
         this.run(2500);
     }
@@ -107,29 +110,31 @@
     }
 }
 
-test("guards against a second loss that meets a group which has not replaced the first one", t => {
-    let changes = 0;
-    const check = (seed: number, steps: readonly Replacement[]) => {
-        const run = new ReplacementRun(seed);
-        for (const step of steps) {
-            run.replace(step);
-            const problems = run.findProblems();
-            if (problems.length > 0) {
-                throw new Error(`${problems.slice(0, 4).join("\n")} after ${JSON.stringify(step)}`);
+const groups: readonly { readonly names: readonly string[]; readonly runs: number; }[] = [
+    { names: threeVms, runs: 40 },
+    { names: [...threeVms, "d", "e"], runs: 15 },
+];
+
+for (const { names, runs } of groups) {
+    test(`guards against a second loss that meets a group which has not replaced the first one: ${names.length} VMs`, t => {
+        let changes = 0;
+        const check = (seed: number, steps: readonly Replacement[]) => {
+            const run = new ReplacementRun(seed, names);
+            for (const step of steps) {
+                run.replace(step);
+                const problems = run.findProblems();
+                if (problems.length > 0) {
+                    throw new Error(`${problems.slice(0, 4).join("\n")} after ${JSON.stringify(step)}`);
+                }
             }
-        }
-        changes += run.acceptedCount;
-    };
-    t.notThrows(() =>
-        fc.assert(fc.property(fc.nat(), replacements, check), {
-            seed: 20261204,
-            numRuns: 40,
-            includeErrorInReport: true,
-        })
-    );
-    t.log(`${changes} changes accepted`);
-    t.true(changes > 500);
-});
+            changes += run.acceptedCount;
+        };
+        const property = fc.property(fc.nat(), makeReplacements(names.length), check);
+        t.notThrows(() => fc.assert(property, { seed: 20261204, numRuns: runs, includeErrorInReport: true }));
+        t.log(`${changes} changes accepted`);
+        t.true(changes > runs * 12.5);
+    });
+}
 
 test("guards against a restart of all VMs after which nobody leads for the whole time of an election", t => {
     for (let seed = 1; seed <= 10; seed++) {
@@ -147,7 +152,7 @@
 });
 
 test("guards against a VM that stays out when all restart at once with their disks", t => {
-    const run = new ReplacementRun(11);
+    const run = new ReplacementRun(11, threeVms);
     const { group } = run;
     const before = run.acceptedCount;
     group.vms.forEach(vm => group.crash(vm));
--- a/src/control/replica.property.test.ts
+++ b/src/control/replica.property.test.ts
@@ -22,15 +22,17 @@
     readonly durationMs: number;
 }
 
-const faults = fc.array(
-    fc.record<Fault>({
-        kind: fc.constantFrom(...faultKinds),
-        vm: fc.nat(2),
-        afterMs: fc.integer({ min: 0, max: 1500 }),
-        durationMs: fc.integer({ min: 50, max: 4000 }),
-    }),
-    { minLength: 4, maxLength: 16 },
-);
+function makeFaults(vmCount: number): fc.Arbitrary<Fault[]> {
+    return fc.array(
+        fc.record<Fault>({
+            kind: fc.constantFrom(...faultKinds),
+            vm: fc.nat(vmCount - 1),
+            afterMs: fc.integer({ min: 0, max: 1500 }),
+            durationMs: fc.integer({ min: 50, max: 4000 }),
+        }),
+        { minLength: 4, maxLength: 16 },
+    );
+}
 
 function inject(group: FakeGroup, fault: Fault): () => void {
     const vm = group.vms[fault.vm];
@@ -68,8 +70,8 @@
     }
 }
 
-function runSchedule(seed: number, schedule: readonly Fault[]) {
-    const group = new FakeGroup(seed);
+function runSchedule(seed: number, names: readonly string[], schedule: readonly Fault[]) {
+    const group = new FakeGroup(seed, names);
     const operators = ["ann", "bob", "cleo"].map(name => new FakeOperator(group, name));
     const step = () => operators.forEach(operator => operator.step());
     const ends: { atMs: number; end: () => void; }[] = [];
@@ -147,7 +149,9 @@
 
 function findGroupViolations(group: FakeGroup, audit: readonly AuditRecord[]): string[] {
     const shared = [...group.leadersByTerm].filter(([, ids]) => ids.size > 1).map(([term]) => `two leaders in ${term}`);
-    const apart = [1, 2].filter(position => JSON.stringify(acceptedAudit(group, position)) !== JSON.stringify(audit))
+    const apart = group.vms.map((_vm, position) => position).filter(position =>
+        JSON.stringify(acceptedAudit(group, position)) !== JSON.stringify(audit)
+    )
         .map(position => `VM ${position} holds ${acceptedAudit(group, position).length} changes, not ${audit.length}`);
     const leader = group.vms.find(vm => vm.replica?.role === "leader");
     const voters = leader?.replica?.members.voters.map(member => member.id).sort().join();
@@ -155,25 +159,31 @@
     return [...shared, ...apart, ...voters === ids ? [] : [`the voters are ${voters}, not ${ids}`]];
 }
 
-test("guards against lost, doubled, reverted changes and stale reads under random faults", t => {
-    const totals = { changes: 0, ended: 0 };
-    const check = (seed: number, schedule: readonly Fault[]) => {
-        const { group, operations } = runSchedule(seed, schedule);
-        const audit = acceptedAudit(group, 0);
-        const violations = [
-            ...findGroupViolations(group, audit),
-            ...findAuditViolations(operations, audit),
-            ...findOrderViolations(operations, audit),
-        ];
-        if (violations.length > 0) {
-            throw new Error(violations.slice(0, 5).join("\n"));
-        }
-        totals.changes += audit.length;
-        totals.ended += operations.filter(row => row.endedAtMs !== undefined).length;
-    };
-    t.notThrows(() =>
-        fc.assert(fc.property(fc.nat(), faults, check), { seed: 20261204, numRuns: 60, includeErrorInReport: true })
-    );
-    t.log(`${totals.changes} changes accepted, ${totals.ended} operations ended`);
-    t.true(totals.changes > 1000);
-});
+const groups: readonly { readonly names: readonly string[]; readonly runs: number; }[] = [
+    { names: ["a", "b", "c"], runs: 60 },
+    { names: ["a", "b", "c", "d", "e"], runs: 30 },
+];
+
+for (const { names, runs } of groups) {
+    test(`guards against lost, doubled, reverted changes and stale reads under random faults: ${names.length} VMs`, t => {
+        const totals = { changes: 0, ended: 0 };
+        const check = (seed: number, schedule: readonly Fault[]) => {
+            const { group, operations } = runSchedule(seed, names, schedule);
+            const audit = acceptedAudit(group, 0);
+            const violations = [
+                ...findGroupViolations(group, audit),
+                ...findAuditViolations(operations, audit),
+                ...findOrderViolations(operations, audit),
+            ];
+            if (violations.length > 0) {
+                throw new Error(violations.slice(0, 5).join("\n"));
+            }
+            totals.changes += audit.length;
+            totals.ended += operations.filter(row => row.endedAtMs !== undefined).length;
+        };
+        const property = fc.property(fc.nat(), makeFaults(names.length), check);
+        t.notThrows(() => fc.assert(property, { seed: 20261204, numRuns: runs, includeErrorInReport: true }));
+        t.log(`${totals.changes} changes accepted, ${totals.ended} operations ended`);
+        t.true(totals.changes > runs * 50 / 3);
+    });
+}
