--- a/src/gateway/queueing.test.ts
+++ b/src/gateway/queueing.test.ts
@@ -5,6 +5,7 @@
 import type { InstanceLoad } from "./dialect.js";
 import { DurationEstimates } from "./durationEstimates.js";
 import { isHopeless, isWorthAsking, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
+import { drawRetryAfterMs, RefusalCause } from "./refusals.js";
 import { UpstreamBoard, type UpstreamRow } from "./upstreamBoard.js";
 
 const nowMs = 10_000;
@@ -113,17 +114,38 @@
     readonly refused: number;
 }
 
+interface BurstOptions {
+    readonly arrivalsPerSecond: number;
+    /** Whether requests take any room, also where they are late. */
+    readonly takesAnyRoom?: boolean;
+    /** Whether refused callers come back, and whether their age is known then. */
+    readonly returning?: "as new" | "with their age";
+}
+
+interface PlayedRequest extends WaitingRequest {
+    readonly firstMs: number;
+    readonly tries: number;
+}
+
+const maxTries = 3;
+
 /**
  * Plays a burst at one service: 12 upstreams of 3 slots, a quarter of them five times slower, others every 150 ms. Work
  * goes on at the speed of the moment, and a full upstream works 1.7 times as long.
  */
-function playBurst(arrivalsPerSecond: number, takesAnyRoom: boolean): BurstResult {
+function playBurst({ arrivalsPerSecond, takesAnyRoom = false, returning }: BurstOptions): BurstResult {
     const random = new SeededRandom(3);
     const stepMs = 5;
     const upstreams = makeRows(Array.from({ length: 12 }, () => load(0, 1)))
         .map(row => ({ row, work: [] as { leftMs: number; readonly startMs: number; }[] }));
-    let waiting: (WaitingRequest & { readonly arrivedMs: number; })[] = [];
+    let waiting: PlayedRequest[] = [];
+    let away: { readonly atMs: number; readonly firstMs: number; readonly tries: number; }[] = [];
     const result = { inTime: 0, late: 0, refused: 0 };
+    const arrive = (atMs: number, firstMs: number, tries: number) => {
+        const targetAtMs = (returning === "with their age" ? firstMs : atMs) + 300;
+        const inTimeUntilMs = Math.min(atMs + 105, targetAtMs - 120);
+        waiting.push({ priority: 1, usualMs: 120, targetAtMs, inTimeUntilMs, untilMs: atMs + 120, firstMs, tries });
+    };
     for (let atMs = 0; atMs < 10_000; atMs += stepMs) {
         if (atMs % 150 === 0) {
             upstreams.forEach(({ row }) => row.load = load(0, random.nextUnit() < 0.25 ? 5 : 1));
@@ -138,21 +160,31 @@
             row.loadAskedAtMs = atMs;
         }
         if (random.nextUnit() < arrivalsPerSecond * stepMs / 1000) {
-            const times = { targetAtMs: atMs + 300, inTimeUntilMs: atMs + 105, untilMs: atMs + 120 };
-            waiting.push({ priority: 1, usualMs: 120, arrivedMs: atMs, ...times });
+            arrive(atMs, atMs, 1);
         }
+        away.filter(caller => caller.atMs <= atMs).forEach(caller => arrive(atMs, caller.firstMs, caller.tries));
+        away = away.filter(caller => caller.atMs > atMs);
         const rows = upstreams.map(upstream => upstream.row);
         for (const request of sortWaiting(waiting, atMs)) {
             const patient = takesAnyRoom ? { ...request, targetAtMs: Infinity } : request;
             const choice = placeWaiting(patient, rows, random, atMs);
             if (choice !== undefined) {
                 const upstream = upstreams.find(other => other.row === choice.row);
-                upstream?.work.push({ leftMs: 120, startMs: request.arrivedMs });
+                upstream?.work.push({ leftMs: 120, startMs: request.firstMs });
                 choice.row.load = load(upstream?.work.length ?? 0, choice.row.load?.slowdown ?? 1);
                 waiting = waiting.filter(other => other !== request);
             }
         }
-        result.refused += waiting.filter(request => request.untilMs <= atMs).length;
+        for (const { firstMs, tries } of waiting.filter(request => request.untilMs <= atMs)) {
+            if (returning !== undefined && tries < maxTries) {
+                const untilDeadlineMs = firstMs + 2500 - atMs;
+                const refused = { cause: RefusalCause.noRoom, untilTargetMs: 0, usualMs: 120, untilDeadlineMs };
+                away.push({ atMs: atMs + drawRetryAfterMs(refused, random), firstMs, tries: tries + 1 });
+            }
+            else {
+                result.refused++;
+            }
+        }
         waiting = waiting.filter(request => request.untilMs > atMs);
     }
     return result;
@@ -160,15 +192,22 @@
 
 test("guards against a burst after which everything is late: requests that cannot be in time are refused instead", t => {
     const arrivalsPerSecond = 190;
-    const choosy = playBurst(arrivalsPerSecond, false);
-    const greedy = playBurst(arrivalsPerSecond, true);
+    const choosy = playBurst({ arrivalsPerSecond });
+    const greedy = playBurst({ arrivalsPerSecond, takesAnyRoom: true });
     t.true(choosy.inTime > greedy.inTime, JSON.stringify({ choosy, greedy }));
     t.true(choosy.late < greedy.late, JSON.stringify({ choosy, greedy }));
     t.true(choosy.inTime > choosy.late + choosy.refused, JSON.stringify(choosy));
 });
 
+test("guards against refused callers that come back and take the room of requests that can be in time", t => {
+    const arrivalsPerSecond = 190;
+    const withAge = playBurst({ arrivalsPerSecond, returning: "with their age" });
+    const asNew = playBurst({ arrivalsPerSecond, returning: "as new" });
+    t.true(withAge.inTime > asNew.inTime, JSON.stringify({ withAge, asNew }));
+});
+
 test("guards against refusals while there is room", t => {
-    const { inTime, late, refused } = playBurst(60, false);
+    const { inTime, late, refused } = playBurst({ arrivalsPerSecond: 60 });
     t.true(inTime > 0.9 * (inTime + late + refused), JSON.stringify({ inTime, late, refused }));
 });
 
--- a/src/gateway/refusals.test.ts
+++ b/src/gateway/refusals.test.ts
@@ -71,3 +71,33 @@
     const times = { targetAtMs: nowMs + 300, inTimeUntilMs: nowMs + 100, untilMs: nowMs + 120 };
     t.not(placeWaiting({ priority: 1, usualMs: 120, ...times }, rows, new SeededRandom(1), nowMs), undefined);
 });
+
+/**
+ * Plays callers of a service whose upstreams all shed 55% of what they get: two upstreams for each try, up to three
+ * tries, 17 ms for each way to the caller, 120 ms of work. Returns the share that is answered within 300 ms.
+ */
+function playShedding(drawWaitMs: (untilTargetMs: number) => number): number {
+    const random = new SeededRandom(5);
+    let inTime = 0;
+    for (let caller = 0; caller < 1000; caller++) {
+        let ageMs = 17;
+        for (let tries = 1; tries <= 3; tries++) {
+            if (random.nextUnit() >= 0.55 || random.nextUnit() >= 0.55) {
+                inTime += ageMs + 120 + 17 <= 300 ? 1 : 0;
+                break;
+            }
+            ageMs += drawWaitMs(300 - ageMs) + 34;
+        }
+    }
+    return inTime / 1000;
+}
+
+test("guards against callers that are late because they were shed: they come back while they can be in time", t => {
+    const random = new SeededRandom(6);
+    const prompt = playShedding(untilTargetMs =>
+        drawRetryAfterMs({ cause: RefusalCause.shed, untilTargetMs, usualMs: 120, untilDeadlineMs: 2400 }, random)
+    );
+    const later = playShedding(() => 200);
+    t.true(prompt > 0.9, `${prompt} in time, ${later} when all come back after 200 ms`);
+    t.true(prompt > later + 0.15, `${prompt} in time, ${later} when all come back after 200 ms`);
+});
