--- a/src/gateway/queueing.test.ts
+++ b/src/gateway/queueing.test.ts
@@ -190,6 +190,13 @@
     return result;
 }
 
+test("guards against questions saved up over hours that an upstream gets all at once", t => {
+    const budget = new AskBudget();
+    t.is(budget.take(1000, 10, 0), 40, "4 s of the rate at the start");
+    t.is(budget.take(1000, 10, 3_600_000), 100, "10 s of the rate after an hour");
+    t.is(budget.take(1000, 10, 3_600_500), 5);
+});
+
 test("guards against a burst after which everything is late: requests that cannot be in time are refused instead", t => {
     const arrivalsPerSecond = 190;
     const choosy = playBurst({ arrivalsPerSecond });
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -19,7 +19,7 @@
         Gauge: require("prom-client/lib/gauge.js"),
         Histogram: require("prom-client/lib/histogram.js"),
     };`,
-    // Without the native decoder of strings, which is looked up in a child process's environment.
+    // Without the native decoder of strings: looking for it loads Node's modules for child processes.
     "msgpackr": `export { Packr } from "./node_modules/msgpackr/index.js";`,
 };
 
