Divide the slack of resends by the most entries of a window, and give restarted entries none

An entry divided the slack by the entries that its control VM named at that moment. A control VM that has restarted names one entry, then more, so each entry took up to a third of the whole slack; an entry that had restarted took its share again within the window. Ruled out: more messages between entries, since the highest count of the window and a first window without slack keep the sum.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -110,7 +110,7 @@
                 random,
             }),
             board: this.board,
-            resends: new ResendBudget(options.resends, countEntries),
+            resends: new ResendBudget(options.resends, countEntries, this.nowMs()),
             durations: new DurationEstimates(),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
--- a/src/gateway/resendBudget.test.ts
+++ b/src/gateway/resendBudget.test.ts
@@ -12,7 +12,7 @@
             maxLength: 600,
         }),
         steps => {
-            const budgets = Array.from({ length: entryCount }, () => new ResendBudget(limits, () => entryCount));
+            const budgets = Array.from({ length: entryCount }, () => new ResendBudget(limits, () => entryCount, 0));
             const requests: number[] = [];
             const resends: number[] = [];
             let nowMs = 0;
@@ -37,8 +37,59 @@
     t.pass();
 });
 
+test("guards against more resends than operators allow while entries restart and control names too few entries", t => {
+    const entryCount = 17;
+    const settledMs = 2 * limits.windowMs;
+    const property = fc.property(
+        fc.array(
+            fc.record({
+                gapMs: fc.nat(60),
+                entry: fc.nat(entryCount - 1),
+                resends: fc.nat(4),
+                isRestart: fc.boolean(),
+                namedCount: fc.constantFrom(1, 6, 17),
+            }),
+            { minLength: 400, maxLength: 700 },
+        ),
+        steps => {
+            let named = entryCount;
+            const start = (nowMs: number) => new ResendBudget(limits, () => named, nowMs);
+            const budgets = Array.from({ length: entryCount }, () => start(0));
+            const requests: number[] = [];
+            const resends: number[] = [];
+            let nowMs = 0;
+            // All entries have heard the true count before control forgets them.
+            for (nowMs = 0; nowMs < settledMs; nowMs += 500) {
+                budgets.forEach(budget => budget.countRequest("orders", nowMs));
+                requests.push(...budgets.map(() => nowMs));
+            }
+            for (const { gapMs, entry, resends: wanted, isRestart, namedCount } of steps) {
+                nowMs += gapMs;
+                named = namedCount;
+                if (isRestart && wanted === 0) {
+                    budgets[entry] = start(nowMs);
+                }
+                budgets[entry].countRequest("orders", nowMs);
+                requests.push(nowMs);
+                for (let count = 0; count < wanted; count++) {
+                    if (budgets[entry].take("orders", nowMs)) {
+                        resends.push(nowMs);
+                    }
+                }
+            }
+            return resends.every(endMs => {
+                const isInWindow = (atMs: number) => atMs <= endMs && atMs > endMs - limits.windowMs;
+                const allowed = limits.ratio * requests.filter(isInWindow).length + limits.slack;
+                return resends.filter(isInWindow).length <= allowed;
+            });
+        },
+    );
+    fc.assert(property, { seed: 11, numRuns: 40 });
+    t.pass();
+});
+
 test("guards against a budget that is never refilled", t => {
-    const budget = new ResendBudget({ ratio: 0.2, slack: 2, windowMs: 10_000 }, () => 1);
+    const budget = new ResendBudget({ ratio: 0.2, slack: 2, windowMs: 10_000 }, () => 1, -10_000);
     t.true(budget.take("orders", 0));
     t.false(budget.take("orders", 0));
     t.true(budget.take("orders", 11_000));
--- a/src/gateway/resendBudget.ts
+++ b/src/gateway/resendBudget.ts
@@ -15,19 +15,27 @@
 
 interface Bucket {
     readonly startMs: number;
+    /** Most entries that were known to share the slack. */
+    entries: number;
     requests: number;
     resends: number;
 }
 
 /**
  * Limits the requests that this entry sends a second time. Each entry keeps to the ratio of its own requests and to its
- * share of the slack, so that the sum over all entries holds without a message between them.
+ * share of the slack, so that the sum over all entries holds without a message between them. A control VM that has
+ * restarted names too few entries for a while, so the highest count of the window divides the slack; an entry that has
+ * restarted does not know what it used before, so it has no slack until a window has passed.
  */
 export class ResendBudget {
     private readonly windows = new Map<ServiceName, Bucket[]>();
 
-    /** `countEntries` returns how many entries share the slack. */
-    constructor(private readonly limits: ResendLimits, private readonly countEntries: () => number) {}
+    /** `countEntries` returns how many entries share the slack, as far as they are known. */
+    constructor(
+        private readonly limits: ResendLimits,
+        private readonly countEntries: () => number,
+        private readonly startedAtMs: number,
+    ) {}
 
     /** Counts a request's first attempt. */
     countRequest(service: ServiceName, nowMs: number): void {
@@ -40,8 +48,10 @@
         const window = this.windows.get(service) ?? [];
         const requests = window.reduce((sum, row) => sum + row.requests, 0);
         const resends = window.reduce((sum, row) => sum + row.resends, 0);
-        const { ratio, slack } = this.limits;
-        const allowed = usedShare * (ratio * requests + slack / Math.max(1, this.countEntries()));
+        const { ratio, slack, windowMs } = this.limits;
+        const entries = Math.max(1, ...window.map(row => row.entries));
+        const slackShare = nowMs - this.startedAtMs < windowMs ? 0 : slack / entries;
+        const allowed = usedShare * (ratio * requests + slackShare);
         if (resends + 1 > allowed) {
             return false;
         }
@@ -55,7 +65,8 @@
         const startMs = Math.floor(nowMs / bucketMs) * bucketMs;
         const window = (this.windows.get(service) ?? []).filter(row => row.startMs > nowMs - windowMs);
         const last = window.at(-1);
-        const bucket = last?.startMs === startMs ? last : { startMs, requests: 0, resends: 0 };
+        const bucket = last?.startMs === startMs ? last : { startMs, entries: 1, requests: 0, resends: 0 };
+        bucket.entries = Math.max(bucket.entries, this.countEntries());
         this.windows.set(service, last === bucket ? window : [...window, bucket]);
         return bucket;
     }
