Give up hung first connections between processes soon

Cause: after a loss of power of all VMs, control VMs lead 0.9 to 1.0 s after they start. The first one connects to peers that have no power yet; its first packet is lost and the system sends it again after a second. Ruled out: election times (150 ms at the first start).

A connection is given up after 150 ms, doubling up to 1.2 s, and tried again after 50 ms, doubling up to 200 ms.

--- a/src/transport/channel.test.ts
+++ b/src/transport/channel.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import net from "node:net";
-import { ChannelClient, ChannelServer } from "./channel.js";
+import { ChannelClient, ChannelServer, growDelay } from "./channel.js";
 
 const secret = "test-secret";
 
@@ -81,3 +81,37 @@
     client.close();
     await second.close();
 });
+
+test("guards against a peer that is found late because the first connection to it hangs", async t => {
+    const server = new ChannelServer({ selfId: "server", secret }, () => "here");
+    const port = await server.listen("127.0.0.1", 0);
+    const sockets: net.Socket[] = [];
+    // The first connection stays silent, as to a VM that is just getting its power back.
+    const front = net.createServer(socket => {
+        socket.on("error", () => socket.destroy());
+        sockets.push(socket);
+        if (sockets.length > 1) {
+            socket.pipe(net.connect(port, "127.0.0.1").on("error", () => socket.destroy())).pipe(socket);
+        }
+    });
+    await new Promise<void>(resolve => front.listen(0, "127.0.0.1", resolve));
+    const { port: frontPort } = front.address() as net.AddressInfo;
+    const client = new ChannelClient(`127.0.0.1:${frontPort}`, { selfId: "client", secret });
+    t.true(await client.waitConnected(60_000));
+    t.is(await client.call("where", {}, 60_000), "here");
+    client.close();
+    sockets.forEach(socket => socket.destroy());
+    front.close();
+    await server.close();
+});
+
+test("guards against delays that stay short while a peer is gone, and against ones that grow without end", t => {
+    t.deepEqual([0, 1, 2, 3, 4, 1000].map(failures => growDelay(150, 1200, failures)), [
+        150,
+        300,
+        600,
+        1200,
+        1200,
+        1200,
+    ]);
+});
--- a/src/transport/channel.ts
+++ b/src/transport/channel.ts
@@ -6,7 +6,17 @@
 
 const pingIntervalMs = 500;
 const silenceLimitMs = 1500;
-const reconnectDelayMs = 200;
+/**
+ * Longest time until a connection is open and proved, first and at most; doubles with each failure in a row. The
+ * operating system sends a lost first packet again only after a second, and a VM that has just got its power back is
+ * reached sooner by a new connection.
+ */
+const firstConnectTimeoutMs = 150;
+const maxConnectTimeoutMs = 1200;
+/** Pause before a new connection, first and at most; doubles likewise. */
+const firstReconnectDelayMs = 50;
+const maxReconnectDelayMs = 200;
+const maxDoublings = 10;
 const maxHandshakeBytes = 4096;
 const nonceBytes = 16;
 
@@ -221,6 +231,8 @@
     private connection: Connection | undefined;
     private socket: net.Socket | undefined;
     private retryTimer: NodeJS.Timeout | undefined;
+    private connectTimer: NodeJS.Timeout | undefined;
+    private failuresInRow = 0;
     private isClosed = false;
     private readonly waiting = new Set<() => void>();
 
@@ -269,6 +281,7 @@
     close(): void {
         this.isClosed = true;
         clearTimeout(this.retryTimer);
+        clearTimeout(this.connectTimer);
         this.socket?.destroy();
     }
 
@@ -279,12 +292,19 @@
         const socket = net.connect({ host, port });
         this.socket = socket;
         socket.on("close", () => this.scheduleReconnect());
+        this.connectTimer = setTimeout(
+            () => socket.destroy(),
+            growDelay(firstConnectTimeoutMs, maxConnectTimeoutMs, this.failuresInRow),
+        );
+        this.connectTimer.unref();
         new Connection(
             socket,
             ChannelRole.initiator,
             this.options,
             this.handler,
             connection => {
+                clearTimeout(this.connectTimer);
+                this.failuresInRow = 0;
                 this.connection = connection;
                 this.waiting.forEach(settle => settle());
             },
@@ -294,9 +314,17 @@
 
     private scheduleReconnect(): void {
         this.connection = undefined;
+        clearTimeout(this.connectTimer);
         if (!this.isClosed) {
-            this.retryTimer = setTimeout(() => this.connect(), reconnectDelayMs);
+            const delayMs = growDelay(firstReconnectDelayMs, maxReconnectDelayMs, this.failuresInRow);
+            this.failuresInRow++;
+            this.retryTimer = setTimeout(() => this.connect(), delayMs);
             this.retryTimer.unref();
         }
     }
 }
+
+/** Returns a delay that doubles with each failure, in milliseconds. */
+export function growDelay(firstMs: number, maxMs: number, failures: number): number {
+    return Math.min(maxMs, firstMs * 2 ** Math.min(failures, maxDoublings));
+}
