Keep a control VM running while its disk is full

The replica now does nothing until the disk takes what is due, as with a slow disk: it does not lead, its view counts as not led, and callers are told that the outcome is not known. A part of a record that was written is cut off, since it would hide the records after it.

--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../core/clock.js";
+import { StorageError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
 import type { ControlStore } from "../storage/controlStore.js";
 import { performOnDisk } from "./diskEffects.js";
@@ -31,6 +32,13 @@
     readonly onFailed: (error: Error) => void;
 }
 
+/** Effects of one turn, with the part of them that the disk has to do first. */
+interface UnfinishedWork {
+    readonly diskSteps: (() => void)[];
+    readonly hasRecords: boolean;
+    readonly effects: readonly ControlEffect[];
+}
+
 type Settle = (answer: ControlAnswer | undefined) => void;
 
 /** Drives a replica with its disk, its peers and the time. */
@@ -42,6 +50,8 @@
     private readonly waiting = new Map<number, Settle>();
     private nextRequestId = 1;
     private queue: ControlEvent[] = [];
+    /** What a full disk delays; the replica does nothing else before it is done. */
+    private unfinished: UnfinishedWork | undefined;
     private isStopped = false;
 
     constructor(private readonly options: ReplicaHostOptions<Machine>) {
@@ -60,7 +70,7 @@
     }
 
     get isLeader(): boolean {
-        return this.replica.role === "leader";
+        return this.replica.role === "leader" && !this.isBlocked;
     }
 
     get leaderAddress(): string | undefined {
@@ -74,7 +84,7 @@
 
     /** Returns whether this VM leads or heard the leader within the longest election timeout. */
     get isLed(): boolean {
-        return this.replica.isLed(this.options.clock.monotonicMs());
+        return !this.isBlocked && this.replica.isLed(this.options.clock.monotonicMs());
     }
 
     /** Returns whether this VM votes or learns in the group it knows. */
@@ -85,6 +95,10 @@
 
     /** Hands in an event; it is handled together with the others of this turn of the event loop. */
     submit(event: ControlEvent): void {
+        if (this.isBlocked) {
+            // Peers send again what is lost; callers are told that the outcome is not known.
+            return;
+        }
         if (this.queue.length === 0) {
             setImmediate(() => this.run());
         }
@@ -97,6 +111,10 @@
             return;
         }
         try {
+            if (this.unfinished !== undefined) {
+                this.finish(this.unfinished);
+                return;
+            }
             const nowMs = this.options.clock.monotonicMs();
             const events = this.queue;
             this.queue = [];
@@ -138,7 +156,7 @@
     }
 
     private ask(timeoutMs: number, makeEvent: (requestId: number) => ControlEvent): Promise<ControlAnswer | undefined> {
-        if (this.isStopped) {
+        if (this.isStopped || this.isBlocked) {
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
@@ -154,15 +172,54 @@
         });
     }
 
+    private get isBlocked(): boolean {
+        return this.unfinished !== undefined;
+    }
+
     private perform(effects: readonly ControlEffect[]): void {
-        effects.forEach(effect => performOnDisk(this.options.store, effect));
-        if (effects.some(effect => effect.kind === "append" || effect.kind === "save-snapshot")) {
-            this.options.store.sync();
+        const { store } = this.options;
+        const diskSteps = effects.map(effect => () => performOnDisk(store, effect));
+        const hasRecords = effects.some(effect => effect.kind === "append" || effect.kind === "save-snapshot");
+        if (hasRecords) {
+            diskSteps.push(() => store.sync());
+        }
+        this.finish({ diskSteps, hasRecords, effects });
+    }
+
+    /** Does the disk's part of the effects, then the others. A full disk delays all of them, as a slow disk would. */
+    private finish(work: UnfinishedWork): void {
+        const { diskSteps, hasRecords, effects } = work;
+        try {
+            for (let step = diskSteps.at(0); step !== undefined; step = diskSteps.at(0)) {
+                step();
+                diskSteps.shift();
+            }
+        }
+        catch (error) {
+            if (!(error instanceof StorageError) || error.code !== "storage-full") {
+                throw error;
+            }
+            this.block(work, error);
+            return;
+        }
+        if (this.isBlocked) {
+            this.unfinished = undefined;
+            this.options.logger.info("the disk takes records again");
+        }
+        if (hasRecords) {
             this.learnMembers();
         }
         effects.forEach(effect => this.performElsewhere(effect));
     }
 
+    private block(work: UnfinishedWork, error: StorageError): void {
+        if (!this.isBlocked) {
+            this.options.logger.warn(`the control VM takes no part in the group: ${error.message}`);
+        }
+        this.unfinished = work;
+        this.waiting.forEach(settle => settle(undefined));
+    }
+
     private performElsewhere(effect: ControlEffect): void {
         switch (effect.kind) {
             case "send":
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -22,6 +22,7 @@
     "storage-damaged": "{file}: the file is damaged",
     "storage-incomplete": "{file}: the file is missing while other files of the data folder exist",
     "storage-failed": "{file}: {operation} failed: {reason}",
+    "storage-full": "{file}: {operation} failed: the disk is full",
 } as const;
 
 export type ErrorCode = keyof typeof errorMessages;
--- a/src/storage/fakeDisk.ts
+++ b/src/storage/fakeDisk.ts
@@ -15,6 +15,8 @@
     private readonly files = new Map<string, FakeFile>();
     private operationsUntilCrash = Infinity;
     private failure: { operation: string; reason: string; } | undefined;
+    /** Whether writes are refused; reads and syncs work. */
+    isFull = false;
 
     constructor(private readonly random: RandomSource) {
         super();
@@ -94,6 +96,9 @@
         if (this.failure?.operation === operation) {
             throw new StorageError("storage-failed", { file, operation, reason: this.failure.reason });
         }
+        if (this.isFull && (operation === "append" || operation === "replace")) {
+            throw new StorageError("storage-full", { file, operation });
+        }
         this.operationsUntilCrash--;
         if (this.operationsUntilCrash <= 0) {
             crash();
--- a/src/storage/fileDisk.ts
+++ b/src/storage/fileDisk.ts
@@ -4,6 +4,7 @@
 import { Disk } from "./disk.js";
 
 const temporarySuffix = ".tmp";
+const fullDiskCodes = new Set(["ENOSPC", "EDQUOT"]);
 
 /** Disk on a folder of the file system. Calls block until the operating system has done them. */
 export class FileDisk extends Disk {
@@ -26,7 +27,18 @@
     }
 
     append(name: string, bytes: Uint8Array): void {
-        this.attempt(name, "writing", () => writeAll(this.open(name), bytes));
+        this.attempt(name, "writing", () => {
+            const handle = this.open(name);
+            const sizeBytes = fs.fstatSync(handle).size;
+            try {
+                writeAll(handle, bytes);
+            }
+            catch (error) {
+                // A part of a record would end the log for the records that follow it.
+                fs.ftruncateSync(handle, sizeBytes);
+                throw error;
+            }
+        });
     }
 
     sync(name: string): void {
@@ -92,6 +104,10 @@
         }
         catch (error) {
             const file = name === this.folder ? name : path.join(this.folder, name);
+            const isFull = fullDiskCodes.has((error as NodeJS.ErrnoException).code ?? "");
+            if (isFull && operation !== "syncing") {
+                throw new StorageError("storage-full", { file, operation }, { cause: error });
+            }
             const reason = error instanceof Error ? error.message : String(error);
             throw new StorageError("storage-failed", { file, operation, reason }, { cause: error });
         }
