--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -50,12 +50,38 @@
     const nearAddress = await near.start();
     const farAddress = await far.start();
     near.nodes = far.nodes = [makeNode(nearAddress, "az-1"), makeNode(farAddress, "az-2")];
-    const clock = new SystemClock();
-    const watch: DirectoryWatch = new DirectoryWatch({
+    const watch = makeWatch([farAddress], () => {
+        if (near.questions.length > 0) {
+            watch.close();
+        }
+    });
+    await watch.run();
+    t.is(far.questions.length, 1, "the first answer names the control VM of the own zone");
+    await near.close();
+    await far.close();
+});
+
+test("guards against requests that wait on after the directory is known", async t => {
+    const control = new ControlStandIn();
+    const watch = makeWatch([await control.start()], () => undefined);
+    await watch.waitUntilKnown(1);
+    t.is(watch.version, 0, "the wait is bounded");
+    const isKnown = watch.waitUntilKnown(60_000);
+    const run = watch.run();
+    await isKnown;
+    t.is(watch.version, 1);
+    await watch.waitUntilKnown(60_000);
+    watch.close();
+    await run;
+    await control.close();
+});
+
+function makeWatch(seeds: readonly string[], onDelta: () => void): DirectoryWatch {
+    return new DirectoryWatch({
         channel: { selfId: "entry", secret },
         availabilityZone: "az-1",
-        seeds: [farAddress],
-        clock,
+        seeds,
+        clock: new SystemClock(),
         random: new SeededRandom(1),
         logger: silentLogger,
         metrics: new GatewayMetrics({
@@ -67,14 +93,6 @@
             ejectedUpstreams: () => 0,
         }),
         describeEntry: () => ({ id: "entry", address: "127.0.0.1:1", availabilityZone: "az-1", isServing: true }),
-        onDelta: () => {
-            if (near.questions.length > 0) {
-                watch.close();
-            }
-        },
+        onDelta,
     });
-    await watch.run();
-    t.is(far.questions.length, 1, "the first answer names the control VM of the own zone");
-    await near.close();
-    await far.close();
-});
+}
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -45,6 +45,7 @@
     private confirmedAtMs = -Infinity;
     private isClosed = false;
     private readonly failedAtMs = new Map<string, number>();
+    private readonly knownListeners = new Set<() => void>();
 
     constructor(private readonly options: DirectoryWatchOptions) {}
 
@@ -69,6 +70,22 @@
         }
     }
 
+    /** Waits until the directory is known, at most for this time. */
+    waitUntilKnown(timeoutMs: number): Promise<void> {
+        if (this.version > 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const settle = () => {
+                clearTimeout(timer);
+                this.knownListeners.delete(settle);
+                resolve();
+            };
+            const timer = setTimeout(settle, timeoutMs);
+            this.knownListeners.add(settle);
+        });
+    }
+
     /** Tells the control VM at once that the state of the entry has changed. */
     report(): void {
         this.client?.notify(DirectoryMethod.reportEntry, this.options.describeEntry());
@@ -163,6 +180,7 @@
             this.options.onDelta(delta);
         }
         this.confirmedAtMs = sentAtMs;
+        this.knownListeners.forEach(settle => settle());
         return true;
     }
 }
--- /dev/null
+++ b/src/gateway/testing.ts
@@ -0,0 +1,191 @@
+import { once } from "node:events";
+import http, { type IncomingHttpHeaders } from "node:http";
+import type { AddressInfo } from "node:net";
+import { SystemClock } from "../core/clock.js";
+import { SeededRandom } from "../core/random.js";
+import type { RouteTable } from "../directory/model.js";
+import { makeRegistration } from "../directory/testing.js";
+import { BufferBudget } from "../entry/bufferBudget.js";
+import { findHeader } from "../entry/headers.js";
+import { defaultEntryLimits } from "../entry/options.js";
+import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { ResponseHead } from "../requests/model.js";
+import { Dialect, type InstanceLoad } from "./dialect.js";
+import { DurationEstimates } from "./durationEstimates.js";
+import { GatewayExchange } from "./gatewayExchange.js";
+import { GatewayIntake } from "./gatewayIntake.js";
+import type { RequestParts } from "./gatewayRequest.js";
+import { LoadInquiry } from "./loadInquiry.js";
+import type { GatewayLogger } from "./options.js";
+import { Placer } from "./placer.js";
+import { ResendBudget } from "./resendBudget.js";
+import { UpstreamBoard } from "./upstreamBoard.js";
+import { UpstreamConnections } from "./upstreamConnections.js";
+
+const stallTimeoutMs = 5000;
+const manyPerSecond = 1000;
+
+/** Headers of tests: a deadline and an id of the request, and the statement that it did not run. */
+export class TestDialect extends Dialect {
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms"]);
+
+    readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
+        return headers["deadline-ms"] === undefined ? undefined : Number(headers["deadline-ms"]);
+    }
+
+    readRequestId(headers: IncomingHttpHeaders): string | undefined {
+        return headers["request-id"] === undefined ? undefined : String(headers["request-id"]);
+    }
+
+    listAttemptHeaders(_upstreamId: string, remainingMs: number): readonly string[] {
+        return ["Deadline-Ms", String(remainingMs)];
+    }
+
+    isAnswerTo({ headers }: ResponseHead, requestId: string | undefined): boolean {
+        return (findHeader(headers, "request-id") ?? requestId) === requestId;
+    }
+
+    isNotRun({ headers }: ResponseHead): boolean {
+        return findHeader(headers, "not-run") !== undefined;
+    }
+
+    isGenuine(): boolean {
+        return true;
+    }
+
+    /** `running,slots,slowdown`. */
+    readLoad({ headers }: ResponseHead): InstanceLoad | undefined {
+        const text = findHeader(headers, "load");
+        if (text === undefined) {
+            return undefined;
+        }
+        const [running, slots, slowdown] = text.split(",").map(Number);
+        return { running, waiting: 0, slots, slowdown };
+    }
+
+    readUpstreamId({ headers }: ResponseHead): string | undefined {
+        return findHeader(headers, "upstream-id");
+    }
+}
+
+/** An upstream on a loopback port. Its answers to requests are given by `answer`. */
+export class TestUpstream {
+    /** Ids of the requests that it began to run. */
+    readonly ran: string[] = [];
+    /** Whether it answers questions for its load. */
+    isTalking = true;
+    load = "0,3,1";
+    answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
+        response.end("done");
+    private readonly server = http.createServer((request, response) => {
+        if (request.url === "/healthz") {
+            if (this.isTalking) {
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
+                response.end();
+            }
+            return;
+        }
+        this.ran.push(String(request.headers["request-id"]));
+        this.answer(request, response);
+    });
+
+    constructor(readonly id: string) {}
+
+    async start(): Promise<string> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+}
+
+/** An entry without control: its routes and upstreams are set by the test. */
+export class TestEntry {
+    readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
+    readonly board = new UpstreamBoard();
+    readonly intake: GatewayIntake;
+    readonly clock = new SystemClock();
+    /** Called when a request waits for the directory. */
+    onWait: () => void = () => undefined;
+    private readonly metrics = new GatewayMetrics({
+        inFlight: () => 0,
+        directoryVersion: () => 1,
+        routesVersion: () => this.intake.routesVersion,
+        isConfirmed: () => true,
+        upstreams: () => this.board.list().length,
+        ejectedUpstreams: () => this.board.countEjected(this.clock.monotonicMs()),
+    });
+    private readonly server = http.createServer((incoming, outgoing) => {
+        const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
+        exchange.dialect = this.dialect;
+        exchange.receivedAtMs = this.clock.monotonicMs();
+        void this.intake.take(exchange);
+    });
+    private readonly dialect = new TestDialect();
+
+    constructor() {
+        const { board, dialect, clock, metrics } = this;
+        const random = new SeededRandom(1);
+        const limits = defaultEntryLimits;
+        const logger = this.makeLogger();
+        const inquiry = new LoadInquiry(board, new UpstreamConnections(limits), dialect, clock, metrics);
+        const asksPerSecond = () => manyPerSecond;
+        const parts: RequestParts = {
+            placer: new Placer({ board, inquiry, availabilityZone: "az-1", asksPerSecond, clock, random }),
+            board,
+            resends: new ResendBudget({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1, -Infinity),
+            durations: new DurationEstimates(),
+            budget: new BufferBudget(limits.bufferedBytes),
+            dialect,
+            metrics,
+            logger,
+            clock,
+            random,
+        };
+        const waitUntilKnown = () => Promise.resolve(this.onWait());
+        const watch = { version: 1, isConfirmed: true, waitUntilKnown };
+        this.intake = new GatewayIntake({ limits, dialect, logger, metrics, random, parts, watch });
+    }
+
+    async start(table?: RouteTable): Promise<void> {
+        if (table !== undefined) {
+            this.intake.setRoutes(table);
+        }
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+    }
+
+    /** Adds a running upstream of the service `orders`. */
+    async add(upstream: TestUpstream, availabilityZone = "az-1"): Promise<void> {
+        const address = await upstream.start();
+        this.board.set(makeRegistration({ id: upstream.id, address, availabilityZone }), this.clock.monotonicMs());
+    }
+
+    /** Sends a request; resolves with status and body, or rejects when the connection breaks. */
+    async send(path: string, id: string, method = "GET"): Promise<{ readonly status: number; readonly text: string; }> {
+        const { port } = this.server.address() as AddressInfo;
+        const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": "3000" };
+        const request = http.request({ host: "127.0.0.1", port, path, method, headers, agent: false });
+        request.end();
+        const [response] = await once(request, "response") as [http.IncomingMessage];
+        let text = "";
+        for await (const chunk of response as AsyncIterable<Buffer>) {
+            text += chunk.toString();
+        }
+        return { status: response.statusCode ?? 0, text };
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private makeLogger(): GatewayLogger {
+        const write = (text: string, fields = {}) => this.lines.push({ text, fields });
+        return { debug: write, info: write, warn: write, error: write };
+    }
+}
