Remember departures of instances that were never seen

Cause: a departure was remembered only when the instance had a row. A message of it that was held up by a cut and arrived later made it a ready upstream again, after its departure had been acknowledged. The same held for a departure of a later life than the one in the table. Found by reading; two rows of registrations.test.ts failed first.

--- a/src/directory/registrations.test.ts
+++ b/src/directory/registrations.test.ts
@@ -43,6 +43,21 @@
         rows: ["i-2 ready 10.0.0.1:80"],
     },
     { name: "a message after the instance has left", messages: [{}, { end: "i-1" }, { sequence: 9 }], rows: [] },
+    {
+        name: "a message that was held up until after the departure of an instance that was never seen",
+        messages: [{ end: "i-1", bornAtMs: 1000 }, { sequence: 2 }],
+        rows: [],
+    },
+    {
+        name: "a message that was held up until after the departure of a life that was never seen",
+        messages: [{}, { end: "i-1", bornAtMs: 2000 }, { bornAtMs: 2000 }],
+        rows: [],
+    },
+    {
+        name: "a new life after the departure of one that was never seen",
+        messages: [{ end: "i-1", bornAtMs: 1000 }, { bornAtMs: 3000 }],
+        rows: ["i-1 ready 10.0.0.1:80"],
+    },
     {
         name: "a departure of an earlier life",
         messages: [{ bornAtMs: 2000 }, { end: "i-1", bornAtMs: 1000 }],
--- a/src/directory/registrations.ts
+++ b/src/directory/registrations.ts
@@ -4,10 +4,16 @@
 /** Lives of instances that have ended; kept so that their late messages do not bring them back. */
 const maxEnded = 4096;
 
+/** A life of an instance that has ended. */
+interface EndedLife {
+    readonly id: UpstreamId;
+    readonly bornAtMs: number;
+}
+
 /** The instances that have announced themselves, one row per id. */
 export class RegistrationTable {
     private readonly rows = new Map<UpstreamId, Registration>();
-    private readonly ended = new Map<UpstreamId, Registration>();
+    private readonly ended = new Map<UpstreamId, EndedLife>();
 
     get size(): number {
         return this.rows.size;
@@ -38,7 +44,10 @@
         }
         // The address belongs to whoever started there last.
         const former = this.list().filter(row => row.address === message.address && row.id !== message.id);
-        former.forEach(row => this.endRow(row));
+        former.forEach(row => {
+            this.rows.delete(row.id);
+            this.noteEnd(row);
+        });
         this.ended.delete(message.id);
         this.rows.set(message.id, message);
         return [message.id, ...former.map(row => row.id)];
@@ -50,37 +59,36 @@
      */
     end(id: UpstreamId, bornAtMs: number | undefined, isFinal: boolean): boolean {
         const row = this.rows.get(id);
-        if (row === undefined || (bornAtMs !== undefined && bornAtMs < row.bornAtMs)) {
+        if (row !== undefined && bornAtMs !== undefined && bornAtMs < row.bornAtMs) {
             return false;
         }
         if (isFinal) {
-            this.endRow(row);
-        }
-        else {
-            this.rows.delete(id);
+            // Also without a row: messages of an instance can be held up until after its departure.
+            this.noteEnd({ id, bornAtMs: Math.max(bornAtMs ?? 0, row?.bornAtMs ?? 0) });
         }
-        return true;
+        return this.rows.delete(id);
     }
 
-    toImage(): readonly [readonly Registration[], readonly Registration[]] {
+    toImage(): readonly [readonly Registration[], readonly EndedLife[]] {
         return [this.list(), [...this.ended.values()]];
     }
 
-    fromImage([rows, ended]: readonly [readonly Registration[], readonly Registration[]]): void {
+    fromImage([rows, ended]: readonly [readonly Registration[], readonly EndedLife[]]): void {
         this.rows.clear();
         this.ended.clear();
         rows.forEach(row => this.rows.set(row.id, row));
         ended.forEach(row => this.ended.set(row.id, row));
     }
 
-    private endRow(row: Registration): void {
-        this.rows.delete(row.id);
-        this.ended.set(row.id, row);
-        for (const id of this.ended.keys()) {
+    private noteEnd({ id, bornAtMs }: EndedLife): void {
+        const known = this.ended.get(id)?.bornAtMs ?? 0;
+        this.ended.delete(id);
+        this.ended.set(id, { id, bornAtMs: Math.max(known, bornAtMs) });
+        for (const oldest of this.ended.keys()) {
             if (this.ended.size <= maxEnded) {
                 break;
             }
-            this.ended.delete(id);
+            this.ended.delete(oldest);
         }
     }
 
