--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -154,6 +154,7 @@
         row.isUsed = true;
         this.log("placed", {
             upstream: id,
+            zone: row.registration.availabilityZone,
             attempt: this.attemptCount,
             cost,
             load: row.load,
