Forget control VMs that are no members, and steer heartbeats only to VMs that are reached

Cause: a replaced control VM stayed in the state for good, and instances of its availability zone were sent to its address with each heartbeat; each cost a failed call. The leader now records that a VM which has been no member for 5 s is gone. A VM names only addresses whose channel is open. directoryService.test.ts failed first.

--- a/src/control/peerLinks.ts
+++ b/src/control/peerLinks.ts
@@ -28,6 +28,11 @@
         return this.addresses.get(id);
     }
 
+    /** Returns whether the VM at an address has a channel to this one; opens one for the next time. */
+    isConnected(address: string): boolean {
+        return this.client(address).isConnected();
+    }
+
     /** Sends a message; it is lost when there is no connection. */
     send(to: VoterId, message: ReplicationMessage): void {
         const address = this.addresses.get(to);
--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -26,12 +26,13 @@
         leaderAddress: undefined as string | undefined,
         selfId: "a",
         state,
-        members: { voters: [], learners: [] },
+        members: { voters: [{ id: "a", peerAddress: "10.1.0.1:7000" }], learners: [] },
         propose: (change: DirectoryChange): Promise<ForwardedEnd> =>
             Promise.resolve({ kind: "applied", result: state.apply(change) }),
         confirmLeadership: () => Promise.resolve(log.isLeader),
     };
     const links = {
+        isConnected: (address: string) => !address.startsWith("10.9."),
         call: (_address: string, method: string) => {
             calls.push(method);
             return Promise.reject(new Error("no answer"));
@@ -111,3 +112,19 @@
     clock.advance(1500);
     t.deepEqual(service.listCallerAddresses("az-1"), []);
 });
+
+test("guards against instances that report to a control VM which is down or was replaced", async t => {
+    const setup = makeService();
+    const { service, state } = setup;
+    const announce = (peerAddress: string, availabilityZone: string) =>
+        service.announceNode({ peerAddress, operatorAddress: `${peerAddress}0`, availabilityZone });
+    await announce("10.9.0.1:7000", "az-2");
+    t.is(service.findHeartbeatAddress("az-2"), undefined, "it is not reached");
+    await announce("10.2.0.1:7000", "az-2");
+    t.is(service.findHeartbeatAddress("az-2"), "10.2.0.1:70000");
+    await announce("10.1.0.1:7000", "az-1");
+    keepHouse(setup, 3);
+    t.is(state.nodes.length, 3, "a VM that has lost its disk joins again within this time");
+    keepHouse(setup, 10);
+    t.deepEqual(state.nodes.map(node => node.peerAddress), ["10.1.0.1:7000"], "only members stay");
+});
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -28,10 +28,13 @@
 /** The log of the directory. */
 export type DirectoryLog = ReplicatedLog<DirectoryState, DirectoryChange, DirectoryResult>;
 
+/** A VM that has been no member for this long is forgotten; one that has lost its disk joins again sooner. */
+const forgetNodeAfterMs = 5000;
+
 /** What the service works with. */
 export interface DirectoryServiceOptions {
     readonly log: DirectoryLog & { readonly isLed: boolean; readonly members: GroupMembers; };
-    readonly links: Pick<PeerLinks, "call" | "notify">;
+    readonly links: Pick<PeerLinks, "call" | "notify" | "isConnected">;
     readonly clock: Clock;
     readonly logger: ControlLogger;
     /** Time between two messages of an instance. */
@@ -45,6 +48,8 @@
     private readonly heardAtMs = new Map<UpstreamId, number>();
     private unreported = new Set<UpstreamId>();
     private ledSinceMs: number | undefined;
+    /** Since when VMs of the state are no members, by peer address. */
+    private readonly nonMemberSinceMs = new Map<string, number>();
     readonly metrics: DirectoryMetrics;
 
     constructor(private readonly options: DirectoryServiceOptions) {
@@ -114,6 +119,16 @@
         return this.record({ kind: "node", node }, { node: node.peerAddress });
     }
 
+    /**
+     * Returns where instances of an availability zone send their later messages: a control VM there that is reached, or
+     * undefined. One that is down would cost each message a second.
+     */
+    findHeartbeatAddress(availabilityZone: string): string | undefined {
+        const { links } = this.options;
+        const near = this.state.nodes.filter(node => node.availabilityZone === availabilityZone);
+        return near.find(node => links.isConnected(node.peerAddress))?.operatorAddress;
+    }
+
     /** Answers an entry when there is something new for it, at the latest after its wait. */
     async watch({ entry, version, waitMs }: WatchParams): Promise<WatchAnswer> {
         this.noteEntry(entry);
@@ -157,9 +172,11 @@
         if (log.isLeader) {
             this.ledSinceMs ??= this.nowMs();
             this.dropSilent(this.ledSinceMs);
+            this.forgetNodes();
         }
         else {
             this.ledSinceMs = undefined;
+            this.nonMemberSinceMs.clear();
             if (log.leaderAddress !== undefined && this.unreported.size > 0) {
                 links.notify(log.leaderAddress, DirectoryMethod.reportHeard, { ids: [...this.unreported] });
             }
@@ -242,6 +259,26 @@
         });
     }
 
+    private forgetNodes(): void {
+        const { log, logger } = this.options;
+        const { voters, learners } = log.members;
+        const members = new Set([...voters, ...learners].map(member => member.peerAddress));
+        for (const { peerAddress } of this.state.nodes) {
+            const sinceMs = this.nonMemberSinceMs.get(peerAddress) ?? this.nowMs();
+            if (members.has(peerAddress)) {
+                this.nonMemberSinceMs.delete(peerAddress);
+            }
+            else if (this.nowMs() - sinceMs > forgetNodeAfterMs) {
+                logger.info("forgetting a control VM that is no member", { peerAddress });
+                this.nonMemberSinceMs.delete(peerAddress);
+                void log.propose({ kind: "node-gone", peerAddress });
+            }
+            else {
+                this.nonMemberSinceMs.set(peerAddress, sinceMs);
+            }
+        }
+    }
+
     private dropSilent(ledSinceMs: number): void {
         const { log, heartbeatIntervalMs, logger } = this.options;
         const limitMs = heartbeatIntervalMs * silentIntervals;
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -33,7 +33,9 @@
     | { readonly kind: "end"; readonly id: UpstreamId; readonly bornAtMs: number | undefined; }
     /** The instance was not heard for long; it may come back. */
     | { readonly kind: "expire"; readonly id: UpstreamId; readonly bornAtMs: number; }
-    | { readonly kind: "node"; readonly node: ControlNode; };
+    | { readonly kind: "node"; readonly node: ControlNode; }
+    /** The VM at the address is no member of the group any more. */
+    | { readonly kind: "node-gone"; readonly peerAddress: string; };
 
 /** How a change of the routes ended. */
 export const RouteOutcome = {
@@ -143,6 +145,11 @@
                 this.nodeRows.set(change.node.peerAddress, change.node);
                 this.nodesVersion = this.advance();
                 return accepted;
+            case "node-gone":
+                if (this.nodeRows.delete(change.peerAddress)) {
+                    this.nodesVersion = this.advance();
+                }
+                return accepted;
         }
     }
 
