Tell entries what has changed in the routes instead of all routes

Cause: each change sent the whole table to every entry. With 1,000 routes that is about 250 KB, a second of an entry's link of 2 Mbit/s, and changes can come several times a second. A control VM keeps the last 16 tables and sends the update from the one that the entry holds. An entry says that it takes updates, and asks for whole routes when one does not fit.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -17,6 +17,7 @@
     "leader-unknown": "no control VM leads at the moment; nothing was changed",
     "leader-refused": "the leading control VM did not take the call: {reason}",
     "leader-unconfirmed": "no quorum of control VMs confirmed the leader within {timeoutMs} ms",
+    "update-unfit": "an update of the routes starts from version {base}, and version {held} is held",
     "method-unknown": "there is no method {method}",
     "storage-corrupt": "{file}: the record at byte {offsetBytes} is corrupt and is followed by valid records",
     "storage-damaged": "{file}: the file is damaged",
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -130,13 +130,13 @@
     }
 
     /** Answers an entry when there is something new for it, at the latest after its wait. */
-    async watch({ entry, version, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch({ entry, version, canUpdate, waitMs }: WatchParams): Promise<WatchAnswer> {
         this.noteEntry(entry);
         if (version === this.state.revision) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
-        const delta = version === this.state.revision ? undefined : this.state.diffSince(version);
+        const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
         return { isLed: log.isLed, delta, entryCount: this.roster.count(this.nowMs()) };
     }
 
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -2,6 +2,7 @@
 import { createHash } from "node:crypto";
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
+import { diffRoutes } from "./diffRoutes.js";
 import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
 import { RegistrationTable } from "./registrations.js";
 import { updateRoutes } from "./updateRoutes.js";
@@ -12,6 +13,8 @@
 /** Ended registrations that a watcher can still be told of one by one; one that is further behind gets all rows. */
 const maxRememberedEnds = 1024;
 const maxAuditRecords = 2000;
+/** Tables of which a watcher can hold one and still be told only what has changed. */
+const maxRememberedTables = 16;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: false });
 
@@ -67,13 +70,22 @@
     readonly version: number;
     /** Whether the receiver has to drop all rows that the delta does not name. */
     readonly isFull: boolean;
-    /** Undefined when the routes have not changed. */
+    /** Undefined when the routes have not changed, or when `tableUpdate` tells what has. */
     readonly table: RouteTable | undefined;
+    /** Makes the present routes of those that the receiver holds. */
+    readonly tableUpdate?: TableUpdate;
     readonly registrations: readonly Registration[];
     readonly ended: readonly UpstreamId[];
     readonly nodes: readonly ControlNode[] | undefined;
 }
 
+/** An update of a table that is held. */
+export interface TableUpdate {
+    /** Version of the routes that the update starts from. */
+    readonly baseVersion: number;
+    readonly update: RouteUpdate;
+}
+
 interface StateImage {
     readonly version: number;
     readonly table: RouteTable;
@@ -96,6 +108,10 @@
     private acceptedDigests = new Set<string>();
     private auditRecords: RouteAuditRecord[] = [];
     private tableVersion = 0;
+    /** The latest tables with the versions of the state that brought them, the present one last. */
+    private tables: { readonly version: number; readonly table: RouteTable; }[] = [];
+    /** Updates to the present table, by the version of the state that brought the table they start from. */
+    private readonly tableUpdates = new Map<number, TableUpdate>();
     private nodesVersion = 0;
     private readonly rowVersions = new Map<UpstreamId, number>();
     private ends: { readonly version: number; readonly id: UpstreamId; }[] = [];
@@ -153,14 +169,17 @@
         }
     }
 
-    /** Returns what has changed since a version. */
-    diffSince(version: number): DirectoryDelta {
+    /** Returns what has changed since a version. With `canUpdate`, the receiver takes updates of its table. */
+    diffSince(version: number, canUpdate = false): DirectoryDelta {
         const isFull = version < this.oldestDeltaVersion || version > this.version || version === 0;
         const since = isFull ? -1 : version;
+        const isTableNew = this.tableVersion > since;
+        const tableUpdate = isTableNew && canUpdate && !isFull ? this.findTableUpdate(since) : undefined;
         return {
             version: this.version,
             isFull,
-            table: this.tableVersion > since ? this.table : undefined,
+            table: isTableNew && tableUpdate === undefined ? this.table : undefined,
+            tableUpdate,
             registrations: this.registrations.list().filter(row => (this.rowVersions.get(row.id) ?? 0) > since),
             ended: isFull ? [] : this.ends.filter(row => row.version > since).map(row => row.id),
             nodes: this.nodesVersion > since ? this.nodes : undefined,
@@ -188,6 +207,8 @@
         this.acceptedDigests = new Set(image.acceptedDigests);
         this.auditRecords = [...image.audit];
         this.tableVersion = this.version;
+        this.tables = [{ version: this.version, table: this.table }];
+        this.tableUpdates.clear();
         this.nodesVersion = this.version;
         this.rowVersions.clear();
         this.ends = [];
@@ -228,9 +249,23 @@
         }
         this.table = next;
         this.tableVersion = this.advance();
+        this.tables = [...this.tables, { version: this.version, table: next }].slice(-maxRememberedTables);
+        this.tableUpdates.clear();
         return accepted;
     }
 
+    private findTableUpdate(version: number): TableUpdate | undefined {
+        const held = this.tables.findLast(row => row.version <= version);
+        if (held === undefined || held.table.version === 0) {
+            return undefined;
+        }
+        const known = this.tableUpdates.get(held.version);
+        const found = known ??
+            { baseVersion: held.table.version, update: diffRoutes(held.table, this.table) } satisfies TableUpdate;
+        this.tableUpdates.set(held.version, found);
+        return found;
+    }
+
     private rememberChange(digest: string): void {
         this.acceptedDigests.add(digest);
         for (const oldest of this.acceptedDigests) {
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -35,6 +35,8 @@
     readonly entry: EntryReport;
     /** Version that the entry holds; 0 when it holds none. */
     readonly version: number;
+    /** Whether the entry takes updates of the routes that it holds. */
+    readonly canUpdate?: boolean;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { DirectoryDelta } from "../directory/directoryState.js";
 import type { EntryReport } from "../directory/messages.js";
+import type { RouteTable } from "../directory/model.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
@@ -79,7 +80,7 @@
             logger,
             metrics,
             describeEntry: () => this.describe(),
-            onDelta: delta => this.onDelta(delta),
+            onDelta: (delta, table) => this.onDelta(delta, table),
         });
         const countEntries = () => this.watch.entryCount * options.availabilityZoneCount;
         const parts: RequestParts = {
@@ -156,13 +157,16 @@
         return { id, address: `${listen.host}:${listen.port}`, availabilityZone, isServing: this.isReady() };
     }
 
-    private onDelta({ version, isFull, table, registrations, ended }: DirectoryDelta): void {
+    private onDelta(
+        { version, isFull, registrations, ended }: DirectoryDelta,
+        table: RouteTable | undefined,
+    ): void {
         if (isFull) {
             this.board.keepOnly(new Set(registrations.map(row => row.id)));
         }
         ended.forEach(id => this.board.delete(id));
         registrations.forEach(row => this.board.set(row, this.nowMs()));
-        if (table !== undefined && table !== null) {
+        if (table !== undefined) {
             this.intake.setRoutes(table);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
             this.options.logger.info("applied routes", { routesVersion: table.version, version });
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -1,29 +1,37 @@
 import test from "ava";
 import { SystemClock } from "../core/clock.js";
 import { SeededRandom } from "../core/random.js";
+import type { TableUpdate } from "../directory/directoryState.js";
 import { DirectoryMethod, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import type { ControlNode } from "../directory/model.js";
-import { emptyRouteTable } from "../directory/model.js";
+import { emptyRouteTable, type RouteTable } from "../directory/model.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelServer } from "../transport/channel.js";
-import { DirectoryWatch } from "./directoryWatch.js";
+import { DirectoryWatch, type DirectoryWatchOptions } from "./directoryWatch.js";
 
 const secret = "test-secret";
+const emptyUpdate = { limits: undefined, hosts: [], services: [], removedRoutes: [], removedServices: [] };
 const silentLogger = { debug: () => 0, info: () => 0, warn: () => 0, error: () => 0 };
 
 /** A control VM that answers each question at once with the same directory. */
 class ControlStandIn {
     readonly questions: WatchParams[] = [];
     nodes: readonly ControlNode[] = [];
+    version = 1;
+    table: RouteTable | undefined = emptyRouteTable;
+    tableUpdate: TableUpdate | undefined;
+    onQuestion: (question: WatchParams) => void = () => undefined;
     private readonly server = new ChannelServer({ selfId: "control", secret }, (method, params) => {
         if (method !== DirectoryMethod.watch) {
             return undefined;
         }
         this.questions.push(params as WatchParams);
+        this.onQuestion(params as WatchParams);
         const delta = {
-            version: 1,
+            version: this.version,
             isFull: true,
-            table: emptyRouteTable,
+            table: this.tableUpdate === undefined ? this.table : undefined,
+            tableUpdate: this.tableUpdate,
             registrations: [],
             ended: [],
             nodes: this.nodes,
@@ -76,7 +84,31 @@
     await control.close();
 });
 
-function makeWatch(seeds: readonly string[], onDelta: () => void): DirectoryWatch {
+test("guards against an entry that applies an update to other routes than those it starts from", async t => {
+    const control = new ControlStandIn();
+    const tables: (number | undefined)[] = [];
+    const watch = makeWatch([await control.start()], (_delta, table) => {
+        tables.push(table?.version);
+        if (tables.length === 1) {
+            control.version = 2;
+            control.tableUpdate = { baseVersion: 7, update: { ...emptyUpdate, version: 8 } };
+        }
+        else {
+            watch.close();
+        }
+    });
+    control.onQuestion = ({ canUpdate }) => {
+        if (canUpdate === false) {
+            control.tableUpdate = undefined;
+            control.table = { ...emptyRouteTable, version: 8 };
+        }
+    };
+    await watch.run();
+    t.deepEqual(tables, [0, 8], "the whole routes follow the update that does not fit");
+    await control.close();
+});
+
+function makeWatch(seeds: readonly string[], onDelta: DirectoryWatchOptions["onDelta"]): DirectoryWatch {
     return new DirectoryWatch({
         channel: { selfId: "entry", secret },
         availabilityZone: "az-1",
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "../core/clock.js";
+import { ControlError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
 import type { DirectoryDelta } from "../directory/directoryState.js";
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
-import type { ControlNode } from "../directory/model.js";
+import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
+import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
 import type { GatewayLogger } from "./options.js";
@@ -30,8 +32,8 @@
     readonly logger: GatewayLogger;
     readonly metrics: GatewayMetrics;
     readonly describeEntry: () => EntryReport;
-    /** Takes what is new; versions only rise. */
-    readonly onDelta: (delta: DirectoryDelta) => void;
+    /** Takes what is new; versions only rise. `table` is undefined when the routes have not changed. */
+    readonly onDelta: (delta: DirectoryDelta, table: RouteTable | undefined) => void;
 }
 
 /** Follows the directory through one control VM at a time, one of the own availability zone if there is one. */
@@ -40,6 +42,9 @@
     entryCount = 1;
     /** Version of the view; 0 before the first answer. */
     version = 0;
+    private table: RouteTable = emptyRouteTable;
+    /** False after an update that does not fit the routes held; then whole routes are asked for. */
+    private canUpdate = true;
     private nodes: readonly ControlNode[] = [];
     private client: ChannelClient | undefined;
     private confirmedAtMs = -Infinity;
@@ -150,7 +155,7 @@
         }
         try {
             const entry = this.options.describeEntry();
-            const params: WatchParams = { entry, version: this.version, waitMs };
+            const params: WatchParams = { entry, version: this.version, canUpdate: this.canUpdate, waitMs };
             const sentAtMs = this.nowMs();
             const answer = await client.call(DirectoryMethod.watch, params, answerTimeoutMs) as WatchAnswer;
             return this.take(answer, sentAtMs);
@@ -164,6 +169,18 @@
         }
     }
 
+    /** Returns the routes after a delta, or undefined when they have not changed. */
+    private findTable({ table, tableUpdate }: DirectoryDelta): RouteTable | undefined {
+        if (tableUpdate === undefined || tableUpdate === null) {
+            return table ?? undefined;
+        }
+        if (tableUpdate.baseVersion !== this.table.version) {
+            this.canUpdate = false;
+            throw new ControlError("update-unfit", { base: tableUpdate.baseVersion, held: this.table.version });
+        }
+        return updateRoutes(this.table, tableUpdate.update);
+    }
+
     /** An answer of a VM that does not hear the leader may be old. */
     private take({ isLed, delta, entryCount }: WatchAnswer, sentAtMs: number): boolean {
         const isBehind = delta !== undefined && delta !== null && delta.version < this.version;
@@ -175,9 +192,12 @@
             this.options.logger.info("learned the directory", { version: delta?.version });
         }
         if (delta !== undefined && delta !== null) {
+            const table = this.findTable(delta);
             this.version = delta.version;
             this.nodes = delta.nodes ?? this.nodes;
-            this.options.onDelta(delta);
+            this.table = table ?? this.table;
+            this.canUpdate = true;
+            this.options.onDelta(delta, table);
         }
         this.confirmedAtMs = sentAtMs;
         this.knownListeners.forEach(settle => settle());
