Ask four upstreams of the own zone first, connected ones before others

Cause: each request asked all upstreams of its zone, 8 questions a request and a connection to each from every entry. Mostly one of four is idle and fast; the others are asked only when none of them is. Upstreams without any request go first, so that new ones get work.

--- a/src/gateway/loadInquiry.ts
+++ b/src/gateway/loadInquiry.ts
@@ -28,6 +28,11 @@
         private readonly metrics: GatewayMetrics,
     ) {}
 
+    /** Returns whether a question needs no new connection. */
+    isConnected(row: UpstreamRow): boolean {
+        return this.connections.hasIdle(row.registration.address);
+    }
+
     /** Asks all rows; returns those that answered that they are well. Their `load` is then up to date. */
     async ask(rows: readonly UpstreamRow[], healthPath: string): Promise<readonly InquiryAnswer[]> {
         const answers = await Promise.all(rows.map(row => this.askOne(row, healthPath)));
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -121,6 +121,21 @@
     return choosePlacement(rows.filter(row => countBusy(row) === 0), true, random, nowMs);
 }
 
+/**
+ * Returns upstreams in the order in which they are asked: those without any request so far, which would stay idle
+ * otherwise, then those that need no new connection, in random order else.
+ */
+export function orderForAsking(
+    rows: readonly UpstreamRow[],
+    isConnected: (row: UpstreamRow) => boolean,
+    random: RandomSource,
+): readonly UpstreamRow[] {
+    const rank = (row: UpstreamRow) => (!row.isUsed ? 0 : isConnected(row) ? 1 : 2) + random.nextUnit();
+    return rows.map(row => ({ row, rank: rank(row) }))
+        .sort((first, second) => first.rank - second.rank)
+        .map(({ row }) => row);
+}
+
 /** A machine that is slow, or busy, mostly stays so for this long; its upstream is not asked again sooner. */
 const loadStaysMs = 75;
 
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -4,12 +4,24 @@
 import type { RoutedService } from "../directory/model.js";
 import { AskBudget } from "./askBudget.js";
 import type { InquiryAnswer, LoadInquiry } from "./loadInquiry.js";
-import { isHopeless, isWorthAsking, placeWaiting, sortWaiting, type WaitingRequest } from "./placement.js";
+import {
+    isHopeless,
+    isWorthAsking,
+    orderForAsking,
+    placeWaiting,
+    sortWaiting,
+    type WaitingRequest,
+} from "./placement.js";
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 
 /** Upstreams of other availability zones that are asked at once; their bytes are billed. Source: `docs/measurements.md`. */
 const remoteSampleSize = 4;
+/**
+ * Upstreams of the own availability zone that are asked first for each waiting request. Mostly one of them is idle and
+ * fast; each question and each new connection has a price.
+ */
+const firstSampleSize = 4;
 /** Pause before upstreams without room are asked again; loads change within about 150 ms. */
 const askAgainMs = 25;
 /** Part of the operators' budget for questions that entries use together; the rest covers those that join. */
@@ -134,8 +146,13 @@
         this.hasNewcomer = false;
         const rows = this.listEligible();
         const isNear = (row: UpstreamRow) => row.registration.availabilityZone === this.options.availabilityZone;
-        const near = rows.filter(isNear);
-        await this.askRows(near, near.length);
+        const { random, inquiry } = this.options;
+        const near = orderForAsking(rows.filter(isNear), row => inquiry.isConnected(row), random);
+        const first = near.slice(0, firstSampleSize * this.waiting.size);
+        await this.askRows(first, first.length);
+        if (this.waiting.size > 0 && first.length < near.length) {
+            await this.askRows(near.slice(first.length), near.length);
+        }
         if (this.waiting.size > 0) {
             const far = rows.filter(row => !isNear(row));
             await this.askRows(far, near.length === 0 ? far.length : remoteSampleSize);
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -72,6 +72,7 @@
 export class TestUpstream {
     /** Ids of the requests that it began to run. */
     readonly ran: string[] = [];
+    questionCount = 0;
     /** Whether it answers questions for its load. */
     isTalking = true;
     load = "0,3,1";
@@ -79,6 +80,7 @@
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
+            this.questionCount++;
             if (this.isTalking) {
                 response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
                 response.end();
--- a/src/gateway/upstreamConnections.ts
+++ b/src/gateway/upstreamConnections.ts
@@ -59,6 +59,11 @@
         return { dispatcher: client, release: () => giveBack(true), discard: () => giveBack(false) };
     }
 
+    /** Returns whether a connection to an address waits for its next user. */
+    hasIdle(address: string): boolean {
+        return (this.rows.get(address)?.idle.length ?? 0) > 0;
+    }
+
     /** Forgets addresses that are not used any more. */
     tick(nowMs: number): void {
         for (const [address, row] of this.rows) {
