Log the loads that a refusal without room was decided on

A line of reason no-room named no input of the decision. It now lists up to eight upstreams of the service with busy slots, slowdown, the age of the figure and why one is left out. placer.test.ts failed first.

--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -277,6 +277,7 @@
             reason,
             retryAfterMs,
             attempts: this.attemptCount,
+            seen: reason === "no-room" ? this.parts.placer.describe(this.plan.service) : undefined,
         });
         this.plan.exchange.answer(answer);
     }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,4 +1,6 @@
+import type { UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
+import { RegistrationState } from "../directory/model.js";
 import type { UpstreamRow } from "./upstreamBoard.js";
 
 /** Part of the slots of an upstream that is used while requests can wait; the last slot slows down all others. */
@@ -67,6 +69,32 @@
     return best;
 }
 
+/** What an entry knew of an upstream when it decided, for the log. */
+export interface SeenLoad {
+    readonly upstream: UpstreamId;
+    readonly busy: number;
+    readonly slots: number;
+    readonly slowdown: number | undefined;
+    /** Age of the load figure; undefined when there is none. */
+    readonly ageMs: number | undefined;
+    readonly isEjected: boolean;
+    readonly isDraining: boolean;
+}
+
+/** Describes an upstream as the choice sees it. */
+export function describeLoad(row: UpstreamRow, nowMs: number): SeenLoad {
+    const { load, loadAskedAtMs, registration } = row;
+    return {
+        upstream: registration.id,
+        busy: countBusy(row),
+        slots: load?.slots ?? registration.slots,
+        slowdown: load?.slowdown,
+        ageMs: load === undefined ? undefined : Math.round(nowMs - loadAskedAtMs),
+        isEjected: row.ejectedUntilMs > nowMs,
+        isDraining: registration.state === RegistrationState.draining,
+    };
+}
+
 /** A request that waits for an upstream, as far as the choice is concerned. */
 export interface WaitingRequest {
     /** 0 goes first. */
--- a/src/gateway/placer.test.ts
+++ b/src/gateway/placer.test.ts
@@ -31,3 +31,18 @@
     entry.close();
     upstreams.forEach(upstream => upstream.close());
 });
+
+test("guards against a refusal that the log does not explain", async t => {
+    const entry = new TestEntry();
+    const upstream = new TestUpstream("i-1");
+    upstream.load = "3,3,5";
+    await entry.start(makeTable(1));
+    await entry.add(upstream);
+    t.is((await entry.send("/stock/1", "r-1")).status, 503);
+    const line = entry.lines.find(({ text }) => text === "answered without an upstream");
+    const [seen] = line?.fields.seen as Record<string, unknown>[];
+    t.like(seen, { upstream: "i-1", busy: 3, slots: 3, slowdown: 5, isEjected: false, isDraining: false });
+    t.is(typeof seen.ageMs, "number");
+    entry.close();
+    upstream.close();
+});
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -5,10 +5,12 @@
 import { AskBudget } from "./askBudget.js";
 import type { InquiryAnswer, LoadInquiry } from "./loadInquiry.js";
 import {
+    describeLoad,
     isHopeless,
     isWorthAsking,
     orderForAsking,
     placeWaiting,
+    type SeenLoad,
     sortWaiting,
     type WaitingRequest,
 } from "./placement.js";
@@ -27,6 +29,8 @@
 /** Part of the operators' budget for questions that entries use together; the rest covers those that join. */
 const askShare = 0.8;
 const rateWindowMs = 1000;
+/** Upstreams that a log line names; more would make lines long without explaining more. */
+const maxDescribedUpstreams = 8;
 
 /** A request that looks for an upstream. */
 export interface PlacementRequest extends WaitingRequest {
@@ -67,6 +71,17 @@
         return this.placerOf(request.service.name).place(request);
     }
 
+    /** Returns what is known of the upstreams of a service, nearest first, for the log. */
+    describe(service: RoutedService): readonly SeenLoad[] {
+        const { board, availabilityZone, clock } = this.options;
+        const nowMs = clock.monotonicMs();
+        const isNear = (row: UpstreamRow) => row.registration.availabilityZone === availabilityZone;
+        const rows = board.list().filter(row => row.registration.service === service.name);
+        return [...rows.filter(isNear), ...rows.filter(row => !isNear(row))]
+            .slice(0, maxDescribedUpstreams)
+            .map(row => describeLoad(row, nowMs));
+    }
+
     /** Offers the connection of an upstream that has just ended a request. Returns whether it was taken. */
     offer(service: ServiceName, row: UpstreamRow, connection: LeasedConnection): boolean {
         return this.services.get(service)?.offer({ row, connection }) ?? false;
