--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -4,6 +4,7 @@
 import { AttemptFailure, type ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { GatewayExchange } from "./gatewayExchange.js";
+import { UseOutcome } from "./upstreamBoard.js";
 
 const firstServerError = 500;
 
@@ -135,3 +136,22 @@
         }
     }
 }
+
+/** Returns whether the connection can be used again; bytes of a broken exchange may still arrive on it. */
+export function isReusable({ kind }: AttemptEnd): boolean {
+    return kind === "delivered" || kind === "failed-answer" || kind === "not-run";
+}
+
+/** Returns what an end says of the upstream. */
+export function toUseOutcome(end: AttemptEnd): UseOutcome {
+    switch (end.kind) {
+        case "delivered":
+            return UseOutcome.good;
+        case "failed-answer":
+            return UseOutcome.failed;
+        case "not-run":
+            return UseOutcome.refused;
+        default:
+            return UseOutcome.broken;
+    }
+}
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -8,21 +8,15 @@
 import type { GeneratedAnswer } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
-import { type AttemptEnd, GatewayAttempt } from "./gatewayAttempt.js";
+import { type AttemptEnd, GatewayAttempt, isReusable, toUseOutcome } from "./gatewayAttempt.js";
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
 import type { LeasedPlacement, Placer } from "./placer.js";
 import { drawRetryAfterMs, RefusalCause, type RefusedRequest } from "./refusals.js";
+import { RequestTimes } from "./requestTimes.js";
 import type { ResendBudget } from "./resendBudget.js";
-import { type UpstreamBoard, type UpstreamRow, UseOutcome } from "./upstreamBoard.js";
+import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 
-/** Part of the target latency during which a request looks only for room where it would be in time. */
-const inTimeShare = 0.35;
-/** Parts of the target latency and of the whole time after which a request without room is refused. */
-const patienceShareOfTarget = 0.4;
-const patienceShareOfTime = 0.4;
-/** Target latency of a route that states none. */
-const defaultTargetLatencyMs = 1000;
 /** The upstream stops work this long after the route's timeout, so that its own answer comes before the entry's. */
 const upstreamGraceMs = 80;
 /** The entry answers this long after the route's timeout when the upstream has not. */
@@ -60,10 +54,7 @@
 /** One request of a caller on its way: placing, attempts, resends and the answer. */
 export class GatewayRequest {
     private readonly excluded = new Set<UpstreamId>();
-    private readonly timeoutAtMs: number;
-    /** Until when an answer is worth most to the caller. */
-    private readonly targetAtMs: number;
-    private readonly targetLatencyMs: number;
+    private readonly times: RequestTimes;
     private attempt: GatewayAttempt | undefined;
     /** A failure of an upstream that is delivered when nothing better comes. */
     private held: GatewayAttempt | undefined;
@@ -72,14 +63,12 @@
 
     constructor(private readonly plan: RequestPlan, private readonly parts: RequestParts) {
         const { route, exchange, deadlineAtMs, callerAgeMs } = plan;
-        this.targetLatencyMs = route.targetLatencyMs ?? defaultTargetLatencyMs;
-        this.targetAtMs = exchange.receivedAtMs - callerAgeMs + this.targetLatencyMs;
-        this.timeoutAtMs = Math.min(exchange.receivedAtMs + (route.timeoutMs ?? Infinity), deadlineAtMs);
+        this.times = new RequestTimes(route, exchange.receivedAtMs, callerAgeMs, deadlineAtMs);
     }
 
     /** Runs the request to its end. */
     async run(): Promise<void> {
-        const timer = setTimeout(() => this.onTimeout(), this.timeoutAtMs + answerGraceMs - this.nowMs());
+        const timer = setTimeout(() => this.onTimeout(), this.times.timeoutAtMs + answerGraceMs - this.nowMs());
         this.parts.resends.countRequest(this.plan.service.name, this.nowMs());
         try {
             let goesOn = true;
@@ -118,21 +107,13 @@
 
     private findPlacement(): Promise<LeasedPlacement | undefined> {
         const { route, service, exchange } = this.plan;
-        const { targetLatencyMs, targetAtMs } = this;
-        const usualMs = this.parts.durations.get(route.name, targetLatencyMs);
+        const usualMs = this.parts.durations.get(route.name, this.times.targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
         return this.parts.placer.place({
             service,
             excluded: this.excluded,
             priority: route.priority,
-            targetAtMs,
-            // A caller whose answer is late anyway does not wait for room where it would be in time.
-            inTimeUntilMs: Math.min(startMs + inTimeShare * targetLatencyMs, targetAtMs - usualMs),
-            untilMs: Math.min(
-                startMs + patienceShareOfTarget * targetLatencyMs,
-                startMs + patienceShareOfTime * (this.timeoutAtMs - startMs),
-            ),
-            usualMs,
+            ...this.times.planWait(startMs, usualMs),
             isOver: () => exchange.isEnded,
         });
     }
@@ -141,7 +122,7 @@
         const { exchange, requestId, deadlineAtMs, route, service } = this.plan;
         const { dialect, budget } = this.parts;
         const sentAtMs = this.nowMs();
-        const remainingMs = Math.floor(Math.min(deadlineAtMs, this.timeoutAtMs + upstreamGraceMs) - sentAtMs);
+        const remainingMs = Math.floor(Math.min(deadlineAtMs, this.times.timeoutAtMs + upstreamGraceMs) - sentAtMs);
         const { id } = row.registration;
         const headers = exchange.attemptHeaders(id, remainingMs);
         const attempt = new GatewayAttempt({ exchange, requestId, headers }, dialect, budget);
@@ -227,7 +208,7 @@
         const { resends, metrics } = this.parts;
         const isSafe = route.isIdempotent || !this.mayHaveRun;
         const isPossible = isSafe && this.attemptCount < route.maxAttempts && exchange.body.buffer !== undefined &&
-            this.nowMs() < this.timeoutAtMs - minRemainingMs;
+            this.nowMs() < this.times.timeoutAtMs - minRemainingMs;
         if (!isPossible) {
             return false;
         }
@@ -285,9 +266,9 @@
     private chooseRetryAfterMs(): number {
         const request: RefusedRequest = {
             cause: this.attemptCount > 0 ? RefusalCause.shed : RefusalCause.noRoom,
-            untilTargetMs: this.targetAtMs - this.nowMs(),
+            untilTargetMs: this.times.targetAtMs - this.nowMs(),
             untilDeadlineMs: this.plan.deadlineAtMs - this.nowMs(),
-            usualMs: this.parts.durations.get(this.plan.route.name, this.targetLatencyMs),
+            usualMs: this.parts.durations.get(this.plan.route.name, this.times.targetLatencyMs),
         };
         return drawRetryAfterMs(request, this.parts.random);
     }
@@ -303,21 +284,3 @@
         this.parts.logger.info(text, { requestId, route: route.name, ageMs, callerAgeMs, ...fields });
     }
 }
-
-/** Bytes of a broken exchange may still arrive on its connection. */
-function isReusable({ kind }: AttemptEnd): boolean {
-    return kind === "delivered" || kind === "failed-answer" || kind === "not-run";
-}
-
-function toUseOutcome(end: AttemptEnd): UseOutcome {
-    switch (end.kind) {
-        case "delivered":
-            return UseOutcome.good;
-        case "failed-answer":
-            return UseOutcome.failed;
-        case "not-run":
-            return UseOutcome.refused;
-        default:
-            return UseOutcome.broken;
-    }
-}
