Let VMs that start together begin their elections one after the other

Cause: after a restart of all control VMs their first elections fell into the same 150 ms, in steps of 50 ms, so votes were split. The order of the ids now gives each voter a turn of its own within 300 ms.

--- a/src/control/replacement.property.test.ts
+++ b/src/control/replacement.property.test.ts
@@ -151,6 +151,21 @@
     }
 });
 
+test("guards against split votes of VMs that all restart at once", t => {
+    for (let seed = 1; seed <= 30; seed++) {
+        const group = new FakeGroup(seed, ["a", "b", "c"], { ...limits, firstElectionMs: 300, maxCandidacyMs: 300 });
+        group.run(2500);
+        const terms = () => Math.max(...group.vms.map(vm => vm.replica?.term ?? 0));
+        const before = terms();
+        group.vms.forEach(vm => group.crash(vm));
+        group.run(1000);
+        group.vms.forEach(vm => group.restart(vm));
+        group.run(600);
+        t.true(group.vms.some(vm => vm.replica?.role === "leader"), `seed ${seed}`);
+        t.is(terms(), before + 1, `seed ${seed}: one vote is enough`);
+    }
+});
+
 test("guards against a VM that stays out when all restart at once with their disks", t => {
     const run = new ReplacementRun(11, threeVms);
     const { group } = run;
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -33,10 +33,7 @@
         this.nowMs = options.nowMs;
         this.state = new ReplicaState(options.selfId, options.persisted, options.machine, limits);
         this.follower = new Follower(this.state);
-        this.electionAtMs = options.nowMs + this.random.nextInt(limits.firstElectionMs);
-        if (this.state.isQuorum(() => false)) {
-            this.electionAtMs = options.nowMs;
-        }
+        this.electionAtMs = options.nowMs + (this.state.isQuorum(() => false) ? 0 : this.drawFirstElectionMs());
     }
 
     get role(): ReplicaRole {
@@ -281,6 +278,18 @@
         this.electionAtMs = this.nowMs + minElectionMs + this.random.nextInt(maxElectionMs - minElectionMs);
     }
 
+    /**
+     * VMs that start together begin their elections one after the other, by the order of their ids, so that votes are
+     * not split. The first one waits a moment too, since the others may not listen yet.
+     */
+    private drawFirstElectionMs(): number {
+        const { firstElectionMs } = this.state.limits;
+        const ids = this.state.members.voters.map(member => member.id).sort();
+        const turnMs = firstElectionMs / Math.max(1, ids.length);
+        const turn = ids.indexOf(this.state.selfId);
+        return turn < 0 ? this.random.nextInt(firstElectionMs) : turnMs * (turn + 0.25 + this.random.nextUnit() / 2);
+    }
+
     private drawRetryMs(): number {
         const { maxCandidacyMs } = this.state.limits;
         return maxCandidacyMs / 2 + this.random.nextInt(Math.ceil(maxCandidacyMs / 2));
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -37,7 +37,7 @@
     heartbeatMs: 250,
     minElectionMs: 900,
     maxElectionMs: 1700,
-    firstElectionMs: 150,
+    firstElectionMs: 300,
     maxCandidacyMs: 300,
     quorumLossMs: 1500,
     lostAfterMs: 1500,
