--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,5 +1,6 @@
 import { formatTable } from "../src/cli/table.js";
 import { measureControlSlopes } from "./slopes/control.js";
+import { measureDirectorySlopes } from "./slopes/directory.js";
 import { fitLines } from "./slopes/fit.js";
 import { measureMembershipSlopes } from "./slopes/membership.js";
 import { measureClaimSlopes } from "./slopes/requests.js";
@@ -16,6 +17,7 @@
     ...await measureTransportSlopes(),
     ...measureClaimSlopes(),
     ...measureRoutingSlopes(),
+    ...measureDirectorySlopes(),
 ];
 const lines = fitLines(rows);
 const table = formatTable([
