--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -280,7 +280,8 @@
 
     /**
      * VMs that start together begin their elections one after the other, by the order of their ids, so that votes are
-     * not split. The first one waits a moment too, since the others may not listen yet.
+     * not split. An election begins in the middle half of a turn; the first VM waits too, since the others may not
+     * listen yet.
      */
     private drawFirstElectionMs(): number {
         const { firstElectionMs } = this.state.limits;
