--- a/src/gateway/resendBudget.test.ts
+++ b/src/gateway/resendBudget.test.ts
@@ -4,6 +4,15 @@
 
 const limits = { ratio: 0.2, slack: 62, windowMs: 10_000 };
 
+/** Returns whether each window that ends with a resend keeps to the limits; both lists hold moments in ms. */
+function isWithinBudget(requests: readonly number[], resends: readonly number[]): boolean {
+    return resends.every(endMs => {
+        const isInWindow = (atMs: number) => atMs <= endMs && atMs > endMs - limits.windowMs;
+        const allowed = limits.ratio * requests.filter(isInWindow).length + limits.slack;
+        return resends.filter(isInWindow).length <= allowed;
+    });
+}
+
 test("guards against more resends in a window than operators allow, over all entries", t => {
     const entryCount = 17;
     const property = fc.property(
@@ -26,11 +35,7 @@
                     }
                 }
             }
-            return resends.every(endMs => {
-                const isInWindow = (atMs: number) => atMs <= endMs && atMs > endMs - limits.windowMs;
-                const allowed = limits.ratio * requests.filter(isInWindow).length + limits.slack;
-                return resends.filter(isInWindow).length <= allowed;
-            });
+            return isWithinBudget(requests, resends);
         },
     );
     fc.assert(property, { seed: 7, numRuns: 60 });
@@ -77,11 +82,7 @@
                     }
                 }
             }
-            return resends.every(endMs => {
-                const isInWindow = (atMs: number) => atMs <= endMs && atMs > endMs - limits.windowMs;
-                const allowed = limits.ratio * requests.filter(isInWindow).length + limits.slack;
-                return resends.filter(isInWindow).length <= allowed;
-            });
+            return isWithinBudget(requests, resends);
         },
     );
     fc.assert(property, { seed: 11, numRuns: 40 });
