--- a/src/gateway/resendBudget.test.ts
+++ b/src/gateway/resendBudget.test.ts
@@ -13,6 +13,12 @@
     });
 }
 
+/** Sends a request and tries to resend it; returns the moments of the resends that the budget allows. */
+function sendRequest(budget: ResendBudget, wanted: number, nowMs: number): readonly number[] {
+    budget.countRequest("orders", nowMs);
+    return Array.from({ length: wanted }, () => nowMs).filter(() => budget.take("orders", nowMs));
+}
+
 test("guards against more resends in a window than operators allow, over all entries", t => {
     const entryCount = 17;
     const property = fc.property(
@@ -27,13 +33,8 @@
             let nowMs = 0;
             for (const { gapMs, entry, resends: wanted } of steps) {
                 nowMs += gapMs;
-                budgets[entry].countRequest("orders", nowMs);
                 requests.push(nowMs);
-                for (let count = 0; count < wanted; count++) {
-                    if (budgets[entry].take("orders", nowMs)) {
-                        resends.push(nowMs);
-                    }
-                }
+                resends.push(...sendRequest(budgets[entry], wanted, nowMs));
             }
             return isWithinBudget(requests, resends);
         },
@@ -74,13 +75,8 @@
                 if (isRestart && wanted === 0) {
                     budgets[entry] = start(nowMs);
                 }
-                budgets[entry].countRequest("orders", nowMs);
                 requests.push(nowMs);
-                for (let count = 0; count < wanted; count++) {
-                    if (budgets[entry].take("orders", nowMs)) {
-                        resends.push(nowMs);
-                    }
-                }
+                resends.push(...sendRequest(budgets[entry], wanted, nowMs));
             }
             return isWithinBudget(requests, resends);
         },
