Stream uploads to their upstreams and refuse them before their body is read

Routes now have a request kind beside the idempotent flag. An upload runs at most once. Its route and upstream are found before its body is read, and the body goes on as it arrives, with back-pressure of the upstream. Refusals and early answers are sent while the caller still sends; the connection is then read for up to 2 s, since closing it with unread bytes resets it. A body is invited with 100 Continue only when it is wanted. A body above the operators' limit gets 413, also when it is chunked; one that can't become complete any more (caller gone, stalled past the timeout) is cancelled at the upstream.

Ruled out: reading uploads whole and sending them again on failure. It doubles the time on slow links and holds up to 256 KB an upload.

--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -7,6 +7,18 @@
     readonly weight: number;
 }
 
+/** What may be done with the requests of a route. */
+export const RequestKind = {
+    /** May run more than once. */
+    idempotent: "idempotent",
+    /** Runs at most once. */
+    nonIdempotent: "non-idempotent",
+    /** Runs at most once; its body can be large and is streamed to the upstream as it arrives. */
+    upload: "upload",
+} as const;
+
+export type RequestKind = typeof RequestKind[keyof typeof RequestKind];
+
 /** Where requests of a host whose path begins with a prefix go. */
 export interface Route {
     readonly name: string;
@@ -14,6 +26,8 @@
     readonly pathPrefix: string;
     /** Whether a request may run more than once. */
     readonly isIdempotent: boolean;
+    /** Undefined in routes of earlier versions, which had no uploads. */
+    readonly kind?: RequestKind;
     /** Time within which an answer is worth most to the caller. */
     readonly targetLatencyMs: number | undefined;
     /** Rank among the requests that wait; 0 goes first. */
@@ -27,6 +41,11 @@
     readonly isSplit: boolean;
 }
 
+/** Returns what may be done with the requests of a route. */
+export function requestKindOf({ kind, isIdempotent }: Route): RequestKind {
+    return kind ?? (isIdempotent ? RequestKind.idempotent : RequestKind.nonIdempotent);
+}
+
 /** The routes of one host name. */
 export interface HostRoutes {
     readonly host: string;
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import type { RequestId, ServiceName } from "../core/ids.js";
 import type { GeneratedAnswer, ResponseHead, RetainedResponse } from "../requests/model.js";
@@ -7,6 +8,12 @@
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 import { formatProblem, formatRetryAfter } from "./problem.js";
 
+/**
+ * Longest time that a connection is read after an answer that came before the end of its request: a caller notices the
+ * answer within a round trip, and one that sends on without reading does not hold the connection for longer.
+ */
+const lingerMs = 2000;
+
 const notForwardedNames = new Set(["content-length", "figwharf-deadline-ms", "figwharf-request-id"]);
 
 /** The body of a caller's request. */
@@ -75,6 +82,7 @@
         }
         if (this.mustClose || !this.incoming.complete) {
             headers.push("Connection", "close");
+            this.lingerAfterAnswer();
         }
         this.outgoing.writeHead(head.status, headers);
         if (isWhole) {
@@ -137,12 +145,20 @@
         if (this.mustClose || !this.incoming.complete) {
             // When the rest of the body is not read, the connection cannot carry another request.
             headers["Connection"] = "close";
+            this.lingerAfterAnswer();
         }
         this.outgoing.writeHead(answer.status, headers);
         this.outgoing.end(this.incoming.method === "HEAD" ? undefined : body);
         this.finish();
     }
 
+    private lingerAfterAnswer(): void {
+        const { socket } = this.outgoing;
+        if (!this.incoming.complete && socket !== null) {
+            delayClose(socket, this.incoming);
+        }
+    }
+
     /** Returns the value of `Retry-After`; whole seconds, as RFC 9110 has it. */
     protected formatRetryAfter(retryAfterMs: number): string {
         return formatRetryAfter(retryAfterMs);
@@ -176,6 +192,25 @@
     }
 }
 
+/**
+ * Lets a caller that still sends its body read the answer. Node closes the connection right after an answer that ends it;
+ * bytes that were not read would reset the connection, and the caller could lose the answer.
+ */
+function delayClose(socket: Socket, incoming: IncomingMessage): void {
+    const close = socket.destroySoon.bind(socket);
+    socket.destroySoon = () => {
+        if (incoming.complete) {
+            close();
+            return;
+        }
+        socket.end();
+        incoming.resume();
+        const timer = setTimeout(close, lingerMs);
+        incoming.once("end", close);
+        socket.once("close", () => clearTimeout(timer));
+    };
+}
+
 function isWithoutContent(status: number): boolean {
     return status === 204 || status === 304;
 }
--- a/src/entry/requestBody.ts
+++ b/src/entry/requestBody.ts
@@ -80,7 +80,13 @@
     return { kind: "body", body: { buffer: undefined, content: content as never, lengthBytes } };
 }
 
-async function* streamChunks(
+/** Returns whether reading a body ended because it is larger than allowed. */
+export function isBodyTooLarge(error: unknown): boolean {
+    return error instanceof FigwharfError && error.code === "body-too-large";
+}
+
+/** Yields `prefix` and then what arrives. Throws FigwharfError `body-too-large` above the limit. */
+export async function* streamChunks(
     incoming: IncomingMessage,
     prefix: readonly Buffer[],
     limitBytes: number,
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { ListenAddress } from "../control/options.js";
 import { refuse } from "../entry/answers.js";
 import { findAmbiguity } from "../entry/framing.js";
@@ -28,6 +28,8 @@
             connectionsCheckingInterval: connectionCheckIntervalMs,
             noDelay: true,
         }, (incoming, outgoing) => this.accept(incoming, outgoing));
+        // Whether the body is wanted is known only once the request has a place.
+        this.server.on("checkContinue", (incoming, outgoing) => this.accept(incoming, outgoing));
         this.server.maxConnections = limits.connections;
         this.server.on("clientError", (_error, socket) => this.onClientError(socket as Socket));
     }
@@ -39,6 +41,11 @@
         });
     }
 
+    /** Port that the server listens on. */
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     /** Sets the idle time after which connections are closed. */
     setIdleTimeoutMs(idleTimeoutMs: number): void {
         this.server.keepAliveTimeout = idleTimeoutMs;
--- a/src/gateway/gatewayExchange.ts
+++ b/src/gateway/gatewayExchange.ts
@@ -11,6 +11,14 @@
     /** Who makes the answer, for metrics. */
     source: "upstream" | "entry" = "entry";
 
+    /** Invites the body of a caller that waits for `100 Continue` (RFC 9110, 10.1.1). */
+    inviteBody(): void {
+        const isAwaited = /(?:^|\W)100-continue(?:$|\W)/i.test(this.incoming.headers.expect ?? "");
+        if (isAwaited && !this.isOver && !this.outgoing.headersSent) {
+            this.outgoing.writeContinue();
+        }
+    }
+
     /** Returns the header of a request to an upstream, as a flat list of names and values. */
     attemptHeaders(upstreamId: UpstreamId, remainingMs: number): string[] {
         const { replacedHeaders } = this.dialect;
--- a/src/gateway/gatewayIntake.ts
+++ b/src/gateway/gatewayIntake.ts
@@ -1,8 +1,15 @@
 import type { RandomSource } from "../core/random.js";
-import { emptyRouteTable, type RoutedService, type RouteTable } from "../directory/model.js";
+import {
+    emptyRouteTable,
+    RequestKind,
+    requestKindOf,
+    type Route,
+    type RoutedService,
+    type RouteTable,
+} from "../directory/model.js";
 import { refuse } from "../entry/answers.js";
 import type { EntryLimits } from "../entry/options.js";
-import { readBody } from "../entry/requestBody.js";
+import { readBody, statedLength } from "../entry/requestBody.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { CallerAges } from "./callerAge.js";
 import type { Dialect } from "./dialect.js";
@@ -11,6 +18,7 @@
 import { GatewayRequest, type RequestParts, type RequestPlan } from "./gatewayRequest.js";
 import type { GatewayLogger } from "./options.js";
 import { RouteLookup } from "./routeLookup.js";
+import { UploadBody } from "./uploadBody.js";
 import { WeightedChoice } from "./weightedChoice.js";
 
 /**
@@ -77,28 +85,54 @@
             return;
         }
         await this.options.watch.waitUntilKnown(Math.min(maxDirectoryWaitMs, directoryWaitShare * deadlineMs));
-        const isReceived = !exchange.isEnded && await this.receiveBody(exchange);
-        if (!isReceived || exchange.isEnded) {
-            return;
-        }
-        const plan = this.makePlan(exchange, exchange.receivedAtMs + deadlineMs);
+        const deadlineAtMs = exchange.receivedAtMs + deadlineMs;
+        const plan = isUpload(this.findRoute(exchange))
+            ? this.planUpload(exchange, deadlineAtMs)
+            : await this.planBuffered(exchange, deadlineAtMs);
         if (plan !== undefined) {
             request = new GatewayRequest(plan, this.options.parts);
             await request.run();
         }
     }
 
+    private findRoute({ incoming, path }: GatewayExchange): Route | undefined {
+        return this.lookup.find(incoming.headers.host ?? "", path);
+    }
+
+    private get maxBodyBytes(): number {
+        return this.lookup.table.limits.maxBodyBytes ?? this.options.limits.bodyBytes;
+    }
+
+    /** An upload is refused, or has its upstream, before its body is read. */
+    private planUpload(exchange: GatewayExchange, deadlineAtMs: number): RequestPlan | undefined {
+        const { incoming } = exchange;
+        const lengthBytes = statedLength(incoming);
+        if (lengthBytes !== undefined && lengthBytes > this.maxBodyBytes) {
+            this.refuseTooLarge(exchange);
+            return undefined;
+        }
+        if (lengthBytes !== 0) {
+            exchange.body = new UploadBody(incoming, this.maxBodyBytes, () => exchange.inviteBody());
+        }
+        return exchange.isEnded ? undefined : this.makePlan(exchange, deadlineAtMs);
+    }
+
+    /** Plans a request whose body is small enough to be read first, so that it can be sent again. */
+    private async planBuffered(exchange: GatewayExchange, deadlineAtMs: number): Promise<RequestPlan | undefined> {
+        const isReceived = !exchange.isEnded && await this.receiveBody(exchange);
+        return isReceived && !exchange.isEnded ? this.makePlan(exchange, deadlineAtMs) : undefined;
+    }
+
     /** Reads the body; returns whether the request goes on. */
     private async receiveBody(exchange: GatewayExchange): Promise<boolean> {
-        const { limits } = this.options;
-        const bodyBytes = this.lookup.table.limits.maxBodyBytes ?? limits.bodyBytes;
-        const result = await readBody(exchange.incoming, { ...limits, bodyBytes });
+        exchange.inviteBody();
+        const result = await readBody(exchange.incoming, { ...this.options.limits, bodyBytes: this.maxBodyBytes });
         switch (result.kind) {
             case "body":
                 exchange.body = result.body;
                 return true;
             case "too-large":
-                this.refuse(exchange, 413, "body-too-large", "The request body is too large.");
+                this.refuseTooLarge(exchange);
                 return false;
             case "too-slow":
                 this.refuse(exchange, 408, "body-too-slow", "The request body took too long to arrive.");
@@ -109,10 +143,13 @@
         }
     }
 
+    private refuseTooLarge(exchange: GatewayExchange): void {
+        this.refuse(exchange, 413, "body-too-large", "The request body is too large.");
+    }
+
     private makePlan(exchange: GatewayExchange, deadlineAtMs: number): RequestPlan | undefined {
-        const { headers } = exchange.incoming;
-        const requestId = this.options.dialect.readRequestId(headers);
-        const route = this.lookup.find(headers.host ?? "", exchange.path);
+        const requestId = this.options.dialect.readRequestId(exchange.incoming.headers);
+        const route = this.findRoute(exchange);
         if (this.isRefusing) {
             this.refuse(exchange, 503, "draining", "The entry stops.", stoppingRetryMs);
             return undefined;
@@ -152,3 +189,7 @@
         exchange.answer(refuse(status, reason, detail, retryAfterMs));
     }
 }
+
+function isUpload(route: Route | undefined): boolean {
+    return route !== undefined && requestKindOf(route) === RequestKind.upload;
+}
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -15,6 +15,7 @@
 import { drawRetryAfterMs, RefusalCause, type RefusedRequest } from "./refusals.js";
 import { RequestTimes } from "./requestTimes.js";
 import type { ResendBudget } from "./resendBudget.js";
+import { UploadBody, UploadProgress } from "./uploadBody.js";
 import type { UpstreamBoard, UpstreamRow } from "./upstreamBoard.js";
 
 /** The upstream stops work this long after the route's timeout, so that its own answer comes before the entry's. */
@@ -85,11 +86,26 @@
     onCallerGone(): void {
         this.parts.metrics.callersGone.inc();
         this.log("caller left", { mayHaveRun: this.mayHaveRun });
-        if (this.plan.route.isIdempotent || this.attempt?.mayHaveRun === false) {
+        if (this.attempt?.mayHaveRun === false || this.isEndUseless()) {
             this.attempt?.cancel();
         }
     }
 
+    /** Returns whether it helps nobody that an upstream goes on after the caller has left or was answered. */
+    private isEndUseless(): boolean {
+        return this.plan.route.isIdempotent || this.upload?.progress === UploadProgress.arriving;
+    }
+
+    private get upload(): UploadBody | undefined {
+        const { body } = this.plan.exchange;
+        return body instanceof UploadBody ? body : undefined;
+    }
+
+    /** Returns whether another upstream can get the same body. */
+    private isBodyAtHand(): boolean {
+        return this.plan.exchange.body.buffer !== undefined || this.upload?.progress === UploadProgress.untouched;
+    }
+
     /** Returns whether another attempt follows. */
     private async tryOnce(): Promise<boolean> {
         const placement = await this.findPlacement();
@@ -179,7 +195,7 @@
         const { exchange, service } = this.plan;
         const { metrics } = this.parts;
         metrics.attempts.inc({ end: end.kind });
-        const isOwnDoing = "failure" in end && end.failure === "cancelled";
+        const isOwnDoing = "failure" in end && (end.failure === "cancelled" || this.upload?.isSpoiled === true);
         if (!isOwnDoing && this.parts.board.noteOutcome(row, toUseOutcome(end), this.nowMs())) {
             metrics.ejections.inc({ service: service.name });
             this.log("ejected an upstream", { upstream: row.registration.id, failuresInRow: row.failuresInRow });
@@ -192,6 +208,10 @@
             exchange.destroyCaller();
             return false;
         }
+        if (this.upload?.progress === UploadProgress.tooLarge) {
+            this.answer(413, "body-too-large", "The request body is too large.");
+            return false;
+        }
         if (end.kind === "failed-answer") {
             this.held = this.attempt;
         }
@@ -204,10 +224,10 @@
     }
 
     private mayTryAgain(): boolean {
-        const { route, service, exchange } = this.plan;
+        const { route, service } = this.plan;
         const { resends, metrics } = this.parts;
         const isSafe = route.isIdempotent || !this.mayHaveRun;
-        const isPossible = isSafe && this.attemptCount < route.maxAttempts && exchange.body.buffer !== undefined &&
+        const isPossible = isSafe && this.attemptCount < route.maxAttempts && this.isBodyAtHand() &&
             this.nowMs() < this.times.timeoutAtMs - minRemainingMs;
         if (!isPossible) {
             return false;
@@ -242,7 +262,7 @@
             this.mayHaveRun = mayRun;
             this.answer(mayRun ? 504 : 503, "timeout", "The time of the route has passed.");
         }
-        if (this.plan.route.isIdempotent) {
+        if (this.isEndUseless()) {
             this.attempt?.cancel();
         }
     }
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import http, { type IncomingHttpHeaders } from "node:http";
-import type { AddressInfo } from "node:net";
+import net, { type AddressInfo } from "node:net";
 import { SystemClock } from "../core/clock.js";
 import { SeededRandom } from "../core/random.js";
 import type { RouteTable } from "../directory/model.js";
@@ -10,6 +10,7 @@
 import { defaultEntryLimits } from "../entry/options.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ResponseHead } from "../requests/model.js";
+import { CallerServer } from "./callerServer.js";
 import { Dialect, type InstanceLoad } from "./dialect.js";
 import { DurationEstimates } from "./durationEstimates.js";
 import { GatewayExchange } from "./gatewayExchange.js";
@@ -105,6 +106,41 @@
     }
 }
 
+/** A caller's connection whose bytes are written by the test. */
+export class RawCaller {
+    /** All that has arrived. */
+    text = "";
+    isClosed = false;
+    /** Whether the entry sends nothing more. */
+    hasEnded = false;
+    /** Error that ended the connection. */
+    errorCode: string | undefined;
+
+    static async connect(port: number): Promise<RawCaller> {
+        const socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+        await once(socket, "connect");
+        return new RawCaller(socket);
+    }
+
+    private constructor(readonly socket: net.Socket) {
+        socket.setEncoding("latin1").on("data", (chunk: string) => this.text += chunk);
+        socket.on("error", (error: NodeJS.ErrnoException) => this.errorCode = error.code);
+        socket.on("end", () => this.hasEnded = true).on("close", () => this.isClosed = true);
+    }
+
+    /** Writes the head of a request; `fields` are lines of the head. */
+    writeHead(path: string, id: string, ...fields: readonly string[]): void {
+        const lines = [
+            `POST ${path} HTTP/1.1`,
+            "Host: shop.example",
+            `Request-Id: ${id}`,
+            `Deadline-Ms: ${patientMs}`,
+            ...fields,
+        ];
+        this.socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+    }
+}
+
 /** An entry without control: its routes and upstreams are set by the test. */
 export class TestEntry {
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
@@ -121,10 +157,11 @@
         upstreams: () => this.board.list().length,
         ejectedUpstreams: () => this.board.countEjected(this.clock.monotonicMs()),
     });
-    private readonly server = http.createServer((incoming, outgoing) => {
+    private readonly server = new CallerServer(defaultEntryLimits, (incoming, outgoing) => {
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
         exchange.dialect = this.dialect;
         exchange.receivedAtMs = this.clock.monotonicMs();
+        incoming.on("error", () => undefined);
         void this.intake.take(exchange);
     });
     private readonly dialect = new TestDialect();
@@ -157,8 +194,7 @@
         if (table !== undefined) {
             this.intake.setRoutes(table);
         }
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
+        await this.server.listen({ host: "127.0.0.1", port: 0 });
     }
 
     /** Adds a running upstream of the service `orders`. */
@@ -169,7 +205,7 @@
 
     /** Sends a request; resolves with status and body, or rejects when the connection breaks. */
     async send(path: string, id: string, method = "GET"): Promise<{ readonly status: number; readonly text: string; }> {
-        const { port } = this.server.address() as AddressInfo;
+        const { port } = this.server;
         const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(patientMs) };
         const request = http.request({ host: "127.0.0.1", port, path, method, headers, agent: false });
         request.end();
@@ -181,8 +217,12 @@
         return { status: response.statusCode ?? 0, text };
     }
 
+    /** Opens a caller's connection that the test writes by itself. */
+    connect(): Promise<RawCaller> {
+        return RawCaller.connect(this.server.port);
+    }
+
     close(): void {
-        this.server.close();
         this.server.closeAllConnections();
     }
 
