Count entries over all control VMs for the budgets that they share

Cause: an entry took the entries at its own control VM times the number of zones for all entries. With two control VMs in a zone (five in three zones) each entry saw half of its zone, and all shares of the resend budget added up to more than the budget; the budget of questions likewise. An entry that no control VM heard any more kept its share as well, and the view of a suspended VM stayed "confirmed", since the steady clock stands still.

Control VMs now report their counts to the leader each second, with the instances they heard, and are told the sum. A new leader does not go below the last known sum for 3 s. An entry has a share only while it is counted (2 s after the last answer, by the older of both clocks) and 13 s after its start. Answers to callers hold at most 64 addresses, which is all they take, with a part of the zone that is stable for a caller.

Not kept: rounding each share at a random point, so that fractions add up. The fraction of a share stays lost.

--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -171,7 +171,7 @@
             case DirectoryMethod.readVersion:
                 return service.confirmVersion();
             case DirectoryMethod.reportHeard:
-                return service.noteReported(params as HeardParams);
+                return service.noteReported(params as HeardParams, from);
             case DirectoryMethod.join:
                 return this.formation.answerJoin({ ...params as Member, id: from });
             case DirectoryMethod.leaving:
--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -106,11 +106,34 @@
     const report = { id: "e-1", address: "10.0.1.1:80", availabilityZone: "az-1", isServing: true };
     service.noteEntry(report);
     service.noteEntry({ ...report, id: "e-2", address: "10.0.2.1:80", availabilityZone: "az-2" });
-    t.deepEqual(service.listCallerAddresses("az-1"), ["10.0.1.1:80"]);
+    t.deepEqual(service.listCallerAddresses("az-1", 64, "10.0.9.9"), ["10.0.1.1:80"]);
     service.noteEntry({ ...report, isServing: false });
-    t.deepEqual(service.listCallerAddresses("az-1"), ["10.0.2.1:80"], "another availability zone is better than none");
+    t.deepEqual(
+        service.listCallerAddresses("az-1", 64, "10.0.9.9"),
+        ["10.0.2.1:80"],
+        "another availability zone is better than none",
+    );
     clock.advance(1500);
-    t.deepEqual(service.listCallerAddresses("az-1"), []);
+    t.deepEqual(service.listCallerAddresses("az-1", 64, "10.0.9.9"), []);
+});
+
+test("guards against an answer with more entries than a caller takes, and entries that are offered more than others", t => {
+    const { service } = makeService();
+    const report = { id: "e-1", address: "", availabilityZone: "az-1", isServing: true };
+    for (let index = 0; index < 100; index++) {
+        service.noteEntry({ ...report, id: `e-${index}`, address: `10.0.0.${index}:80` });
+    }
+    const offers = new Map<string, number>();
+    for (let caller = 0; caller < 2000; caller++) {
+        const callerIp = `10.9.${caller % 250}.${Math.floor(caller / 250)}`;
+        const addresses = service.listCallerAddresses("az-1", 64, callerIp);
+        t.is(new Set(addresses).size, 64);
+        t.deepEqual(service.listCallerAddresses("az-1", 64, callerIp), addresses, "a caller keeps its part");
+        addresses.forEach(address => offers.set(address, (offers.get(address) ?? 0) + 1));
+    }
+    t.is(offers.size, 100);
+    const meanOffers = 2000 * 64 / 100;
+    t.true([...offers.values()].every(count => Math.abs(count - meanOffers) < meanOffers / 10));
 });
 
 test("guards against instances that report to a control VM which is down or was replaced", async t => {
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -6,11 +6,13 @@
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
+import { EntryCounts } from "./entryCounts.js";
 import { EntryRoster } from "./entryRoster.js";
 import {
     DirectoryMethod,
     type EntryReport,
     type ForwardedEnd,
+    type HeardAnswer,
     type HeardParams,
     type ProposeParams,
     type WatchAnswer,
@@ -20,6 +22,8 @@
 
 /** Longest wait for the leader's answer; the sender of a change turns to another VM after about a second. */
 const forwardTimeoutMs = 2500;
+/** Longest wait for the answer to a report; the next one follows a second later. */
+const reportTimeoutMs = 900;
 /** Longest wait until this VM has applied what a confirmed read has to show. */
 const readWaitMs = 900;
 /** An instance that no control VM heard for this many of its intervals is dropped. */
@@ -44,6 +48,8 @@
 /** Answers the callers of one control VM: operators, instances, entries and other control VMs. */
 export class DirectoryService {
     private readonly roster = new EntryRoster();
+    private readonly counts = new EntryCounts();
+    private hasReported = true;
     private readonly watchers = new Set<() => void>();
     private readonly heardAtMs = new Map<UpstreamId, number>();
     private unreported = new Set<UpstreamId>();
@@ -63,6 +69,7 @@
             learners: () => log.members.learners.length,
             registrations: () => log.state.registrations.size,
             entries: () => this.roster.count(this.nowMs()),
+            allEntries: () => this.counts.find(this.nowMs()) ?? NaN,
         });
         options.log.state.onChange = () => this.watchers.forEach(wake => wake());
     }
@@ -137,12 +144,18 @@
         }
         const { log } = this.options;
         const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
-        return { isLed: log.isLed, delta, entryCount: this.roster.count(this.nowMs()) };
+        const nowMs = this.nowMs();
+        return {
+            isLed: log.isLed,
+            delta,
+            entryCount: this.roster.count(nowMs),
+            entryTotal: this.counts.find(nowMs),
+        };
     }
 
-    /** Returns the addresses to offer to a caller in an availability zone. */
-    listCallerAddresses(availabilityZone: string | undefined): readonly string[] {
-        return this.roster.listAddresses(availabilityZone, this.nowMs());
+    /** Returns up to `most` addresses to offer to a caller in an availability zone; `callerIp` chooses its part. */
+    listCallerAddresses(availabilityZone: string | undefined, most: number, callerIp: string): readonly string[] {
+        return this.roster.listAddresses(availabilityZone, this.nowMs(), most, callerIp);
     }
 
     /** Takes note of an entry's state. */
@@ -161,29 +174,49 @@
         return isConfirmed ? this.state.revision : undefined;
     }
 
-    /** Takes note of instances that another control VM heard. */
-    noteReported({ ids }: HeardParams): void {
-        ids.forEach(id => this.heardAtMs.set(id, this.nowMs()));
+    /** Takes note of the instances that another control VM heard, and of the entries that are attached to it. */
+    noteReported({ ids, entryCount }: HeardParams, memberId: string): HeardAnswer {
+        const nowMs = this.nowMs();
+        ids.forEach(id => this.heardAtMs.set(id, nowMs));
+        this.counts.noteReport(memberId, entryCount, nowMs);
+        return { entryTotal: this.options.log.isLeader ? this.counts.find(nowMs) : undefined };
     }
 
-    /** Regular duties: tells the leader which instances were heard; the leader drops those that nobody hears. */
+    /** Regular duties: tells the leader what was heard; the leader drops instances that nobody hears. */
     keepHouse(): void {
-        const { log, links } = this.options;
+        const { log } = this.options;
         if (log.isLeader) {
             this.ledSinceMs ??= this.nowMs();
             this.dropSilent(this.ledSinceMs);
             this.forgetNodes();
+            this.counts.addUp(this.roster.count(this.nowMs()), this.ledSinceMs, this.nowMs());
         }
         else {
             this.ledSinceMs = undefined;
             this.nonMemberSinceMs.clear();
-            if (log.leaderAddress !== undefined && this.unreported.size > 0) {
-                links.notify(log.leaderAddress, DirectoryMethod.reportHeard, { ids: [...this.unreported] });
+            if (log.leaderAddress !== undefined) {
+                void this.report(log.leaderAddress, [...this.unreported]);
             }
         }
         this.unreported = new Set();
     }
 
+    private async report(leaderAddress: string, ids: readonly UpstreamId[]): Promise<void> {
+        const { links, logger } = this.options;
+        const params: HeardParams = { ids, entryCount: this.roster.count(this.nowMs()) };
+        try {
+            const answer = await links.call(leaderAddress, DirectoryMethod.reportHeard, params, reportTimeoutMs);
+            this.counts.noteTotal((answer as HeardAnswer | null)?.entryTotal ?? undefined, this.nowMs());
+            this.hasReported = true;
+        }
+        catch (error) {
+            if (this.hasReported) {
+                logger.info("the leader takes no reports", { leaderAddress, reason: (error as Error).message });
+            }
+            this.hasReported = false;
+        }
+    }
+
     private get state(): DirectoryState {
         return this.options.log.state;
     }
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -12,7 +12,7 @@
     propose: "directory.propose",
     /** Control to the leader: the version that a read must at least show. */
     readVersion: "directory.read-version",
-    /** Control to the leader: the instances that were heard. */
+    /** Control to the leader: the instances that were heard and the entries that are attached. */
     reportHeard: "directory.heard",
     /** Control to control: a VM that wants to be a member. */
     join: "directory.join",
@@ -49,6 +49,8 @@
     readonly delta: DirectoryDelta | undefined;
     /** Entries attached to this control VM, the asking one included. */
     readonly entryCount: number;
+    /** Entries attached to all control VMs; undefined while that is not known, and from earlier versions. */
+    readonly entryTotal?: number;
 }
 
 /** Answer of `directory.propose`; `refused` and `unknown` as in `ProposalEnd`. */
@@ -65,6 +67,14 @@
 /** Parameters of `directory.heard`. */
 export interface HeardParams {
     readonly ids: readonly UpstreamId[];
+    /** Entries attached to the sender; undefined from earlier versions. */
+    readonly entryCount?: number;
+}
+
+/** Answer of `directory.heard`. */
+export interface HeardAnswer {
+    /** As in `WatchAnswer`. */
+    readonly entryTotal: number | undefined;
 }
 
 /** Answer of `directory.join`: the members that the asked VM knows. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -82,7 +82,8 @@
             describeEntry: () => this.describe(),
             onDelta: (delta, table) => this.onDelta(delta, table),
         });
-        const countEntries = () => this.watch.entryCount * options.availabilityZoneCount;
+        const { watch } = this;
+        const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
         const parts: RequestParts = {
             placer: new Placer({
                 board: this.board,
@@ -93,7 +94,12 @@
                 random,
             }),
             board: this.board,
-            resends: new ResendBudget(options.resends, countEntries, this.nowMs()),
+            resends: new ResendBudget({
+                limits: options.resends,
+                countEntries,
+                isCounted: () => watch.isCounted,
+                startedAtMs: this.nowMs(),
+            }),
             durations: new DurationEstimates(),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { SystemClock } from "../core/clock.js";
+import { type Clock, ManualClock, SystemClock } from "../core/clock.js";
 import { SeededRandom } from "../core/random.js";
 import type { TableUpdate } from "../directory/directoryState.js";
 import { DirectoryMethod, type WatchAnswer, type WatchParams } from "../directory/messages.js";
@@ -108,12 +108,16 @@
     await control.close();
 });
 
-function makeWatch(seeds: readonly string[], onDelta: DirectoryWatchOptions["onDelta"]): DirectoryWatch {
+function makeWatch(
+    seeds: readonly string[],
+    onDelta: DirectoryWatchOptions["onDelta"],
+    clock: Clock = new SystemClock(),
+): DirectoryWatch {
     return new DirectoryWatch({
         channel: { selfId: "entry", secret },
         availabilityZone: "az-1",
         seeds,
-        clock: new SystemClock(),
+        clock,
         random: new SeededRandom(1),
         logger: silentLogger,
         metrics: new GatewayMetrics({
@@ -128,3 +132,17 @@
         onDelta,
     });
 }
+
+test("guards against an entry that acts on an old view after its VM was suspended", async t => {
+    const control = new ControlStandIn();
+    const clock = new ManualClock();
+    const watch = makeWatch([await control.start()], () => watch.close(), clock);
+    await watch.run();
+    t.true(watch.isConfirmed);
+    t.true(watch.isCounted);
+    // The steady clock stands still while a VM is suspended.
+    clock.suspend(5000);
+    t.false(watch.isConfirmed);
+    t.false(watch.isCounted);
+    await control.close();
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -1,7 +1,8 @@
-import type { Clock } from "../core/clock.js";
+import { ageMs, type Clock, type Instant, readInstant } from "../core/clock.js";
 import { ControlError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
 import type { DirectoryDelta } from "../directory/directoryState.js";
+import { countedMs } from "../directory/entryRoster.js";
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
@@ -40,6 +41,8 @@
 export class DirectoryWatch {
     /** Entries attached to the same control VM. */
     entryCount = 1;
+    /** Entries attached to all control VMs, as last told; undefined before. */
+    entryTotal: number | undefined;
     /** Version of the view; 0 before the first answer. */
     version = 0;
     private table: RouteTable = emptyRouteTable;
@@ -47,7 +50,7 @@
     private canUpdate = true;
     private nodes: readonly ControlNode[] = [];
     private client: ChannelClient | undefined;
-    private confirmedAtMs = -Infinity;
+    private confirmedAt: Instant | undefined;
     private isClosed = false;
     private readonly failedAtMs = new Map<string, number>();
     private readonly knownListeners = new Set<() => void>();
@@ -56,7 +59,16 @@
 
     /** Whether the view was up to date a moment ago. */
     get isConfirmed(): boolean {
-        return this.nowMs() - this.confirmedAtMs < confirmedMs;
+        return this.confirmedAgeMs < confirmedMs;
+    }
+
+    /** Whether the control VMs count this entry among those that share budgets. */
+    get isCounted(): boolean {
+        return this.confirmedAgeMs < countedMs;
+    }
+
+    private get confirmedAgeMs(): number {
+        return this.confirmedAt === undefined ? Infinity : ageMs(this.confirmedAt, this.options.clock);
     }
 
     /** Follows the directory until `close` is called. */
@@ -156,9 +168,9 @@
         try {
             const entry = this.options.describeEntry();
             const params: WatchParams = { entry, version: this.version, canUpdate: this.canUpdate, waitMs };
-            const sentAtMs = this.nowMs();
+            const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, answerTimeoutMs) as WatchAnswer;
-            return this.take(answer, sentAtMs);
+            return this.take(answer, sentAt);
         }
         catch (error) {
             this.options.logger.info("a control VM did not answer", {
@@ -182,12 +194,13 @@
     }
 
     /** An answer of a VM that does not hear the leader may be old. */
-    private take({ isLed, delta, entryCount }: WatchAnswer, sentAtMs: number): boolean {
+    private take({ isLed, delta, entryCount, entryTotal }: WatchAnswer, sentAt: Instant): boolean {
         const isBehind = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isBehind) {
             return false;
         }
         this.entryCount = entryCount;
+        this.entryTotal = entryTotal ?? this.entryTotal;
         if (this.version === 0) {
             this.options.logger.info("learned the directory", { version: delta?.version });
         }
@@ -199,7 +212,7 @@
             this.canUpdate = true;
             this.options.onDelta(delta, table);
         }
-        this.confirmedAtMs = sentAtMs;
+        this.confirmedAt = sentAt;
         this.knownListeners.forEach(settle => settle());
         return true;
     }
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -31,7 +31,7 @@
     readonly metricsListen: ListenAddress | undefined;
     /** Peer addresses of control VMs. */
     readonly seeds: readonly string[];
-    /** Availability zones of the system, for shares of what all entries may use together. */
+    /** Availability zones of the system; estimates the number of entries while the control VMs do not tell it. */
     readonly availabilityZoneCount: number;
     readonly clusterSecret: string;
     readonly limits: EntryLimits;
--- a/src/gateway/resendBudget.test.ts
+++ b/src/gateway/resendBudget.test.ts
@@ -4,6 +4,11 @@
 
 const limits = { ratio: 0.2, slack: 62, windowMs: 10_000 };
 
+function makeBudget(entries: number | (() => number), startedAtMs: number, limitsOfBudget = limits): ResendBudget {
+    const countEntries = typeof entries === "number" ? () => entries : entries;
+    return new ResendBudget({ limits: limitsOfBudget, countEntries, isCounted: () => true, startedAtMs });
+}
+
 /** Returns whether each window that ends with a resend keeps to the limits; both lists hold moments in ms. */
 function isWithinBudget(requests: readonly number[], resends: readonly number[]): boolean {
     return resends.every(endMs => {
@@ -27,7 +32,7 @@
             maxLength: 600,
         }),
         steps => {
-            const budgets = Array.from({ length: entryCount }, () => new ResendBudget(limits, () => entryCount, 0));
+            const budgets = Array.from({ length: entryCount }, () => makeBudget(entryCount, 0));
             const requests: number[] = [];
             const resends: number[] = [];
             let nowMs = 0;
@@ -59,7 +64,7 @@
         ),
         steps => {
             let named = entryCount;
-            const start = (nowMs: number) => new ResendBudget(limits, () => named, nowMs);
+            const start = (nowMs: number) => makeBudget(() => named, nowMs);
             const budgets = Array.from({ length: entryCount }, () => start(0));
             const requests: number[] = [];
             const resends: number[] = [];
@@ -86,7 +91,7 @@
 });
 
 test("guards against a budget that is never refilled", t => {
-    const budget = new ResendBudget({ ratio: 0.2, slack: 2, windowMs: 10_000 }, () => 1, -10_000);
+    const budget = makeBudget(1, -20_000, { ...limits, slack: 2 });
     t.true(budget.take("orders", 0));
     t.false(budget.take("orders", 0));
     t.true(budget.take("orders", 11_000));
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -176,7 +176,12 @@
         const parts: RequestParts = {
             placer: new Placer({ board, inquiry, availabilityZone: "az-1", asksPerSecond, clock, random }),
             board,
-            resends: new ResendBudget({ ratio: 1, slack: 100, windowMs: 10_000 }, () => 1, -Infinity),
+            resends: new ResendBudget({
+                limits: { ratio: 1, slack: 100, windowMs: 10_000 },
+                countEntries: () => 1,
+                isCounted: () => true,
+                startedAtMs: -Infinity,
+            }),
             durations: new DurationEstimates(),
             budget: new BufferBudget(limits.bufferedBytes),
             dialect,
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -11,6 +11,7 @@
     readonly learners: () => number;
     readonly registrations: () => number;
     readonly entries: () => number;
+    readonly allEntries: () => number;
 }
 
 /** Metrics of a control VM of a directory. */
@@ -44,6 +45,7 @@
         this.gauge("figwharf_control_learners", "Control VMs that only receive the log", gauges.learners);
         this.gauge("figwharf_registrations", "Instances that are registered", gauges.registrations);
         this.gauge("figwharf_entries_attached", "Entries that follow the directory through this VM", gauges.entries);
+        this.gauge("figwharf_entries", "Entries that follow the directory; NaN while not known", gauges.allEntries);
     }
 
     private gauge(name: string, help: string, read: () => number): void {
--- a/test/metricsPage.test.ts
+++ b/test/metricsPage.test.ts
@@ -25,6 +25,7 @@
         learners: zero,
         registrations: zero,
         entries: zero,
+        allEntries: zero,
     });
     const texts = await Promise.all([gateway.registry.metrics(), directory.registry.metrics()]);
     const served = new Set([...texts.join("\n").matchAll(/^# TYPE (\w+) /gm)].map(match => match[1]));
