Let the test of stalled uploads end when the request found no upstream in time

Seen once: 542 passed and one pending at a load average of 17 (543 passed in the next run, log kept). With a timeout of 1 ms the former test hangs each time: it waited for the upstream's side of a request that never reached it.

--- a/src/gateway/uploads.test.ts
+++ b/src/gateway/uploads.test.ts
@@ -208,9 +208,11 @@
     upstream.answer = request => request.on("close", () => isCut = !request.complete).resume();
     caller.writeHead("/stock/1", "r-1", "Content-Length: 2000");
     caller.socket.write(part);
-    await waitFor(() => caller.text.includes("\r\n\r\n") && isCut);
-    const status = upstream.ran.length === 0 ? "503" : "504";
-    t.true(caller.text.startsWith(`HTTP/1.1 ${status}`));
+    await waitFor(() => caller.text.includes("\r\n\r\n"));
+    // On a busy machine the time can pass before the upload has an upstream.
+    const hasRun = upstream.ran.length > 0;
+    t.true(caller.text.startsWith(`HTTP/1.1 ${hasRun ? "504" : "503"}`));
+    await waitFor(() => isCut || !hasRun);
 });
 
 test("guards against an entry whose memory grows with the size of slow uploads", async t => {
