Tell late copies of answers apart, and stop reading answers without end

- A second copy of an answer that arrives when its connection carries the question for the load counted as the upstream's good health.
The answer to the question then came after the next request, and its caller got a 503 of the health page although the request ran.
Responses now name what they answer: one with a request's id answers no question, and one with only the id of an upstream answers no request.
Both end the connection.
- An answer without end to a request that may not be repeated was read on after the route's timeout, and after its caller had left, since only repeatable work was cancelled.
The upstream has stopped by its own deadline then, so every attempt ends there.

Writes to a slow caller add one pair of listeners now, not one for each chunk (MaxListenersExceededWarning in the new test).

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -40,6 +40,7 @@
     receivedAtMs = 0;
     protected isOver = false;
     private fields: readonly HeaderField[] | undefined;
+    private isWaitingForDrain = false;
 
     constructor(
         readonly id: RequestId,
@@ -101,7 +102,7 @@
             return true;
         }
         const isAccepted = this.outgoing.write(chunk);
-        if (!isAccepted) {
+        if (!isAccepted && !this.isWaitingForDrain) {
             this.waitForDrain(onDrain);
         }
         return isAccepted;
@@ -109,8 +110,10 @@
 
     /** A caller that stops reading would hold an upstream's slot without end. */
     private waitForDrain(onDrain: () => void): void {
+        this.isWaitingForDrain = true;
         const timer = setTimeout(() => this.outgoing.destroy(), this.stallTimeoutMs);
         const stop = () => {
+            this.isWaitingForDrain = false;
             clearTimeout(timer);
             this.outgoing.off("drain", stop).off("close", stop);
             onDrain();
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -21,8 +21,8 @@
     abstract readRequestId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns the fields that the entry adds, as a flat list of names and values. */
     abstract listAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): readonly string[];
-    /** Returns whether a response is the one to the request with this id, and not an earlier one that came late. */
-    abstract isAnswerTo(head: ResponseHead, requestId: string | undefined): boolean;
+    /** Returns the id of the request that a response answers; undefined when it names none. */
+    abstract readAnsweredId(head: ResponseHead): string | undefined;
     /** Returns whether the upstream states that it did not run the request. */
     abstract isNotRun(head: ResponseHead): boolean;
     /** Returns whether the response can be the upstream's own, unaltered one. */
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -91,8 +91,7 @@
     private onHead(head: ResponseHead): void {
         this.head = head;
         this.isNotRun = this.dialect.isNotRun(head);
-        const isForeign = !this.dialect.isAnswerTo(head, this.plan.requestId);
-        if (isForeign || (!this.isNotRun && !this.dialect.isGenuine(head))) {
+        if (this.isForeign(head) || (!this.isNotRun && !this.dialect.isGenuine(head))) {
             // What follows on the connection cannot be trusted either.
             this.isNotRun = false;
             this.attempt.cancel();
@@ -100,6 +99,14 @@
         }
     }
 
+    /** A response can be one to an earlier request or question on the connection that came late or twice. */
+    private isForeign(head: ResponseHead): boolean {
+        const answeredId = this.dialect.readAnsweredId(head);
+        return answeredId === undefined
+            ? this.dialect.readUpstreamId(head) !== undefined
+            : answeredId !== this.plan.requestId;
+    }
+
     private onOverflow(): void {
         if (!this.isNotRun) {
             this.deliver();
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -247,6 +247,12 @@
     }
 
     private onTimeout(): void {
+        this.answerTimeout();
+        // The upstream has stopped by now; one that still sends would go on without end.
+        this.attempt?.cancel();
+    }
+
+    private answerTimeout(): void {
         if (this.plan.exchange.isEnded) {
             return;
         }
@@ -255,16 +261,9 @@
         }
         else {
             const mayRun = this.mayHaveRun || this.attempt?.mayHaveRun === true;
-            const isWaiting = this.attempt !== undefined && !this.attempt.mayHaveRun;
-            if (isWaiting) {
-                this.attempt?.cancel();
-            }
             this.mayHaveRun = mayRun;
             this.answer(mayRun ? 504 : 503, "timeout", "The time of the route has passed.");
         }
-        if (this.isEndUseless()) {
-            this.attempt?.cancel();
-        }
     }
 
     private answer(status: number, reason: string, detail: string): void {
--- a/src/gateway/loadInquiry.ts
+++ b/src/gateway/loadInquiry.ts
@@ -47,7 +47,9 @@
             return undefined;
         }
         const head = await requestHead(connection.dispatcher, healthPath);
-        const isRight = head !== undefined && (this.dialect.readUpstreamId(head) ?? id) === id;
+        // A second copy of an earlier answer on the connection names the request that it belongs to.
+        const isRight = head !== undefined && this.dialect.readAnsweredId(head) === undefined &&
+            (this.dialect.readUpstreamId(head) ?? id) === id;
         if (!isRight || head.status !== 200) {
             connection.discard();
             this.metrics.loadQuestions.inc({ end: head === undefined ? "silent" : "unwell" });
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -44,8 +44,8 @@
         return ["Deadline-Ms", String(remainingMs)];
     }
 
-    isAnswerTo({ headers }: ResponseHead, requestId: string | undefined): boolean {
-        return (findHeader(headers, "request-id") ?? requestId) === requestId;
+    readAnsweredId({ headers }: ResponseHead): string | undefined {
+        return findHeader(headers, "request-id");
     }
 
     isNotRun({ headers }: ResponseHead): boolean {
