Refuse malformed messages between processes instead of stopping

Cause: a control VM took the parameters of calls between processes as they came. A replication message without its fields threw inside the replica, which stops the VM; a change of an unknown form would have ended each replica that applies it.

Parameters are checked by method before they are used; others are refused with a log line and an error. Heartbeats and configurations were checked already.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -19,6 +19,7 @@
     "leader-unconfirmed": "no quorum of control VMs confirmed the leader within {timeoutMs} ms",
     "update-unfit": "an update of the routes starts from version {base}, and version {held} is held",
     "method-unknown": "there is no method {method}",
+    "message-malformed": "the parameters of {method} do not have the expected form",
     "storage-corrupt": "{file}: the record at byte {offsetBytes} is corrupt and is followed by valid records",
     "storage-damaged": "{file}: the file is damaged",
     "storage-incomplete": "{file}: the file is missing while other files of the data folder exist",
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -14,6 +14,7 @@
 import { DirectoryService } from "./directoryService.js";
 import { DirectoryState } from "./directoryState.js";
 import { type DirectoryHost, foundingIdentity, GroupFormation } from "./groupFormation.js";
+import { areParametersSound } from "./messageChecks.js";
 import {
     DirectoryMethod,
     type EntryReport,
@@ -154,6 +155,10 @@
 
     private answer(method: string, params: unknown, from: string): unknown {
         const { service, host } = this;
+        if (!areParametersSound(method, params)) {
+            this.options.logger.warn("refused a message", { method, from });
+            throw new ControlError("message-malformed", { method });
+        }
         switch (method) {
             case messageMethod: {
                 const { to, message } = params as AddressedMessage;
--- /dev/null
+++ b/test/malformedMessages.test.ts
@@ -0,0 +1,117 @@
+import test from "ava";
+import fc from "fast-check";
+import fs from "node:fs";
+import os from "node:os";
+import path from "node:path";
+import { findFreePorts } from "../bench/ports.js";
+import { messageMethod } from "../src/control/peerLinks.js";
+import { SystemClock } from "../src/core/clock.js";
+import { SeededRandom } from "../src/core/random.js";
+import { startDirectory } from "../src/directory/daemon.js";
+import { areParametersSound, isDirectoryChange } from "../src/directory/messageChecks.js";
+import { DirectoryMethod } from "../src/directory/messages.js";
+import { makeRegistration, makeRoute, makeTable } from "../src/directory/testing.js";
+import { ChannelClient } from "../src/transport/channel.js";
+
+const messageCount = 10_000;
+const callTimeoutMs = 10_000;
+const methods = [messageMethod, ...Object.values(DirectoryMethod)];
+const kinds = [
+    "pre-vote",
+    "vote",
+    "append",
+    "append-answer",
+    "snapshot",
+    "register",
+    "routes",
+    "end",
+    "node",
+    "members",
+];
+const fields = [
+    "entry",
+    "message",
+    "change",
+    "registration",
+    "records",
+    "command",
+    "term",
+    "index",
+    "to",
+    "ids",
+    "members",
+    "table",
+    "waitMs",
+    "version",
+    "id",
+    "peerAddress",
+];
+
+/** Values that look like parts of messages, with fields missing or of other types. */
+const { parameters } = fc.letrec<{ readonly parameters: unknown; }>(tie => ({
+    parameters: fc.oneof(
+        { maxDepth: 4 },
+        fc.constantFrom<unknown>(null, undefined, -1, NaN, 2 ** 53, "", "x", true, []),
+        fc.array(tie("parameters"), { maxLength: 3 }),
+        fc.dictionary(fc.constantFrom(...fields), tie("parameters"), { maxKeys: 6 }),
+        fc.tuple(
+            fc.constantFrom(...kinds),
+            fc.dictionary(fc.constantFrom(...fields), tie("parameters"), { maxKeys: 6 }),
+        )
+            .map(([kind, rest]) => ({ ...rest, kind })),
+    ),
+}));
+
+test("guards against a malformed message that ends a control VM", async t => {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "figwharf-malformed-"));
+    const port = (await findFreePorts(1))[0];
+    const address = `127.0.0.1:${port}`;
+    const channel = { selfId: "stranger", secret: "test-secret" };
+    let failure: Error | undefined;
+    const directory = await startDirectory({
+        availabilityZone: "az-1",
+        peerListen: { host: "127.0.0.1", port },
+        operatorAddress: "127.0.0.1:1",
+        metricsListen: undefined,
+        dataFolder: folder,
+        clusterSecret: channel.secret,
+        seeds: [address],
+        isFirstStart: true,
+        toleratedLosses: 0,
+        heartbeatIntervalMs: 1500,
+        logger: { info: () => 0, warn: () => 0, error: () => 0 },
+        clock: new SystemClock(),
+        random: new SeededRandom(1),
+        onFailed: error => failure = error,
+    });
+    const client = new ChannelClient(address, channel);
+    t.teardown(async () => {
+        client.close();
+        await directory.close();
+        fs.rmSync(folder, { recursive: true, force: true });
+    });
+    t.true(await client.waitConnected(callTimeoutMs));
+    const call = fc.tuple(fc.constantFrom(...methods), parameters);
+    for (const [method, params] of fc.sample(call, { seed: 21, numRuns: messageCount })) {
+        client.notify(method, params);
+    }
+    // Answered after all messages before it; the VM still leads its group of one.
+    t.is(typeof await client.call(DirectoryMethod.readVersion, {}, callTimeoutMs), "number");
+    t.true(await directory.service.register(makeRegistration()));
+    t.is(failure, undefined);
+});
+
+test("guards against sound messages that are refused", t => {
+    t.true(isDirectoryChange({
+        kind: "routes",
+        baseVersion: 0,
+        table: makeTable(1, [makeRoute({ targetLatencyMs: undefined, kind: "upload" })]),
+        update: undefined,
+        proposedAtMs: 1,
+    }));
+    t.true(isDirectoryChange({ kind: "register", registration: makeRegistration() }));
+    const entry = { id: "e-1", address: "10.0.0.1:80", availabilityZone: "az-1", isServing: true };
+    t.true(areParametersSound(DirectoryMethod.watch, { entry, version: 0, waitMs: 400 }));
+    t.true(areParametersSound(DirectoryMethod.readVersion, {}));
+    t.false(areParametersSound("directory.unknown", {}));
+});
