--- a/src/gateway/strayAnswers.test.ts
+++ b/src/gateway/strayAnswers.test.ts
@@ -120,3 +120,98 @@
         t.pass();
     });
 }
+
+const oddAnswers: readonly {
+    readonly name: string;
+    /** Sent once. */
+    readonly start: string;
+    /** Sent again and again until the connection closes. */
+    readonly filler: string;
+    /** Statuses that the caller may see; 200 only where the answer itself was whole, or has begun and is cut. */
+    readonly statuses: readonly number[];
+}[] = [
+    { name: "a head", start: "HTTP/1.1 200 OK\r\n", filler: "X-Filler: aaaaaaaa\r\n", statuses: [502, 504] },
+    { name: "interim answers", start: "", filler: "HTTP/1.1 103 Early Hints\r\n\r\n", statuses: [502, 504] },
+    { name: "bytes that are no answer", start: "", filler: "\0\x01zzzz", statuses: [502, 504] },
+    {
+        name: "a chunk extension",
+        start: "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+        filler: "aaaaaaaa",
+        statuses: [200, 502, 504],
+    },
+    {
+        name: "trailers",
+        start: "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+        filler: "X-Filler: aaaaaaaa\r\n",
+        statuses: [200, 502, 504],
+    },
+    {
+        name: "bytes after a whole body",
+        start: "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 5\r\n\r\nhello",
+        filler: "zzzzzzzz",
+        statuses: [200, 502],
+    },
+];
+
+/** An upstream that answers questions for its load well, and requests with bytes without end. */
+class EndlessUpstream {
+    openCount = 0;
+    ranCount = 0;
+    private readonly server = net.createServer(socket => {
+        this.openCount++;
+        socket.on("error", () => undefined).on("close", () => this.openCount--);
+        socket.on("data", (chunk: Buffer) => {
+            if (!chunk.toString("latin1").startsWith("POST")) {
+                socket.write(formatAnswer("200 OK", "", "Upstream-Id: i-1", "Load: 0,3,1"));
+                return;
+            }
+            this.ranCount++;
+            socket.write(this.start, "latin1");
+            const fill = () => {
+                while (!socket.destroyed && socket.write(this.filler.repeat(100), "latin1")) {
+                    // Until the buffers are full.
+                }
+            };
+            socket.on("drain", fill);
+            fill();
+        });
+    });
+
+    constructor(private readonly start: string, private readonly filler: string) {}
+
+    async listen(): Promise<string> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    close(): void {
+        this.server.close();
+    }
+}
+
+for (const { name, start, filler, statuses } of oddAnswers) {
+    test.serial(`guards against bytes without end from an upstream: ${name}`, async t => {
+        const entry = new TestEntry();
+        const upstream = new EndlessUpstream(start, filler);
+        await entry.start(makeTable(1, [{ ...patientRoute, timeoutMs: 1500, maxAttempts: 1 }]));
+        entry.board.set(makeRegistration({ address: await upstream.listen() }), entry.clock.monotonicMs());
+        const caller = await entry.connect();
+        t.teardown(() => {
+            caller.socket.destroy();
+            entry.close();
+            upstream.close();
+        });
+        while (upstream.ranCount === 0) {
+            caller.text = "";
+            caller.writeHead("/stock/1", "r-1", "Content-Length: 0");
+            await waitFor(() => caller.text.includes("\r\n\r\n") || caller.hasEnded || caller.isClosed);
+        }
+        await waitFor(() => upstream.openCount === 0);
+        const status = Number(/^HTTP\/1.1 (\d+)/.exec(caller.text)?.[1] ?? NaN);
+        t.true(statuses.includes(status), `status ${status}`);
+        const looksWhole = caller.text.endsWith("\r\n0\r\n\r\n") || caller.text.endsWith("\r\n\r\nhello");
+        t.false(status === 200 && looksWhole && name !== "bytes after a whole body", "a part does not look whole");
+        t.is(upstream.ranCount, 1);
+    });
+}
