--- a/src/gateway/strayAnswers.test.ts
+++ b/src/gateway/strayAnswers.test.ts
@@ -1,20 +1,12 @@
 import test, { type ExecutionContext } from "ava";
-import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import net, { type AddressInfo } from "node:net";
+import net from "node:net";
 import type { Route } from "../directory/model.js";
 import { makeRegistration, makeRoute, makeTable } from "../directory/testing.js";
-import { type RawCaller, TestEntry, TestUpstream } from "./testing.js";
+import { listenOnLoopback, type RawCaller, TestEntry, TestUpstream, waitFor } from "./testing.js";
 
-const pollMs = 5;
 const patientRoute = makeRoute({ isIdempotent: false, targetLatencyMs: 100_000, timeoutMs: 100_000 });
 
-async function waitFor(isDone: () => boolean): Promise<void> {
-    while (!isDone()) {
-        await new Promise(resolve => setTimeout(resolve, pollMs));
-    }
-}
-
 function formatAnswer(status: string, text: string, ...fields: readonly string[]): string {
     return [`HTTP/1.1 ${status}`, `Content-Length: ${text.length}`, ...fields, "", text].join("\r\n");
 }
@@ -43,10 +35,8 @@
         });
     });
 
-    async start(): Promise<string> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    start(): Promise<string> {
+        return listenOnLoopback(this.server);
     }
 
     close(): void {
@@ -179,10 +169,8 @@
 
     constructor(private readonly start: string, private readonly filler: string) {}
 
-    async listen(): Promise<string> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    listen(): Promise<string> {
+        return listenOnLoopback(this.server);
     }
 
     close(): void {
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -27,6 +27,21 @@
 const manyPerSecond = 1000;
 /** Deadline of requests; an upstream on a busy machine may miss many questions in a row. */
 const patientMs = 100_000;
+const pollMs = 5;
+
+/** Polls until a condition holds; the test's timeout bounds the wait. */
+export async function waitFor(isDone: () => boolean): Promise<void> {
+    while (!isDone()) {
+        await new Promise(resolve => setTimeout(resolve, pollMs));
+    }
+}
+
+/** Starts a server on a free loopback port; resolves with its address as `host:port`. */
+export async function listenOnLoopback(server: net.Server): Promise<string> {
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
 
 /** Headers of tests: a deadline and an id of the request, and the statement that it did not run. */
 export class TestDialect extends Dialect {
@@ -94,10 +109,8 @@
 
     constructor(readonly id: string) {}
 
-    async start(): Promise<string> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    start(): Promise<string> {
+        return listenOnLoopback(this.server);
     }
 
     close(): void {
--- a/src/gateway/uploads.test.ts
+++ b/src/gateway/uploads.test.ts
@@ -4,7 +4,7 @@
 import { makeRoute, makeTable } from "../directory/testing.js";
 import { defaultEntryLimits } from "../entry/options.js";
 import { CallerServer } from "./callerServer.js";
-import { RawCaller, TestEntry, TestUpstream } from "./testing.js";
+import { RawCaller, TestEntry, TestUpstream, waitFor } from "./testing.js";
 import { UploadBody } from "./uploadBody.js";
 
 const maxBodyBytes = 1024 * 1024;
@@ -41,12 +41,6 @@
     return { entry, upstream, caller };
 }
 
-async function waitFor(isDone: () => boolean): Promise<void> {
-    while (!isDone()) {
-        await new Promise(resolve => setTimeout(resolve, pollMs));
-    }
-}
-
 /** Waits until a count has stayed the same over many polls. */
 async function waitForStandstill(count: () => number): Promise<void> {
     for (let last = -1, polls = 0; polls < 40; polls++) {
