--- a/src/directory/entryCounts.test.ts
+++ b/src/directory/entryCounts.test.ts
@@ -189,6 +189,17 @@
         t.true(fleet.findExcess(ratio) <= 0);
     });
 
+    // Listed in KNOWN-RED.txt: the fraction of each share is lost to rounding.
+    test.failing(`guards against slack that is lost to rounding: ${entryCount}`, t => {
+        const fleet = new Fleet(scale, new SeededRandom(3));
+        while (fleet.nowMs < 30_000) {
+            fleet.step();
+        }
+        const recent = fleet.spent.filter(row => row.atMs > 20_000);
+        const resends = recent.reduce((sum, row) => sum + row.resends, 0);
+        t.true(resends > ratio * recent.reduce((sum, row) => sum + row.requests, 0), "the slack is used");
+    });
+
     for (const seed of [1, 2, 3, 4, 5]) {
         test(`guards against more resends than allowed under joins, deaths, cuts and restarts: ${entryCount}, ${seed}`, t => {
             const random = new SeededRandom(seed);
