Log and count what is sent to instances that name a rate limit

The dialect now reads the limit. An entry logs when an upstream names, changes or withdraws it, whether a probe or a request carried it, and each message to a limited upstream; figwharf_limited_upstream_messages_total counts them by kind, and figwharf_upstreams_limited shows how many upstreams name one. Placement does not use any of this yet.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -17,6 +17,7 @@
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
+import { UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const connectionCleanupIntervalMs = 5000;
@@ -68,9 +69,18 @@
             isConfirmed: () => this.watch.isConfirmed,
             upstreams: () => this.upstreamTable.list().length,
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
+            limitedUpstreams: () => this.upstreamTable.countLimited(),
         });
         const { metrics } = this;
-        const prober = new LoadProber(this.upstreamTable, this.connections, dialect, clock, metrics);
+        const upstreamLimits = new UpstreamLimits({ clock, logger, metrics });
+        const prober = new LoadProber({
+            upstreamTable: this.upstreamTable,
+            upstreamLimits,
+            connections: this.connections,
+            dialect,
+            clock,
+            metrics,
+        });
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
             channel: { selfId: `${id}.${this.idPrefix}`, secret: clusterSecret },
@@ -95,6 +105,7 @@
                 random,
             }),
             upstreamTable: this.upstreamTable,
+            upstreamLimits,
             retryBudget: new SharedRetryBudget({
                 limits: options.retries,
                 countEntries,
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -11,6 +11,13 @@
     readonly slowdown: number | undefined;
 }
 
+/** What a response says about the rate limit of its instance. */
+export type RateLimitStatement =
+    | { readonly kind: "none"; }
+    /** Requests a second that the instance accepts from all entries together. */
+    | { readonly kind: "limit"; readonly perSecond: number; }
+    | { readonly kind: "invalid"; readonly text: string; };
+
 /** Headers that an entry exchanges with its callers and upstreams. */
 export abstract class Dialect {
     /** Lower-case names of request headers that the entry replaces. */
@@ -29,6 +36,8 @@
     abstract isAuthentic(head: ResponseHead): boolean;
     /** Returns the load that a response reports; undefined when it is absent or invalid. */
     abstract readLoad(head: ResponseHead): InstanceLoad | undefined;
+    /** Returns the rate limit that a response names. */
+    abstract readRateLimit(head: ResponseHead): RateLimitStatement;
     /** Returns the upstream id that a health check response states. */
     abstract readUpstreamId(head: ResponseHead): UpstreamId | undefined;
 }
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -127,6 +127,7 @@
             isConfirmed: () => true,
             upstreams: () => 0,
             ejectedUpstreams: () => 0,
+            limitedUpstreams: () => 0,
         }),
         describeEntry: () => ({ id: "entry", address: "127.0.0.1:1", availabilityZone: "az-1", isServing: true }),
         onDelta,
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -28,6 +28,8 @@
     readonly exchange: GatewayExchange;
     readonly requestId: string | undefined;
     readonly headers: string[];
+    /** Called with the head of a response that belongs to the request and is authentic. */
+    readonly onHead: (head: ResponseHead, isNotRun: boolean) => void;
 }
 
 /** One attempt at an upstream; verifies that the response belongs to the request and is authentic. */
@@ -96,7 +98,9 @@
             this.isNotRun = false;
             this.attempt.cancel();
             this.onFailed(AttemptFailure.malformed);
+            return;
         }
+        this.context.onHead(head, this.isNotRun);
     }
 
     /** Returns whether this is a delayed or duplicate response to an earlier request or probe on the connection. */
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -5,7 +5,7 @@
 import type { Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
-import type { GeneratedAnswer } from "../requests/model.js";
+import type { GeneratedAnswer, ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
 import { type AttemptResult, GatewayAttempt, isConnectionReusable, toUpstreamOutcome } from "./gatewayAttempt.js";
@@ -16,6 +16,7 @@
 import { RequestTimes } from "./requestTimes.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
+import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
 /** The deadline sent to the upstream is this long after the request's timeout, but never after the caller's. */
@@ -31,6 +32,7 @@
 export interface RequestDependencies {
     readonly placer: Placer;
     readonly upstreamTable: UpstreamStateTable;
+    readonly upstreamLimits: UpstreamLimits;
     readonly retryBudget: SharedRetryBudget;
     readonly durationEstimates: DurationEstimates;
     readonly bufferBudget: BufferBudget;
@@ -140,12 +142,20 @@
 
     private async sendAttempt({ upstreamState, cost, connection }: LeasedPlacement): Promise<AttemptResult> {
         const { exchange, requestId, deadlineAtMs, route, service } = this.context;
-        const { dialect, bufferBudget } = this.dependencies;
+        const { dialect, bufferBudget, upstreamLimits } = this.dependencies;
         const sentAtMs = this.nowMs();
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.times.timeoutAtMs + upstreamGraceMs) - sentAtMs);
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
-        const attempt = new GatewayAttempt({ exchange, requestId, headers }, dialect, bufferBudget);
+        const onHead = (head: ResponseHead, isNotRun: boolean) =>
+            upstreamLimits.recordStatement(
+                upstreamState,
+                dialect.readRateLimit(head),
+                MessageKind.request,
+                // A rejection can come from a part of the instance that does not know the limit.
+                !isNotRun,
+            );
+        const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
         this.attemptCount++;
         if (this.attemptCount === 1) {
@@ -162,6 +172,7 @@
             loadAgeMs: Math.round(sentAtMs - upstreamState.loadAskedAtMs),
             remainingMs,
         });
+        upstreamLimits.recordSent(upstreamState, MessageKind.request);
         const attemptResult = await attempt.start(connection.dispatcher);
         this.recordLoad(upstreamState, attempt);
         if (!isConnectionReusable(attemptResult)) {
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -5,6 +5,7 @@
 import type { ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
+import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamOutcome, type UpstreamState, type UpstreamStateTable } from "./upstreamStateTable.js";
 
 /** Timeout for the response; a later one is useless because the load has changed by then. */
@@ -18,19 +19,23 @@
     readonly connection: LeasedConnection;
 }
 
+/** Dependencies of a load prober. */
+export interface LoadProberOptions {
+    readonly upstreamTable: UpstreamStateTable;
+    readonly upstreamLimits: UpstreamLimits;
+    readonly connections: UpstreamConnections;
+    readonly dialect: Dialect;
+    readonly clock: Clock;
+    readonly metrics: GatewayMetrics;
+}
+
 /** Probes upstreams for their load just before a request is placed. */
 export class LoadProber {
-    constructor(
-        private readonly upstreamTable: UpstreamStateTable,
-        private readonly connections: UpstreamConnections,
-        private readonly dialect: Dialect,
-        private readonly clock: Clock,
-        private readonly metrics: GatewayMetrics,
-    ) {}
+    constructor(private readonly options: LoadProberOptions) {}
 
     /** Returns whether a probe needs no new connection. */
     isConnected(upstreamState: UpstreamState): boolean {
-        return this.connections.hasIdle(upstreamState.registration.address);
+        return this.options.connections.hasIdle(upstreamState.registration.address);
     }
 
     /** Probes all candidates in parallel; returns the healthy ones, with `load` updated if it was reported. */
@@ -42,24 +47,28 @@
     }
 
     private async probeOne(upstreamState: UpstreamState, healthPath: string): Promise<ProbeResult | undefined> {
-        const probedAtMs = this.clock.monotonicMs();
+        const { upstreamTable, upstreamLimits, connections, dialect, clock, metrics } = this.options;
+        const probedAtMs = clock.monotonicMs();
         const { address, id } = upstreamState.registration;
-        const connection = this.connections.lease(address, probedAtMs);
+        const connection = connections.lease(address, probedAtMs);
         if (connection === undefined) {
             return undefined;
         }
+        upstreamLimits.recordSent(upstreamState, MessageKind.probe);
         const head = await fetchHead(connection.dispatcher, healthPath);
         // A duplicate of an earlier response on the connection states the id of its request.
-        const isMatchingResponse = head !== undefined && this.dialect.readAnsweredRequestId(head) === undefined &&
-            (this.dialect.readUpstreamId(head) ?? id) === id;
+        const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
+            (dialect.readUpstreamId(head) ?? id) === id;
         if (!isMatchingResponse || head.status !== 200) {
             connection.discard();
-            this.metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
-            this.upstreamTable.recordOutcome(upstreamState, UpstreamOutcome.broken, this.clock.monotonicMs());
+            metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
+            upstreamTable.recordOutcome(upstreamState, UpstreamOutcome.broken, clock.monotonicMs());
             return undefined;
         }
-        this.metrics.loadProbes.inc({ end: "answered" });
-        const load = this.dialect.readLoad(head);
+        metrics.loadProbes.inc({ end: "answered" });
+        // Instances need not name their limit in answers to probes, so such an answer does not withdraw it.
+        upstreamLimits.recordStatement(upstreamState, dialect.readRateLimit(head), MessageKind.probe, false);
+        const load = dialect.readLoad(head);
         if (load !== undefined) {
             upstreamState.load = load;
             upstreamState.loadAskedAtMs = probedAtMs;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -11,7 +11,7 @@
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ResponseHead } from "../requests/model.js";
 import { CallerServer } from "./callerServer.js";
-import { Dialect, type InstanceLoad } from "./dialect.js";
+import { Dialect, type InstanceLoad, type RateLimitStatement } from "./dialect.js";
 import { DurationEstimates } from "./durationEstimates.js";
 import { GatewayExchange } from "./gatewayExchange.js";
 import type { RequestDependencies } from "./gatewayRequest.js";
@@ -21,6 +21,7 @@
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
+import { UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const stallTimeoutMs = 5000;
@@ -81,6 +82,11 @@
         return { running, waiting: 0, slots, slowdown };
     }
 
+    readRateLimit({ headers }: ResponseHead): RateLimitStatement {
+        const text = findHeader(headers, "rate-limit");
+        return text === undefined ? { kind: "none" } : { kind: "limit", perSecond: Number(text) };
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
@@ -169,6 +175,7 @@
         isConfirmed: () => true,
         upstreams: () => this.upstreamTable.list().length,
         ejectedUpstreams: () => this.upstreamTable.countEjected(this.clock.monotonicMs()),
+        limitedUpstreams: () => this.upstreamTable.countLimited(),
     });
     private readonly server = new CallerServer(defaultEntryLimits, (incoming, outgoing) => {
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
@@ -184,11 +191,14 @@
         const random = new SeededRandom(1);
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
-        const prober = new LoadProber(upstreamTable, new UpstreamConnections(limits), dialect, clock, metrics);
+        const upstreamLimits = new UpstreamLimits({ clock, logger, metrics });
+        const connections = new UpstreamConnections(limits);
+        const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
         const probesPerSecond = () => highProbeRate;
         const dependencies: RequestDependencies = {
             placer: new Placer({ upstreamTable, prober, availabilityZone: "az-1", probesPerSecond, clock, random }),
             upstreamTable,
+            upstreamLimits,
             retryBudget: new SharedRetryBudget({
                 limits: { ratio: 1, slack: 100, windowMs: 10_000 },
                 countEntries: () => 1,
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -29,6 +29,14 @@
 
 export type UpstreamOutcome = typeof UpstreamOutcome[keyof typeof UpstreamOutcome];
 
+/** Rate limit that a response of an upstream named, or the end of one. */
+export interface NamedLimit {
+    /** Requests a second from all entries together; undefined once the limit has been withdrawn. */
+    readonly perSecond: number | undefined;
+    /** When the response arrived, in monotonic milliseconds. */
+    readonly observedAtMs: number;
+}
+
 /** State of an upstream as known to this entry. */
 export interface UpstreamState {
     registration: Registration;
@@ -45,6 +53,8 @@
     /** Moving average of failures, in [0, 1]. */
     failureShare: number;
     ejectedUntilMs: number;
+    /** Rate limit that this entry saw last; undefined if it never saw one. */
+    namedLimit: NamedLimit | undefined;
 }
 
 /** Known upstreams and their state, by id. */
@@ -68,6 +78,7 @@
             failuresInRow: 0,
             failureShare: 0,
             ejectedUntilMs: -Infinity,
+            namedLimit: undefined,
         });
     }
 
@@ -88,6 +99,10 @@
         return this.list().filter(upstreamState => upstreamState.ejectedUntilMs > nowMs).length;
     }
 
+    countLimited(): number {
+        return this.list().filter(upstreamState => upstreamState.namedLimit?.perSecond !== undefined).length;
+    }
+
     /** Returns whether an upstream that was probed earlier may still get new requests. */
     isCurrent(upstreamState: UpstreamState): boolean {
         return this.statesById.get(upstreamState.registration.id) === upstreamState &&
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -14,6 +14,7 @@
     readonly isConfirmed: () => boolean;
     readonly upstreams: () => number;
     readonly ejectedUpstreams: () => number;
+    readonly limitedUpstreams: () => number;
 }
 
 /** Metrics of an entry that watches a directory. */
@@ -43,6 +44,11 @@
     readonly loadProbes = this.addCounter("figwharf_load_questions_total", "Questions for the load of upstreams", [
         "end",
     ]);
+    readonly limitedUpstreamMessages = this.addCounter(
+        "figwharf_limited_upstream_messages_total",
+        "Requests and load probes sent to upstreams that name a rate limit",
+        ["kind"],
+    );
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
@@ -60,6 +66,7 @@
             "Upstreams that are left out at the moment",
             gauges.ejectedUpstreams,
         );
+        this.addGauge("figwharf_upstreams_limited", "Upstreams that name a rate limit", gauges.limitedUpstreams);
     }
 
     private addCounter<Label extends string>(name: string, help: string, labelNames: readonly Label[]): Counter<Label> {
--- a/test/boundary.test.ts
+++ b/test/boundary.test.ts
@@ -8,6 +8,7 @@
 /** Headers, calls, fields and values of the platform's protocol, which only `platform/` may use. */
 const platformNamePatterns = [
     /x-figwharf-/i,
+    /server-limit/i,
     /figwharf\/(rpc|resolve|readyz)/,
     /FIGWHARF_BOOT/,
     /\b(seedNodes|nodeName|toleranceCounted|heartbeatAddr|warmupLeft|maxConcurrency|weightedBackends|routeType)\b/,
--- a/test/metricsPage.test.ts
+++ b/test/metricsPage.test.ts
@@ -15,6 +15,7 @@
         isConfirmed: () => false,
         upstreams: zero,
         ejectedUpstreams: zero,
+        limitedUpstreams: zero,
     });
     const directory = new DirectoryMetrics({
         isLeader: () => false,
