--- /dev/null
+++ b/src/gateway/limitFleet.ts
@@ -0,0 +1,285 @@
+import { ManualClock } from "../core/clock.js";
+import { SeededRandom } from "../core/random.js";
+import { type DirectoryLog, DirectoryService } from "../directory/directoryService.js";
+import { type DirectoryChange, DirectoryState } from "../directory/directoryState.js";
+import { DirectoryMethod, type HeartbeatReport } from "../directory/messages.js";
+import type { Registration } from "../directory/model.js";
+import { makeRegistration, makeTable } from "../directory/testing.js";
+import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { ProbeResult } from "./loadProber.js";
+import { Placer } from "./placer.js";
+import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
+import { type UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
+
+const stepMs = 20;
+const watchIntervalMs = 400;
+const reportIntervalMs = 1000;
+const workMs = 120;
+const msPerSecond = 1000;
+/** Rule of the platform: requests in any window of this length, and when a limit and an entry begin to count. */
+const ruleWindowMs = 4000;
+const ruleStartMs = 3000;
+const ruleToldMs = 500;
+const silentLogger = { debug: () => 0, info: () => 0, warn: () => 0, error: () => 0 };
+const zero = () => 0;
+
+/** Size of a simulated fleet. */
+export interface FleetScale {
+    readonly entryCount: number;
+    /** Availability zone of each control VM. */
+    readonly controlZones: readonly string[];
+    readonly instancesPerZone: number;
+    /** Requests a second and entry. */
+    readonly requestsPerSecond: number;
+}
+
+interface SimulatedInstance {
+    readonly registration: Registration;
+    /** Requests a second that it names; undefined when it names none. */
+    limitPerSecond: number | undefined;
+    namedSinceMs: number;
+    readonly arrivals: { readonly atMs: number; readonly entry: SimulatedEntry; readonly kind: MessageKind; }[];
+}
+
+/** An entry with its real placement code; messages to instances arrive instantly. */
+class SimulatedEntry {
+    readonly upstreamTable = new UpstreamStateTable();
+    readonly limits: UpstreamLimits;
+    readonly placer: Placer;
+    /** When a response with a limit was first passed on, by instance. */
+    readonly toldAtMs = new Map<string, number>();
+    isPartitioned = false;
+
+    constructor(readonly fleet: LimitFleet, readonly id: string, readonly zone: string, public control: number) {
+        const { clock, random } = fleet;
+        const metrics = new GatewayMetrics({
+            inFlight: zero,
+            directoryVersion: zero,
+            routesVersion: zero,
+            isConfirmed: () => true,
+            upstreams: zero,
+            ejectedUpstreams: zero,
+            limitedUpstreams: zero,
+        });
+        this.limits = new UpstreamLimits({ clock, logger: silentLogger, metrics });
+        this.placer = new Placer({
+            upstreamTable: this.upstreamTable,
+            prober: {
+                probeAll: candidates => Promise.resolve(candidates.map(state => this.probe(state))),
+                isConnected: () => true,
+            },
+            availabilityZone: zone,
+            probesPerSecond: () => 1000,
+            clock,
+            random,
+        });
+        fleet.instances.forEach(({ registration }) => this.upstreamTable.set(registration, clock.monotonicMs()));
+    }
+
+    /** Places a request; returns whether an instance got it. */
+    async send(): Promise<boolean> {
+        const nowMs = this.fleet.nowMs;
+        const placement = await this.placer.place({
+            service: makeTable(1).services[0],
+            excluded: new Set(),
+            priority: 1,
+            targetAtMs: nowMs + msPerSecond,
+            onTimeOnlyUntilMs: nowMs,
+            waitUntilMs: nowMs,
+            baselineMs: workMs,
+            isExchangeEnded: () => false,
+        });
+        if (placement === undefined) {
+            return false;
+        }
+        const { upstreamState } = placement;
+        const instance = this.arrive(upstreamState, MessageKind.request);
+        this.fleet.schedule(workMs, () => {
+            const { limitPerSecond } = instance;
+            if (limitPerSecond !== undefined && !this.toldAtMs.has(instance.registration.id)) {
+                this.toldAtMs.set(instance.registration.id, this.fleet.nowMs);
+            }
+            const statement = limitPerSecond === undefined
+                ? { kind: "none" } as const
+                : { kind: "limit", perSecond: limitPerSecond } as const;
+            this.limits.recordStatement(upstreamState, statement, MessageKind.request, true);
+        });
+        return true;
+    }
+
+    private probe(upstreamState: UpstreamState): ProbeResult {
+        this.arrive(upstreamState, MessageKind.probe);
+        upstreamState.load = { running: 0, waiting: 0, slots: 3, slowdown: 1 };
+        upstreamState.loadAskedAtMs = this.fleet.nowMs;
+        return this.lease(upstreamState);
+    }
+
+    private lease(upstreamState: UpstreamState): ProbeResult {
+        return { upstreamState, connection: { dispatcher: undefined as never, release: zero, discard: zero } };
+    }
+
+    private arrive(upstreamState: UpstreamState, kind: MessageKind): SimulatedInstance {
+        const instance = this.fleet.instance(upstreamState.registration.id);
+        instance.arrivals.push({ atMs: this.fleet.nowMs, entry: this, kind });
+        upstreamState.isUsed = true;
+        return instance;
+    }
+}
+
+interface SimulatedControl {
+    readonly service: DirectoryService;
+    readonly log: { isLeader: boolean; leaderAddress: string | undefined; };
+    isDown: boolean;
+}
+
+/** Entries and control VMs with the real decision code for limits; time and messages are simulated. */
+export class LimitFleet {
+    readonly clock = new ManualClock();
+    readonly random: SeededRandom;
+    readonly instances: SimulatedInstance[] = [];
+    readonly entries: SimulatedEntry[];
+    readonly controls: SimulatedControl[];
+    placedCount = 0;
+    refusedCount = 0;
+    private readonly scheduled: { readonly atMs: number; readonly run: () => void; }[] = [];
+
+    constructor(readonly scale: FleetScale, seed: number) {
+        this.random = new SeededRandom(seed);
+        const zones = [...new Set(scale.controlZones)];
+        zones.forEach(zone => {
+            for (let index = 0; index < scale.instancesPerZone; index++) {
+                const id = `i-${zone}-${index}`;
+                const registration = makeRegistration({ id, address: `${id}:80`, availabilityZone: zone });
+                this.instances.push({ registration, limitPerSecond: undefined, namedSinceMs: Infinity, arrivals: [] });
+            }
+        });
+        this.controls = scale.controlZones.map((_zone, index) => this.makeControl(index));
+        this.entries = Array.from({ length: scale.entryCount }, (_, index) => {
+            const control = index % scale.controlZones.length;
+            return new SimulatedEntry(this, `e-${index}`, scale.controlZones[control], control);
+        });
+    }
+
+    get nowMs(): number {
+        return this.clock.monotonicMs();
+    }
+
+    instance(id: string): SimulatedInstance {
+        const found = this.instances.find(({ registration }) => registration.id === id);
+        if (found === undefined) {
+            throw new Error(`there is no instance ${id}`);
+        }
+        return found;
+    }
+
+    /** Lets an instance name a limit, or none. */
+    nameLimit(instance: SimulatedInstance, limitPerSecond: number | undefined): void {
+        instance.limitPerSecond = limitPerSecond;
+        instance.namedSinceMs = Math.min(instance.namedSinceMs, this.nowMs);
+    }
+
+    schedule(delayMs: number, run: () => void): void {
+        this.scheduled.push({ atMs: this.nowMs + delayMs, run });
+    }
+
+    /** Runs the fleet for a time under steady demand. */
+    async run(durationMs: number): Promise<void> {
+        const endMs = this.nowMs + durationMs;
+        while (this.nowMs < endMs) {
+            await this.step();
+        }
+    }
+
+    /**
+     * Returns the largest excess over what the rule allows an instance to get in a window, which ends `ruleStartMs`
+     * after it first named a limit or later. Requests and load probes count, from entries that had been told.
+     */
+    findExcess(instance: SimulatedInstance, limitPerSecond: number): number {
+        const allowed = 1.5 * limitPerSecond * ruleWindowMs / msPerSecond + 5;
+        const told = instance.arrivals.filter(({ atMs, entry }) =>
+            (entry.toldAtMs.get(instance.registration.id) ?? Infinity) + ruleToldMs <= atMs
+        );
+        let excess = -Infinity;
+        told.forEach(({ atMs }) => {
+            if (atMs >= instance.namedSinceMs + ruleStartMs) {
+                const inWindow = told.filter(other => other.atMs > atMs - ruleWindowMs && other.atMs <= atMs).length;
+                excess = Math.max(excess, inWindow - allowed);
+            }
+        });
+        return excess;
+    }
+
+    /** Returns the requests a second, without probes, that an instance got since a time. */
+    measureRate(instance: SimulatedInstance, sinceMs: number): number {
+        const count = instance.arrivals.filter(({ atMs, kind }) => atMs >= sinceMs && kind === MessageKind.request);
+        return count.length * msPerSecond / (this.nowMs - sinceMs);
+    }
+
+    private async step(): Promise<void> {
+        this.clock.advance(stepMs);
+        const { nowMs } = this;
+        const due = this.scheduled.filter(({ atMs }) => atMs <= nowMs);
+        due.forEach(item => {
+            this.scheduled.splice(this.scheduled.indexOf(item), 1);
+            item.run();
+        });
+        this.controls.forEach((control, index) => {
+            if (!control.isDown && (nowMs + index * 100) % reportIntervalMs === 0) {
+                control.service.runMaintenance();
+            }
+        });
+        const { requestsPerSecond } = this.scale;
+        const work = this.entries.flatMap((entry, index) => {
+            const isWatching = (nowMs + index * stepMs) % watchIntervalMs === 0;
+            const isSending = this.random.nextUnit() < requestsPerSecond * stepMs / msPerSecond;
+            return [...(isWatching ? [this.watch(entry)] : []), ...(isSending ? [this.send(entry)] : [])];
+        });
+        await Promise.all(work);
+    }
+
+    private async send(entry: SimulatedEntry): Promise<void> {
+        const isPlaced = await entry.send();
+        this.placedCount += isPlaced ? 1 : 0;
+        this.refusedCount += isPlaced ? 0 : 1;
+    }
+
+    private async watch(entry: SimulatedEntry): Promise<void> {
+        const control = this.controls[entry.control];
+        if (entry.isPartitioned || control.isDown) {
+            return;
+        }
+        const { id, zone } = entry;
+        const report = { id, address: id, availabilityZone: zone, isServing: true };
+        await control.service.watch({ entry: report, version: 0, waitMs: 0 });
+    }
+
+    private makeControl(index: number): SimulatedControl {
+        const state = new DirectoryState();
+        this.instances.forEach(({ registration }) => state.apply({ kind: "register", registration }));
+        const log = {
+            isLeader: index === 0,
+            isLed: true,
+            leaderAddress: index === 0 ? undefined : "c-0",
+            selfId: `c-${index}`,
+            state,
+            members: { voters: [], learners: [] },
+            propose: (change: DirectoryChange) => Promise.resolve({ kind: "applied", result: state.apply(change) }),
+            confirmLeadership: () => Promise.resolve(log.isLeader),
+        };
+        const call = async (address: string, method: string, params: unknown): Promise<unknown> => {
+            const peer = this.controls[Number(address.split("-")[1])];
+            if (peer.isDown || method !== DirectoryMethod.reportHeartbeats) {
+                throw new Error("no answer");
+            }
+            return peer.service.recordHeartbeatReport(params as HeartbeatReport, `c-${index}`);
+        };
+        const service = new DirectoryService({
+            log: log as unknown as DirectoryLog & typeof log,
+            links: { isConnected: () => true, call, notify: () => undefined },
+            clock: this.clock,
+            logger: silentLogger,
+            heartbeatIntervalMs: 1e9,
+        });
+        return { service, log, isDown: false };
+    }
+}
