--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -325,7 +325,9 @@
             reason,
             retryAfterMs,
             attempts: this.attemptCount,
-            seen: reason === "no-room" ? this.dependencies.placer.describe(this.context.service) : undefined,
+            seen: reason === "no-room" || reason === "limited"
+                ? this.dependencies.placer.describe(this.context.service)
+                : undefined,
         });
         this.context.exchange.answer(answer);
     }
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -28,16 +28,18 @@
     readonly entryCount: number;
     /** Availability zone of each control VM. */
     readonly controlZones: readonly string[];
+    /** Instances of the service in each zone. */
     readonly instancesPerZone: number;
+    /** Zones with instances; all if undefined. */
+    readonly instanceZones?: readonly string[];
     /** Requests a second and entry. */
     readonly requestsPerSecond: number;
 }
 
 interface SimulatedInstance {
-    readonly registration: Registration;
-    /** Requests a second that it names; undefined when it names none. */
-    limitPerSecond: number | undefined;
-    namedSinceMs: number;
+    registration: Registration;
+    /** Limits that it named, in requests a second, with their times; undefined when it named none. */
+    namedLimits: { readonly atMs: number; readonly perSecond: number | undefined; }[];
     readonly arrivals: { readonly atMs: number; readonly entry: SimulatedEntry; readonly kind: MessageKind; }[];
 }
 
@@ -100,7 +102,7 @@
         const { upstreamState } = placement;
         const instance = this.arrive(upstreamState, MessageKind.request);
         this.fleet.schedule(workMs, () => {
-            const { limitPerSecond } = instance;
+            const limitPerSecond = instance.namedLimits.at(-1)?.perSecond;
             if (limitPerSecond !== undefined && !this.toldAtMs.has(instance.registration.id)) {
                 this.toldAtMs.set(instance.registration.id, this.fleet.nowMs);
             }
@@ -161,12 +163,12 @@
 
     constructor(readonly scale: FleetScale, seed: number) {
         this.random = new SeededRandom(seed);
-        const zones = [...new Set(scale.controlZones)];
+        const zones = scale.instanceZones ?? [...new Set(scale.controlZones)];
         zones.forEach(zone => {
             for (let index = 0; index < scale.instancesPerZone; index++) {
                 const id = `i-${zone}-${index}`;
                 const registration = makeRegistration({ id, address: `${id}:80`, availabilityZone: zone });
-                this.instances.push({ registration, limitPerSecond: undefined, namedSinceMs: Infinity, arrivals: [] });
+                this.instances.push({ registration, namedLimits: [], arrivals: [] });
             }
         });
         this.controls = scale.controlZones.map((_zone, index) => this.makeControl(index));
@@ -190,8 +192,53 @@
 
     /** Lets an instance name a limit, or none. */
     nameLimit(instance: SimulatedInstance, limitPerSecond: number | undefined): void {
-        instance.limitPerSecond = limitPerSecond;
-        instance.namedSinceMs = Math.min(instance.namedSinceMs, this.nowMs);
+        instance.namedLimits.push({ atMs: this.nowMs, perSecond: limitPerSecond });
+    }
+
+    /** Restarts an instance under its id; it names no limit until told otherwise. */
+    restartInstance(instance: SimulatedInstance): void {
+        const { id, bornAtMs } = instance.registration;
+        instance.registration = { ...instance.registration, bornAtMs: bornAtMs + 1 };
+        instance.namedLimits = [];
+        instance.arrivals.length = 0;
+        const { registration } = instance;
+        this.controls.forEach(control => control.service.register(registration));
+        this.entries.forEach(entry => {
+            entry.upstreamTable.set(registration, this.nowMs);
+            entry.toldAtMs.delete(id);
+        });
+    }
+
+    /** Restarts an entry, which forgets all limits. */
+    restartEntry(index: number): void {
+        const { id, zone, control } = this.entries[index];
+        this.entries[index] = new SimulatedEntry(this, id, zone, control);
+    }
+
+    /** Stops the leader; after an election, another control VM leads. */
+    changeLeader(electionMs: number): void {
+        const leader = this.controls.findIndex(({ log }) => log.isLeader);
+        if (leader < 0) {
+            return;
+        }
+        this.controls.forEach(({ log }) => {
+            log.isLeader = false;
+            log.leaderAddress = undefined;
+        });
+        this.schedule(electionMs, () => {
+            const next = (leader + 1) % this.controls.length;
+            this.controls.forEach(({ log }, index) => {
+                log.isLeader = index === next;
+                log.leaderAddress = index === next ? undefined : `c-${next}`;
+            });
+        });
+    }
+
+    /** Attaches an entry to another control VM. */
+    moveEntry(index: number): void {
+        const entry = this.entries[index];
+        entry.control = (entry.control + 1) % this.controls.length;
+        entry.limits.resetVersion();
     }
 
     schedule(delayMs: number, run: () => void): void {
@@ -208,20 +255,26 @@
 
     /**
      * Returns the largest excess over what the rule allows an instance to get in a window, which ends `ruleStartMs`
-     * after it first named a limit or later. Requests and load probes count, from entries that had been told.
+     * after it first named a limit or later. Requests and load probes count, from entries that had been told. After a
+     * change, the higher limit applies for `ruleStartMs`.
      */
-    findExcess(instance: SimulatedInstance, limitPerSecond: number): number {
-        const allowed = 1.5 * limitPerSecond * ruleWindowMs / msPerSecond + 5;
-        const told = instance.arrivals.filter(({ atMs, entry }) =>
-            (entry.toldAtMs.get(instance.registration.id) ?? Infinity) + ruleToldMs <= atMs
+    findExcess({ registration, namedLimits, arrivals }: SimulatedInstance): number {
+        const firstNamedAtMs = namedLimits.find(({ perSecond }) => perSecond !== undefined)?.atMs ?? Infinity;
+        const told = arrivals.filter(({ atMs, entry }) =>
+            (entry.toldAtMs.get(registration.id) ?? Infinity) + ruleToldMs <= atMs
         );
         let excess = -Infinity;
-        told.forEach(({ atMs }) => {
-            if (atMs >= instance.namedSinceMs + ruleStartMs) {
-                const inWindow = told.filter(other => other.atMs > atMs - ruleWindowMs && other.atMs <= atMs).length;
-                excess = Math.max(excess, inWindow - allowed);
+        for (const { atMs } of told) {
+            const startMs = atMs - ruleWindowMs;
+            const applying = namedLimits.filter(({ atMs: fromMs }, index) =>
+                fromMs <= atMs && (namedLimits.at(index + 1)?.atMs ?? Infinity) >= startMs - ruleStartMs
+            );
+            if (atMs >= firstNamedAtMs + ruleStartMs && applying.every(({ perSecond }) => perSecond !== undefined)) {
+                const limit = Math.max(...applying.map(({ perSecond }) => perSecond ?? 0));
+                const count = told.filter(other => other.atMs > startMs && other.atMs <= atMs).length;
+                excess = Math.max(excess, count - 1.5 * limit * ruleWindowMs / msPerSecond - 5);
             }
-        });
+        }
         return excess;
     }
 
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -81,8 +81,8 @@
     }
 
     /** Describes the upstreams of a service for the log, local availability zone first. */
-    describe(service: RoutedService): readonly UpstreamSnapshot[] {
-        const { upstreamTable, availabilityZone, clock } = this.options;
+    describe(service: RoutedService): readonly (UpstreamSnapshot & { readonly limitPerSecond: number | undefined; })[] {
+        const { upstreamTable, upstreamLimits, availabilityZone, clock } = this.options;
         const nowMs = clock.monotonicMs();
         const isInLocalZone = (upstreamState: UpstreamState) =>
             upstreamState.registration.availabilityZone === availabilityZone;
@@ -94,7 +94,10 @@
             ...candidates.filter(upstreamState => !isInLocalZone(upstreamState)),
         ]
             .slice(0, maxDescribedUpstreams)
-            .map(upstreamState => describeUpstream(upstreamState, nowMs));
+            .map(upstreamState => ({
+                ...describeUpstream(upstreamState, nowMs),
+                limitPerSecond: upstreamLimits.getLimit(upstreamState),
+            }));
     }
 
     /** Lets a waiting request use an upstream that has just completed another; returns whether one did. */
--- a/src/gateway/upstreamLimits.test.ts
+++ b/src/gateway/upstreamLimits.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { SeededRandom } from "../core/random.js";
 import { type FleetScale, LimitFleet } from "./limitFleet.js";
 
 /** The users' fleets: 17, 106 and 312 entries. */
@@ -9,23 +10,125 @@
 ];
 const settleMs = 6000;
 const observedMs = 40_000;
+/** Stated aim for the use of a limit under steady demand. */
+const usedShare = 0.8;
+
+function nameLimits(fleet: LimitFleet, limits: readonly number[]): void {
+    limits.forEach((limit, index) => fleet.nameLimit(fleet.instances[index], limit));
+}
 
 for (const scale of scales) {
-    test(`guards against an instance that gets more than the limit that it names: ${scale.entryCount}`, async t => {
+    const { entryCount } = scale;
+    test(`guards against an instance that gets more than the limit that it names: ${entryCount}`, async t => {
         const fleet = new LimitFleet(scale, 1);
         const limits = [0.4, 1.6, 10];
         await fleet.run(2000);
-        limits.forEach((limit, index) => fleet.nameLimit(fleet.instances[index], limit));
+        nameLimits(fleet, limits);
         await fleet.run(settleMs);
         const sinceMs = fleet.nowMs;
         await fleet.run(observedMs);
         limits.forEach((limit, index) => {
             const instance = fleet.instances[index];
-            t.true(
-                fleet.findExcess(instance, limit) <= 0,
-                `limit ${limit}: ${fleet.findExcess(instance, limit)} above`,
-            );
-            t.true(fleet.measureRate(instance, sinceMs) >= 0.8 * limit, `${fleet.measureRate(instance, sinceMs)} used`);
+            t.true(fleet.findExcess(instance) <= 0, `limit ${limit}: ${fleet.findExcess(instance)} above`);
+            const rate = fleet.measureRate(instance, sinceMs);
+            t.true(rate >= usedShare * limit, `limit ${limit}: ${rate} used`);
         });
+        t.is(fleet.refusedCount, 0, "the other instances serve the rest");
+    });
+
+    test(`guards against a single instance whose limit stays idle or is exceeded: ${entryCount}`, async t => {
+        const fleet = new LimitFleet({ ...scale, instancesPerZone: 1, instanceZones: ["a"] }, 1);
+        const [instance] = fleet.instances;
+        await fleet.run(2000);
+        fleet.nameLimit(instance, 0.4);
+        await fleet.run(settleMs);
+        const sinceMs = fleet.nowMs;
+        await fleet.run(observedMs);
+        t.true(fleet.findExcess(instance) <= 0, `${fleet.findExcess(instance)} above`);
+        t.true(fleet.measureRate(instance, sinceMs) >= usedShare * 0.4, `${fleet.measureRate(instance, sinceMs)} used`);
+        t.true(fleet.refusedCount > 0, "the rest is refused");
+    });
+
+    test(`guards against a service that starves when all its instances name limits at once: ${entryCount}`, async t => {
+        const fleet = new LimitFleet(scale, 1);
+        await fleet.run(2000);
+        const limits = fleet.instances.slice(0, 50).map((_instance, index) => 1 + index);
+        nameLimits(fleet, fleet.instances.map((_instance, index) => limits[index % limits.length]));
+        await fleet.run(settleMs);
+        const sinceMs = fleet.nowMs;
+        const refusedBefore = fleet.refusedCount;
+        await fleet.run(10_000);
+        fleet.instances.forEach(instance => t.true(fleet.findExcess(instance) <= 0, instance.registration.id));
+        const offered = fleet.instances.reduce((sum, { namedLimits }) => sum + (namedLimits.at(-1)?.perSecond ?? 0), 0);
+        const used = fleet.instances.reduce((sum, instance) => sum + fleet.measureRate(instance, sinceMs), 0);
+        const demand = scale.entryCount * scale.requestsPerSecond;
+        t.true(used >= usedShare * Math.min(offered, demand), `${used} used of ${offered}, ${demand} wanted`);
+        t.log(`used ${used} of ${offered}, demand ${demand}, refused ${fleet.refusedCount - refusedBefore}`);
     });
 }
+
+const changes = [
+    "rise",
+    "fall",
+    "withdraw",
+    "restart instance",
+    "restart entry",
+    "partition",
+    "leader",
+    "move",
+] as const;
+
+for (const [scaleIndex, seeds] of [[0, [1, 2, 3, 4, 5, 6]], [1, [1, 2]], [2, [1]]] as const) {
+    const scale = scales[scaleIndex];
+    for (const seed of seeds) {
+        const title = `guards against excess while limits, entries and the leader change: ${scale.entryCount}, ${seed}`;
+        test(title, async t => {
+            const random = new SeededRandom(seed);
+            const fleet = new LimitFleet(scale, seed);
+            nameLimits(fleet, [0.4, 1.6, 10, 2.5]);
+            const limited = fleet.instances.slice(0, 4);
+            for (let second = 0; second < 60; second++) {
+                await fleet.run(1000);
+                const instance = limited[random.nextInt(limited.length)];
+                const limit = instance.namedLimits.at(-1)?.perSecond ?? 2;
+                const entryIndex = random.nextInt(scale.entryCount);
+                limited.forEach(({ namedLimits }, index) => {
+                    if (namedLimits.at(-1)?.perSecond === undefined) {
+                        fleet.nameLimit(limited[index], 2);
+                    }
+                });
+                switch (changes[random.nextInt(2 * changes.length)]) {
+                    case "rise":
+                        fleet.nameLimit(instance, 3 * limit);
+                        break;
+                    case "fall":
+                        fleet.nameLimit(instance, limit / 3);
+                        break;
+                    case "withdraw":
+                        fleet.nameLimit(instance, undefined);
+                        break;
+                    case "restart instance":
+                        fleet.restartInstance(instance);
+                        break;
+                    case "restart entry":
+                        fleet.restartEntry(entryIndex);
+                        break;
+                    case "partition":
+                        fleet.entries.forEach(entry => entry.isPartitioned = false);
+                        fleet.entries[entryIndex].isPartitioned = true;
+                        break;
+                    case "leader":
+                        fleet.changeLeader(1500);
+                        break;
+                    case "move":
+                        fleet.moveEntry(entryIndex);
+                        break;
+                    default:
+                }
+                limited.forEach(checked =>
+                    t.true(fleet.findExcess(checked) <= 0, `${second} s: ${checked.registration.id}`)
+                );
+            }
+        });
+    }
+}
