Bound the work of the leader when limits change often

Each report of a limit asked a quorum for confirmation, so instances whose limits change with every response could keep the leader busy. Only a limit that begins or ends is now reported and divided at once, and reports during an allocation share the next one; other changes follow with the next watch call and the maintenance of each second. Found by reading.

--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -37,6 +37,9 @@
     private readonly shares = new LimitShares();
     private isLeading = false;
     private maintainedAt: Instant | undefined;
+    /** The allocation that is under way. */
+    private allocation: Promise<void> | undefined;
+    private mustAllocateAgain = false;
     private readonly memberEntries = new Map<
         string,
         { readonly entries: readonly EntryDemand[]; readonly receivedAtMs: number; }
@@ -59,25 +62,12 @@
 
     /** Records the limits in the report of an attached entry. */
     recordEntryReport({ limits }: EntryReport): void {
-        const nowMs = this.nowMs();
         if (this.options.log.isLeader) {
-            if ((limits ?? []).filter(report => this.observe(report, nowMs)).length > 0) {
+            if (this.observeAll(limits)) {
                 void this.allocate();
             }
-            return;
-        }
-        let hasNews = false;
-        for (const { id, bornAtMs, perSecond, ageMs: observationAgeMs } of limits ?? []) {
-            const known = this.pending.get(id);
-            hasNews ||= known === undefined || known.perSecond !== (perSecond ?? undefined);
-            this.pending.set(id, {
-                id,
-                bornAtMs,
-                perSecond: perSecond ?? undefined,
-                observedAtMs: nowMs - observationAgeMs,
-            });
         }
-        if (hasNews) {
+        else if ((limits ?? []).filter(report => this.addPending(report)).length > 0) {
             this.options.onObserved();
         }
     }
@@ -120,7 +110,12 @@
         answer: MemberLimits | undefined,
         sentAt: Instant,
     ): void {
-        reported?.forEach(({ id }) => this.pending.delete(id));
+        reported?.forEach(({ id, perSecond }) => {
+            // Another value was observed after the report.
+            if (this.pending.get(id)?.perSecond === perSecond) {
+                this.pending.delete(id);
+            }
+        });
         if (answer === undefined || this.options.log.isLeader) {
             return;
         }
@@ -146,11 +141,10 @@
         if (!this.options.log.isLeader) {
             return undefined;
         }
-        const nowMs = this.nowMs();
         if (entries !== undefined && entries !== null) {
-            this.memberEntries.set(memberId, { entries, receivedAtMs: nowMs });
+            this.memberEntries.set(memberId, { entries, receivedAtMs: this.nowMs() });
         }
-        if ((limits ?? []).filter(report => this.observe(report, nowMs)).length > 0) {
+        if (this.observeAll(limits)) {
             await this.allocate();
         }
         if (!this.shares.canAllocate(this.nowMs())) {
@@ -201,32 +195,56 @@
         }
     }
 
-    private observe(report: LimitReport, nowMs: number): boolean {
+    /** Records observations at the leader; returns whether a limit begins or ends. */
+    private observeAll(reports: readonly LimitReport[] | undefined): boolean {
         this.startLeading();
-        return this.shares.observe({ ...report, perSecond: report.perSecond ?? undefined }, nowMs);
+        const nowMs = this.nowMs();
+        return (reports ?? []).filter(report =>
+            this.shares.observe({ ...report, perSecond: report.perSecond ?? undefined }, nowMs)
+        ).length > 0;
+    }
+
+    /** Keeps an observation for the next report to the leader; returns whether a limit begins or ends. */
+    private addPending({ id, bornAtMs, perSecond: reported, ageMs: observationAgeMs }: LimitReport): boolean {
+        const perSecond = reported ?? undefined;
+        const observedAtMs = this.nowMs() - observationAgeMs;
+        const known = this.pending.get(id);
+        if (known !== undefined && known.observedAtMs > observedAtMs) {
+            return false;
+        }
+        this.pending.set(id, { id, bornAtMs, perSecond, observedAtMs });
+        return known === undefined || (known.perSecond === undefined) !== (perSecond === undefined);
     }
 
-    /** Allocates shares once a quorum has confirmed that no later leader existed; one that follows waits for expiry. */
+    /** Allocates shares; a call during an allocation is served by one more allocation after it. */
     private async allocate(): Promise<void> {
+        this.mustAllocateAgain = this.allocation !== undefined;
+        this.allocation ??= this.allocateOnce();
+        await this.allocation;
+    }
+
+    /** Allocates shares once a quorum has confirmed that no later leader exists; a later one waits for their expiry. */
+    private async allocateOnce(): Promise<void> {
         const { log, clock, listRegistrations } = this.options;
-        const at = readInstant(clock);
-        if (!await log.confirmLeadership() || !log.isLeader) {
-            return;
-        }
-        const nowMs = this.nowMs();
-        if (!this.shares.canAllocate(nowMs)) {
-            return;
+        do {
+            this.mustAllocateAgain = false;
+            const at = readInstant(clock);
+            if (!await log.confirmLeadership() || !log.isLeader || !this.shares.canAllocate(this.nowMs())) {
+                break;
+            }
+            const nowMs = this.nowMs();
+            const limits = this.shares.allocate({
+                nowMs,
+                expiresAtMs: at.monotonicMs + shareTtlMs,
+                entries: this.listAllDemands(nowMs),
+                registrations: listRegistrations(),
+            });
+            this.logChanges(limits);
+            this.validity = { at, validMs: shareTtlMs };
+            this.setLimits(limits);
         }
-        const expiresAtMs = at.monotonicMs + shareTtlMs;
-        const limits = this.shares.allocate({
-            nowMs,
-            expiresAtMs,
-            entries: this.listAllDemands(nowMs),
-            registrations: listRegistrations(),
-        });
-        this.logChanges(limits);
-        this.validity = { at, validMs: shareTtlMs };
-        this.setLimits(limits.map(limit => ({ ...limit })));
+        while (this.mustAllocateAgain);
+        this.allocation = undefined;
     }
 
     private listDemands(): readonly EntryDemand[] {
--- a/src/directory/limitShares.ts
+++ b/src/directory/limitShares.ts
@@ -79,7 +79,7 @@
         return this.limits.size;
     }
 
-    /** Records what an entry saw; returns whether it is news. */
+    /** Records what an entry saw; returns whether a limit begins or ends. */
     observe({ id, bornAtMs, perSecond, ageMs }: LimitReport, nowMs: number): boolean {
         const observedAtMs = nowMs - ageMs;
         const known = this.limits.get(id);
@@ -92,7 +92,7 @@
             this.limits.set(id, { id, bornAtMs, perSecond, observedAtMs, holdings, releasedAtMs, shares: new Map() });
             return true;
         }
-        const isNews = known.perSecond !== perSecond;
+        const isNews = (known.perSecond === undefined) !== (perSecond === undefined);
         known.perSecond = perSecond;
         known.observedAtMs = observedAtMs;
         return isNews;
@@ -115,7 +115,13 @@
                 wanting.some(entry => !unlimited.has(toZoneKey(entry.availabilityZone, registration.service)));
             this.share(limit, wanting, isRotating, holdingCounts, input);
         }
-        return [...this.limits.values()];
+        return [...this.limits.values()].map(({ id, bornAtMs, perSecond, observedAtMs, shares }) => ({
+            id,
+            bornAtMs,
+            perSecond,
+            observedAtMs,
+            shares,
+        }));
     }
 
     private removeEnded(registrations: readonly Registration[], nowMs: number): void {
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -35,7 +35,7 @@
     readonly clock: Clock;
     readonly logger: GatewayLogger;
     readonly metrics: GatewayMetrics;
-    /** Called when the control VM should learn of a limit. */
+    /** Called when a limit begins or ends, which the control VM should learn at once. */
     readonly onObserved: () => void;
 }
 
@@ -192,7 +192,7 @@
                 if (previousPerSecond !== perSecond) {
                     logger.info("upstream names a rate limit", { upstream, perSecond, in: kind });
                 }
-                if (!isSameLimit(previousPerSecond, perSecond)) {
+                if (previousPerSecond === undefined) {
                     onObserved();
                 }
                 break;
