Let only a successful response withdraw a limit

A rejection or an error can come from a part of an instance that does not know its limit; it withdrew the limit when it came more than a second after the last response that named one. Found by reading.

--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -26,6 +26,7 @@
 /** A retry starts only if more than this time remains until the timeout. */
 const minRetryRemainingMs = 10;
 
+const minServerErrorStatus = 500;
 const msPerSecond = 1000;
 
 /** Dependencies shared by all requests. */
@@ -168,8 +169,8 @@
                 upstreamState,
                 dialect.readRateLimit(head),
                 MessageKind.request,
-                // A rejection can come from a part of the instance that does not know the limit.
-                !isNotRun,
+                // Rejections and errors can come from a part of the instance that does not know the limit.
+                !isNotRun && head.status < minServerErrorStatus,
             );
         const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
