--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -208,7 +208,8 @@
     private addPending({ id, bornAtMs, perSecond: reported, ageMs: observationAgeMs }: LimitReport): boolean {
         const perSecond = reported ?? undefined;
         const observedAtMs = this.nowMs() - observationAgeMs;
-        const known = this.pending.get(id);
+        const known = this.pending.get(id) ??
+            this.limits.find(limit => limit.id === id && limit.bornAtMs === bornAtMs);
         if (known !== undefined && known.observedAtMs > observedAtMs) {
             return false;
         }
