Divide limits in time that grows with the shares, not with all pairs of entries and limits

The leader scanned and ranked all entries for each limit: 0.54 to 0.90 s of its event loop every second for 540 limits and 312 entries, long enough to lose elections (load average 21). Ties go to the entry with the fewest holdings, which spreads shares evenly without hashing; rendezvous scores are back in src/routing.

--- a/src/directory/limitShares.ts
+++ b/src/directory/limitShares.ts
@@ -1,5 +1,4 @@
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
-import { rendezvousScore } from "../core/rendezvous.js";
 import { type Registration, RegistrationState } from "./model.js";
 import { type EntryDemand, type LimitReport, maxHolders, usableRatePerSecond } from "./rateLimits.js";
 
@@ -104,16 +103,13 @@
         this.removeEnded(registrations, nowMs);
         const active = [...this.limits.values()].filter(limit => limit.perSecond !== undefined);
         const registrationsById = new Map(registrations.map(registered => [registered.id, registered]));
-        const unlimited = findUnlimited(registrations, new Set(active.map(limit => limit.id)));
+        const demand = new Demand(input, new Set(active.map(limit => limit.id)));
         const holdingCounts = countHoldings(active, nowMs);
         for (const limit of active) {
             const registration = registrationsById.get(limit.id);
-            const wanting = input.entries.filter(entry =>
-                registration !== undefined && isWanting(entry, registration, unlimited)
-            );
-            const isRotating = registration !== undefined &&
-                wanting.some(entry => !unlimited.has(toZoneKey(entry.availabilityZone, registration.service)));
-            this.share(limit, wanting, isRotating, holdingCounts, input);
+            if (registration !== undefined) {
+                this.share(limit, demand.find(registration), holdingCounts, input);
+            }
         }
         return [...this.limits.values()].map(({ id, bornAtMs, perSecond, observedAtMs, shares }) => ({
             id,
@@ -136,8 +132,7 @@
 
     private share(
         limit: LimitState,
-        wanting: readonly EntryDemand[],
-        isRotating: boolean,
+        { wanting, isRotating }: ZoneDemand,
         holdingCounts: Map<EntryId, number>,
         { nowMs, expiresAtMs }: AllocationInput,
     ): void {
@@ -182,19 +177,42 @@
     }
 }
 
-/** Returns the services with an instance without a limit, as `zone service`. */
-function findUnlimited(registrations: readonly Registration[], limitedIds: ReadonlySet<UpstreamId>): Set<string> {
-    return new Set(
-        registrations.filter(({ id, state }) => state === RegistrationState.ready && !limitedIds.has(id))
-            .map(({ availabilityZone, service }) => toZoneKey(availabilityZone, service)),
-    );
+/** The entries that need limited instances of one service and zone. */
+interface ZoneDemand {
+    readonly wanting: readonly EntryId[];
+    /** Whether some of them have no other instance, so that shares must move. */
+    readonly isRotating: boolean;
 }
 
-/** Entries use limited instances of other zones only if their own zone has no unlimited one of the service. */
-function isWanting(entry: EntryDemand, registration: Registration, unlimited: ReadonlySet<string>): boolean {
-    const { service, availabilityZone } = registration;
-    return entry.services.includes(service) &&
-        (entry.availabilityZone === availabilityZone || !unlimited.has(toZoneKey(entry.availabilityZone, service)));
+/** The entries that need limited instances, by zone and service. */
+class Demand {
+    /** Keys of zones and services that have an instance without a limit. */
+    private readonly unlimitedKeys: ReadonlySet<string>;
+    private readonly demandsByKey = new Map<string, ZoneDemand>();
+
+    constructor(private readonly input: AllocationInput, limitedIds: ReadonlySet<UpstreamId>) {
+        this.unlimitedKeys = new Set(
+            input.registrations.filter(({ id, state }) => state === RegistrationState.ready && !limitedIds.has(id))
+                .map(({ availabilityZone, service }) => toZoneKey(availabilityZone, service)),
+        );
+    }
+
+    find({ availabilityZone, service }: Registration): ZoneDemand {
+        const key = toZoneKey(availabilityZone, service);
+        const demand = this.demandsByKey.get(key) ?? this.compute(availabilityZone, service);
+        this.demandsByKey.set(key, demand);
+        return demand;
+    }
+
+    /** Entries use limited instances of other zones only if their own zone has no unlimited one of the service. */
+    private compute(availabilityZone: string, service: ServiceName): ZoneDemand {
+        const isWithoutOther = (entry: EntryDemand) =>
+            !this.unlimitedKeys.has(toZoneKey(entry.availabilityZone, service));
+        const wanting = this.input.entries.filter(entry =>
+            entry.services.includes(service) && (entry.availabilityZone === availabilityZone || isWithoutOther(entry))
+        );
+        return { wanting: wanting.map(({ id }) => id).sort(), isRotating: wanting.some(isWithoutOther) };
+    }
 }
 
 function toZoneKey(availabilityZone: string, service: ServiceName): string {
@@ -224,32 +242,27 @@
  * and among those the ones that have waited longest.
  */
 function chooseHolders(
-    { id: limitId, holdings, releasedAtMs }: LimitState,
-    wanting: readonly EntryDemand[],
+    { holdings, releasedAtMs }: LimitState,
+    wanting: readonly EntryId[],
     count: number,
     termMs: number,
     holdingCounts: ReadonlyMap<EntryId, number>,
     nowMs: number,
 ): readonly EntryId[] {
-    const rank = ({ id }: EntryDemand): readonly number[] => {
-        const holding = holdings.get(id);
-        const isInTerm = holding !== undefined && nowMs - holding.sinceMs < termMs;
-        return isInTerm
-            ? [0, holding.sinceMs, 0, 0]
-            : [
-                1,
-                (holdingCounts.get(id) ?? 0) - (holding === undefined ? 0 : 1),
-                holding === undefined ? releasedAtMs.get(id) ?? -Infinity : Infinity,
-                rendezvousScore(limitId, id),
-            ];
-    };
-    return wanting.map(entry => ({ id: entry.id, rank: rank(entry) }))
-        .sort((first, second) => compareRanks(first.rank, second.rank) || (first.id < second.id ? -1 : 1))
-        .slice(0, count)
-        .map(({ id }) => id);
-}
-
-function compareRanks(first: readonly number[], second: readonly number[]): number {
-    const index = first.findIndex((value, position) => value !== second[position]);
-    return index < 0 ? 0 : first[index] < second[index] ? -1 : 1;
+    const findSinceMs = (id: EntryId) => holdings.get(id)?.sinceMs ?? -Infinity;
+    const isInTerm = (id: EntryId) => nowMs - findSinceMs(id) < termMs && holdings.has(id);
+    const present = wanting.filter(isInTerm);
+    if (present.length >= count) {
+        return present.sort((first, second) => findSinceMs(first) - findSinceMs(second)).slice(0, count);
+    }
+    const candidates = wanting.filter(id => !isInTerm(id)).map(id => ({
+        id,
+        otherHoldings: (holdingCounts.get(id) ?? 0) - (holdings.has(id) ? 1 : 0),
+        releasedAtMs: holdings.has(id) ? Infinity : releasedAtMs.get(id) ?? -Infinity,
+    }));
+    candidates.sort((first, second) =>
+        first.otherHoldings - second.otherHoldings ||
+        (first.releasedAtMs < second.releasedAtMs ? -1 : first.releasedAtMs > second.releasedAtMs ? 1 : 0)
+    );
+    return [...present, ...candidates.slice(0, count - present.length).map(({ id }) => id)];
 }
--- a/src/routing/ownership.ts
+++ b/src/routing/ownership.ts
@@ -1,14 +1,17 @@
+import { createHash } from "node:crypto";
 import type { Catalogue } from "../catalogue/model.js";
 import type { EntryId, ServiceName } from "../core/ids.js";
-import { rendezvousScore } from "../core/rendezvous.js";
 import type { PeerView } from "../membership/view.js";
 
+const maxCachedScores = 100_000;
+const scoreCache = new Map<string, number>();
+
 /** Returns the entry that owns a service, by rendezvous hashing. */
 export function ownerOf(service: ServiceName, entryIds: Iterable<EntryId>): EntryId | undefined {
     let owner: EntryId | undefined;
     let ownerScore = -1;
     for (const id of entryIds) {
-        const score = rendezvousScore(service, id);
+        const score = rendezvousScoreOf(service, id);
         if (score > ownerScore || score === ownerScore && owner !== undefined && id < owner) {
             [owner, ownerScore] = [id, score];
         }
@@ -55,3 +58,16 @@
     const rank = ids.sort().indexOf(selfId);
     return Math.floor(limit / ids.length) + (rank < limit % ids.length ? 1 : 0);
 }
+
+function rendezvousScoreOf(service: ServiceName, id: EntryId): number {
+    const key = `${service}\n${id}`;
+    let score = scoreCache.get(key);
+    if (score === undefined) {
+        score = createHash("sha256").update(key).digest().readUIntBE(0, 6);
+        if (scoreCache.size >= maxCachedScores) {
+            scoreCache.clear();
+        }
+        scoreCache.set(key, score);
+    }
+    return score;
+}
