--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -2,12 +2,13 @@
 import type { ControlLogger } from "../control/options.js";
 import type { PeerLinks } from "../control/peerLinks.js";
 import type { ReplicatedLog } from "../control/replicatedLog.js";
-import { type Clock, readInstant } from "../core/clock.js";
+import type { Clock } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
+import { LeaderReports } from "./leaderReports.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
     DirectoryMethod,
@@ -23,8 +24,6 @@
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
-/** Timeout of a report to the leader; reports are sent every second. */
-const reportTimeoutMs = 900;
 /** Longest wait for the leader's confirmation of a read, and then for this VM to reach the confirmed revision. */
 const readTimeoutMs = 900;
 /** An instance expires after this many heartbeat intervals in which no control VM received a heartbeat. */
@@ -54,10 +53,7 @@
     private readonly attachedEntries = new AttachedEntries();
     private readonly entryCounts = new EntryCounts();
     private readonly limits: LimitCoordinator;
-    private hasLastReportSucceeded = true;
-    /** Whether a report to the leader is under way, and whether another one must follow it. */
-    private isReporting = false;
-    private mustReportAgain = false;
+    private readonly leaderReports: LeaderReports;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
     /** Instances that sent heartbeats since the last report to the leader. */
@@ -77,7 +73,16 @@
             listRegistrations: () => this.state.registrations.list(),
             listEntries: () => this.attachedEntries.listCounted(this.nowMs()),
             onChanged: () => this.notifyChange(),
-            onObserved: () => this.reportNews(),
+            onObserved: () => this.leaderReports.sendNews(),
+        });
+        this.leaderReports = new LeaderReports({
+            log,
+            links: options.links,
+            clock: options.clock,
+            logger: options.logger,
+            limits: this.limits,
+            countAttached: () => this.attachedEntries.count(this.nowMs()),
+            onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
         this.metrics = new DirectoryMetrics({
             isLeader: () => log.isLeader,
@@ -235,51 +240,11 @@
         else {
             this.leaderSinceMs = undefined;
             this.nonMemberSinceMs.clear();
-            if (log.leaderAddress !== undefined) {
-                void this.reportToLeader(log.leaderAddress, [...this.unreportedHeartbeatIds]);
-            }
+            void this.leaderReports.send([...this.unreportedHeartbeatIds]);
         }
         this.unreportedHeartbeatIds = new Set();
     }
 
-    /** Reports to the leader at once; what is observed during the call is reported after it. */
-    private reportNews(): void {
-        const { leaderAddress, isLeader } = this.options.log;
-        this.mustReportAgain = this.isReporting;
-        if (this.isReporting || isLeader || leaderAddress === undefined) {
-            return;
-        }
-        this.isReporting = true;
-        void this.reportToLeader(leaderAddress, []).then(() => {
-            this.isReporting = false;
-            if (this.mustReportAgain) {
-                this.reportNews();
-            }
-        });
-    }
-
-    private async reportToLeader(leaderAddress: string, ids: readonly UpstreamId[]): Promise<void> {
-        const { links, logger } = this.options;
-        const limitReport = this.limits.buildReport();
-        const entryCount = this.attachedEntries.count(this.nowMs());
-        const params: HeartbeatReport = { ids, entryCount, ...limitReport };
-        const sentAt = readInstant(this.options.clock);
-        try {
-            const answer = await links.call(leaderAddress, DirectoryMethod.reportHeartbeats, params, reportTimeoutMs) as
-                | HeartbeatReportAnswer
-                | null;
-            this.entryCounts.recordTotal(answer?.entryTotal ?? undefined, this.nowMs());
-            this.limits.applyAnswer(limitReport, answer?.limits ?? undefined, sentAt);
-            this.hasLastReportSucceeded = true;
-        }
-        catch (error) {
-            if (this.hasLastReportSucceeded) {
-                logger.info("report to the leader failed", { leaderAddress, reason: (error as Error).message });
-            }
-            this.hasLastReportSucceeded = false;
-        }
-    }
-
     private get state(): DirectoryState {
         return this.options.log.state;
     }
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -196,12 +196,14 @@
     private hasCapacityUntil({ excluded, waitUntilMs }: PlacementRequest, aheadCount: number): boolean {
         const { upstreamLimits } = this.options;
         const eligible = this.listEligible(waitUntilMs, excluded);
-        const hasUnlimited = eligible.some(upstreamState => !upstreamLimits.isLimited(upstreamState));
+        if (eligible.some(upstreamState => !upstreamLimits.isLimited(upstreamState))) {
+            return true;
+        }
         const permitCount = eligible.reduce(
             (sum, upstreamState) => sum + upstreamLimits.countPermitsUntil(upstreamState, waitUntilMs),
             0,
         );
-        return hasUnlimited || permitCount > aheadCount;
+        return permitCount > aheadCount;
     }
 
     /** Runs a round of probes and schedules the next one while requests wait. */
