Keep a limit's end at the entries after the control VMs have forgotten it

Found by reading: an entry that had seen a limit itself, and learned of its end from the control VM, took it for limited again once the control VMs dropped the ended limit after 10 s, and reported it anew; the instance then got few requests until a response withdrew the limit once more. The entry now records the end as if it had seen it. The new test failed before (limited after the row is gone); the other new test guards against the opposite fault, a limit that all forget when the control VMs restart.

--- a/src/gateway/limitPermits.test.ts
+++ b/src/gateway/limitPermits.test.ts
@@ -129,6 +129,27 @@
     t.true(setup.limits.isLimited(setup.upstreamState), "another entry saw it again");
 });
 
+test("guards against a limit that comes back when the control VM forgets its end", t => {
+    const setup = new LimitsSetup();
+    setup.name(limit);
+    setup.clock.advance(1000);
+    setup.applyShare(0, undefined);
+    t.false(setup.limits.isLimited(setup.upstreamState), "another entry saw its end");
+    setup.limits.apply({ version: setup.limits.version + 1, validMs, rows: [] }, readInstant(setup.clock));
+    t.false(setup.limits.isLimited(setup.upstreamState));
+    t.deepEqual(setup.limits.listUnreported(), []);
+});
+
+test("guards against a limit that is forgotten when all control VMs restart", t => {
+    const setup = new LimitsSetup();
+    setup.name(limit);
+    setup.clock.advance(1000);
+    setup.applyShare(1, 2);
+    setup.limits.apply({ version: setup.limits.version + 1, validMs, rows: [] }, readInstant(setup.clock));
+    t.true(setup.limits.isLimited(setup.upstreamState));
+    t.like(setup.limits.listUnreported(), [{ perSecond: 2 }]);
+});
+
 test("guards against reports that repeat what the control VM knows", t => {
     const setup = new LimitsSetup();
     t.deepEqual(setup.limits.listUnreported(), []);
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -165,6 +165,15 @@
                 perSecond: row.perSecond ?? undefined,
                 observedAtMs: nowMs - row.ageMs,
             }]));
+            this.options.upstreamTable.list().forEach(upstreamState => this.adoptWithdrawal(upstreamState));
+        }
+    }
+
+    /** Records a withdrawal that another entry saw, since the control VMs keep it only for a time. */
+    private adoptWithdrawal(upstreamState: UpstreamState): void {
+        const row = this.findRow(upstreamState);
+        if (row !== undefined && row.perSecond === undefined && !this.isLimited(upstreamState)) {
+            upstreamState.namedLimit = { perSecond: undefined, observedAtMs: row.observedAtMs };
         }
     }
 
