--- a/src/directory/limitShares.ts
+++ b/src/directory/limitShares.ts
@@ -2,7 +2,10 @@
 import { type Registration, RegistrationState } from "./model.js";
 import { type EntryDemand, type LimitReport, maxHolders, usableRatePerSecond } from "./rateLimits.js";
 
-/** Time for which a share may be used without renewal; longer than an election of a leader usually takes. */
+/**
+ * Time for which a share may be used without renewal, and for which a new leader waits. Longer than an election usually
+ * takes, so that the shares of the previous leader outlast it.
+ */
 export const shareTtlMs = 4000;
 /** Time for which a withdrawn limit is kept, so that all entries learn of it. */
 const withdrawnRetentionMs = 10_000;
@@ -108,7 +111,7 @@
         for (const limit of active) {
             const registration = registrationsById.get(limit.id);
             if (registration !== undefined) {
-                this.share(limit, demand.find(registration), holdingCounts, input);
+                this.divide(limit, demand.find(registration), holdingCounts, input);
             }
         }
         return [...this.limits.values()].map(({ id, bornAtMs, perSecond, observedAtMs, shares }) => ({
@@ -130,20 +133,15 @@
         }
     }
 
-    private share(
+    /** Divides one limit into equal shares, as far as they are not reserved by grants that have not expired. */
+    private divide(
         limit: LimitState,
         { wanting, isRotating }: ZoneDemand,
         holdingCounts: Map<EntryId, number>,
         { nowMs, expiresAtMs }: AllocationInput,
     ): void {
         const { holdings } = limit;
-        for (const [id, holding] of holdings) {
-            holding.grants = holding.grants.filter(grant => grant.expiresAtMs > nowMs);
-            if (holding.grants.length === 0) {
-                holdings.delete(id);
-                limit.releasedAtMs.set(id, nowMs);
-            }
-        }
+        removeExpired(limit, nowMs);
         const limitPerSecond = limit.perSecond ?? 0;
         const holderCount = Math.min(maxHolders(limitPerSecond), wanting.length);
         const target = 1 / Math.max(1, holderCount);
@@ -157,26 +155,41 @@
             const reserved = findReserved(holding);
             const share = Math.min(target, reserved + Math.max(0, free));
             if (share < minShare - roundingTolerance) {
+                // Too small for a whole request; it waits until more of the limit is free.
                 continue;
             }
             free -= Math.max(0, share - reserved);
-            const last = holding.grants.at(-1);
-            if (last?.share === share) {
-                last.expiresAtMs = expiresAtMs;
-            }
-            else {
-                holding.grants.push({ share, expiresAtMs });
-            }
             if (!holdings.has(id)) {
                 holdings.set(id, holding);
                 holdingCounts.set(id, (holdingCounts.get(id) ?? 0) + 1);
             }
+            addGrant(holding, share, expiresAtMs);
             shares.set(id, share);
         }
         limit.shares = shares;
     }
 }
 
+function removeExpired({ holdings, releasedAtMs }: LimitState, nowMs: number): void {
+    for (const [id, holding] of holdings) {
+        holding.grants = holding.grants.filter(grant => grant.expiresAtMs > nowMs);
+        if (holding.grants.length === 0) {
+            holdings.delete(id);
+            releasedAtMs.set(id, nowMs);
+        }
+    }
+}
+
+function addGrant({ grants }: Holding, share: number, expiresAtMs: number): void {
+    const last = grants.at(-1);
+    if (last?.share === share) {
+        last.expiresAtMs = expiresAtMs;
+    }
+    else {
+        grants.push({ share, expiresAtMs });
+    }
+}
+
 /** The entries that need limited instances of one service and zone. */
 interface ZoneDemand {
     readonly wanting: readonly EntryId[];
