Read and write homes, public routes and warmup limits of a configuration

Cause: these fields were ignored, so a configuration that held them did not read back as it was sent.

--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -39,6 +39,10 @@
     readonly targets: readonly WeightedService[];
     /** Whether the operator wrote the targets as a weighted split; preserved when the table is read back. */
     readonly isSplit: boolean;
+    /** Whether requests need no key although organisations are configured; undefined if not stated. */
+    readonly isPublic?: boolean;
+    /** Regions whose instances may get the requests; undefined if all may. */
+    readonly homes?: readonly string[];
 }
 
 /** Returns the kind of a route's requests, also for routes stored without one. */
@@ -63,6 +67,25 @@
     /** Protocol of the instances, as written by the operator. */
     readonly protocol: string | undefined;
     readonly isTls: boolean | undefined;
+    /** Time for which an instance is cold after its start; undefined if instances need no warmup. */
+    readonly warmupMs?: number;
+    /** Requests a second that a cold instance tolerates from all entries together. */
+    readonly warmupPerSecond?: number;
+}
+
+/** A customer of the operators whose callers authenticate with keys. */
+export interface Organisation {
+    readonly name: string;
+    /** Secrets of its callers. */
+    readonly keys: readonly string[];
+    /** Takes precedence over the priority of the route; 0 is the highest, undefined if the route's applies. */
+    readonly priority?: number;
+    /** Quota over all entries together; undefined or 0 without a limit. */
+    readonly ratePerSecond?: number;
+    /** Requests beyond the rate that the quota allows at once. */
+    readonly burst?: number;
+    /** Regions whose instances may get the requests; undefined if all may. */
+    readonly homes?: readonly string[];
 }
 
 /** Limits on a caller's request at an entry. */
@@ -80,6 +103,8 @@
     readonly limits: CallerLimits;
     readonly hosts: readonly HostRoutes[];
     readonly services: readonly RoutedService[];
+    /** Undefined if no key is required. */
+    readonly organisations?: readonly Organisation[];
 }
 
 /** Table of a directory without a configuration. */
