Order and reject requests by worth for instance time while capacity is insufficient

Cause: a waiting request was placed by priority and deadline at its entry only. One that could no longer be on time kept its place, and one that the capacity did not reach was held until its wait ended. A kind or organisation below half of the mean precedes the others.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -14,6 +14,7 @@
 import { GatewayRequestHandler } from "./gatewayRequestHandler.js";
 import { LoadProber } from "./loadProber.js";
 import type { GatewayOptions } from "./options.js";
+import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
@@ -103,6 +104,9 @@
             limits: upstreamLimits,
         });
         const { watch } = this;
+        const overloadControl = options.isOverloadControlled === true
+            ? new OverloadControl({ logger, metrics })
+            : undefined;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
         const dependencies: RequestDependencies = {
             placer: new Placer({
@@ -113,6 +117,7 @@
                 probesPerSecond: () => options.probesPerUpstreamSecond / countEntries(),
                 clock,
                 random,
+                makeQueuePolicy: overloadControl && (service => overloadControl.makeQueuePolicy(service)),
             }),
             upstreamTable: this.upstreamTable,
             upstreamLimits,
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -12,7 +12,7 @@
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
 import type { LeasedPlacement, Placer } from "./placer.js";
-import { drawRetryAfterMs, RefusalCause, type RefusedRequest } from "./refusals.js";
+import { drawRetryAfterMs, minRejectedAgeMs, RefusalCause, type RefusedRequest } from "./refusals.js";
 import { RequestTimes } from "./requestTimes.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
@@ -152,6 +152,8 @@
             service,
             excluded: this.excluded,
             priority: route.priority,
+            kind: route.name,
+            wasRejected: this.context.callerAgeMs >= minRejectedAgeMs,
             ...this.times.computeWaitLimits(startMs, baselineMs),
             isExchangeEnded: () => exchange.isEnded,
         });
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -38,6 +38,8 @@
     readonly retries: RetryLimits;
     /** Limit on load probes per second and upstream, over all entries; a service's upstreams share the sum. */
     readonly probesPerUpstreamSecond: number;
+    /** Whether requests are ordered and refused by their worth while capacity is insufficient; default false. */
+    readonly isOverloadControlled?: boolean;
     readonly stop: ShutdownTimes;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -117,6 +117,12 @@
     readonly waitUntilMs: number;
     /** Expected duration at a cost of 1. */
     readonly baselineMs: number;
+    /** Requests of a kind have the same route and priority; undefined where requests are not told apart. */
+    readonly kind?: string | undefined;
+    /** Organisation of the caller; undefined where none are configured. */
+    readonly organisation?: string | undefined;
+    /** Whether the caller was probably rejected before. */
+    readonly wasRejected?: boolean | undefined;
 }
 
 /**
--- a/src/gateway/placer.test.ts
+++ b/src/gateway/placer.test.ts
@@ -6,6 +6,7 @@
 import type { InstanceLoad } from "./dialect.js";
 import type { ProbeResult } from "./loadProber.js";
 import { type LeasedPlacement, Placer } from "./placer.js";
+import { type QueuePolicy, WorthQueuePolicy } from "./queuePolicy.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
 import { type UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
@@ -20,7 +21,7 @@
     private readonly clock = new SystemClock();
     private readonly loads = new Map<string, InstanceLoad>();
 
-    constructor(loads: readonly InstanceLoad[]) {
+    constructor(loads: readonly InstanceLoad[], makeQueuePolicy?: () => QueuePolicy) {
         const { upstreamTable, clock } = this;
         loads.forEach((load, index) => {
             const registration = makeRegistration({ id: `i-${index}`, address: `10.0.0.${index}:80` });
@@ -45,6 +46,7 @@
             probesPerSecond: () => 1000,
             clock,
             random: new SeededRandom(1),
+            makeQueuePolicy,
         });
     }
 
@@ -106,3 +108,14 @@
     t.like(seen, { upstream: "i-0", busy: 3, slots: 3, slowdown: 5, isEjected: false, isDraining: false });
     t.is(typeof seen.ageMs, "number");
 });
+
+test("guards against waits for capacity that is known to be insufficient", async t => {
+    const shed: string[] = [];
+    const observer = { onShortage: () => shed.push("shortage"), onShed: () => shed.push("shed") };
+    const setup = new PlacerSetup([full], () => new WorthQueuePolicy(observer));
+    t.is(await setup.place(1), undefined, "nothing is known before the first wait has ended");
+    const kept = setup.place(200);
+    t.is(await setup.place(longWaitMs), undefined, "one request waits for freed capacity, the other is refused");
+    t.deepEqual(shed, ["shortage", "shed"]);
+    t.is(await kept, undefined);
+});
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -6,14 +6,13 @@
 import type { LoadProber, ProbeResult } from "./loadProber.js";
 import {
     describeUpstream,
-    isQueueTooLong,
     isWorthProbing,
     orderForProbing,
     placeRequest,
-    sortWaiting,
     type UpstreamSnapshot,
     type WaitingRequest,
 } from "./placement.js";
+import { countAhead, PriorityQueuePolicy, type QueuePolicy } from "./queuePolicy.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 import type { UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
@@ -64,6 +63,8 @@
     readonly probesPerSecond: () => number;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Creates the queue policy of a service; undefined for the order by priority. */
+    readonly makeQueuePolicy?: ((service: ServiceName) => QueuePolicy) | undefined;
 }
 
 /** Places requests on upstreams with free capacity. */
@@ -145,8 +146,11 @@
     private hasNewRequest = false;
     private probeTimer: NodeJS.Timeout | undefined;
     private placedAtMs: number[] = [];
+    private readonly policy: QueuePolicy;
 
-    constructor(private readonly service: ServiceName, private readonly options: PlacerOptions) {}
+    constructor(private readonly service: ServiceName, private readonly options: PlacerOptions) {
+        this.policy = options.makeQueuePolicy?.(service) ?? new PriorityQueuePolicy();
+    }
 
     get waitingCount(): number {
         return this.waiting.size;
@@ -154,11 +158,12 @@
 
     place(request: PlacementRequest): Promise<LeasedPlacement | undefined> {
         const nowMs = this.nowMs();
-        const aheadCount = [...this.waiting].filter(other => other.priority <= request.priority).length;
-        if (
-            !this.hasCapacityUntil(request, aheadCount) ||
-            isQueueTooLong(aheadCount, this.measurePlacementRate(nowMs), request.waitUntilMs - nowMs)
-        ) {
+        const placedPerSecond = this.measurePlacementRate(nowMs);
+        if (!this.hasCapacityUntil(request, countAhead(request, this.waiting))) {
+            return Promise.resolve(undefined);
+        }
+        if (this.policy.isRefused(request, this.waiting, placedPerSecond, nowMs)) {
+            this.policy.record(request, false, nowMs);
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
@@ -169,6 +174,9 @@
             };
             const waitingPlacement: WaitingPlacement = { ...request, settle };
             this.waiting.add(waitingPlacement);
+            this.policy.selectRefused([...this.waiting], placedPerSecond, nowMs).forEach(refused =>
+                this.settle(refused, undefined)
+            );
             void this.probeUpstreams();
         });
     }
@@ -288,7 +296,7 @@
     private match(probeResults: readonly ProbeResult[]): readonly ProbeResult[] {
         const nowMs = this.nowMs();
         const unusedResults = new Map(probeResults.map(probeResult => [probeResult.upstreamState, probeResult]));
-        for (const waitingPlacement of sortWaiting([...this.waiting], nowMs)) {
+        for (const waitingPlacement of this.policy.sort([...this.waiting], nowMs)) {
             if (waitingPlacement.isExchangeEnded()) {
                 this.settle(waitingPlacement, undefined);
                 continue;
@@ -318,6 +326,9 @@
 
     private settle(waitingPlacement: WaitingPlacement, placement: LeasedPlacement | undefined): void {
         this.waiting.delete(waitingPlacement);
+        if (placement !== undefined || !waitingPlacement.isExchangeEnded()) {
+            this.policy.record(waitingPlacement, placement !== undefined, this.nowMs());
+        }
         waitingPlacement.settle(placement);
     }
 
--- a/src/gateway/refusals.ts
+++ b/src/gateway/refusals.ts
@@ -37,6 +37,8 @@
 const capacityRetryAfterShare = 0.15;
 const capacityJitterShare = 0.17;
 const minCapacityRetryAfterMs = 100;
+/** A caller that has waited this long, in ms, was probably refused before; an earlier retry follows no lack of capacity. */
+export const minRejectedAgeMs = minCapacityRetryAfterMs;
 
 /**
  * Draws the delay in milliseconds after which a refused caller retries. The caller of a shed request retries
