Keep instances that reset connections when full below a learned limit

Cause: a reset of a nearly full instance only counted towards its ejection, and the instance was filled up again. A non-idempotent request that is reset may have run and is lost. Change: src/overload/concurrencyLimit.ts learns the most requests at an instance from resets of requests and probes while it is nearly full; the limit rises by one after 15 s, doubled with each further reset. Placement respects it, and such a reset counts as a refusal for the health of the instance. In force where the settings bound the recovery from overload.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -82,6 +82,9 @@
             onObserved: () => this.watch.report(),
         });
         const { upstreamLimits } = this;
+        const overloadControl = options.isOverloadControlled === true
+            ? new OverloadControl({ logger, metrics })
+            : undefined;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
@@ -89,6 +92,7 @@
             dialect,
             clock,
             metrics,
+            overloadControl,
         });
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
@@ -104,9 +108,6 @@
             limits: upstreamLimits,
         });
         const { watch } = this;
-        const overloadControl = options.isOverloadControlled === true
-            ? new OverloadControl({ logger, metrics })
-            : undefined;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
         const dependencies: RequestDependencies = {
             placer: new Placer({
@@ -129,6 +130,7 @@
             }),
             durationEstimates: new DurationEstimates(),
             bufferBudget: new BufferBudget(limits.bufferedBytes),
+            overloadControl,
             dialect,
             metrics,
             logger,
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -5,19 +5,25 @@
 import type { Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
-import type { GeneratedAnswer, ResponseHead } from "../requests/model.js";
+import { AttemptFailure, type GeneratedAnswer, type ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
 import { type AttemptResult, GatewayAttempt, isConnectionReusable, toUpstreamOutcome } from "./gatewayAttempt.js";
 import type { GatewayExchange } from "./gatewayExchange.js";
 import type { GatewayLogger } from "./options.js";
+import type { OverloadControl } from "./overloadControl.js";
 import type { LeasedPlacement, Placer } from "./placer.js";
 import { drawRetryAfterMs, minRejectedAgeMs, RefusalCause, type RefusedRequest } from "./refusals.js";
 import { RequestTimes } from "./requestTimes.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
-import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
+import {
+    recordReportedLoad,
+    UpstreamOutcome,
+    type UpstreamState,
+    type UpstreamStateTable,
+} from "./upstreamStateTable.js";
 
 /** The deadline sent to the upstream is this long after the request's timeout, but never after the caller's. */
 const upstreamGraceMs = 80;
@@ -37,6 +43,8 @@
     readonly retryBudget: SharedRetryBudget;
     readonly durationEstimates: DurationEstimates;
     readonly bufferBudget: BufferBudget;
+    /** Undefined where the settings do not ask for it. */
+    readonly overloadControl?: OverloadControl | undefined;
     readonly dialect: Dialect;
     readonly metrics: GatewayMetrics;
     readonly logger: GatewayLogger;
@@ -222,8 +230,7 @@
             ? undefined
             : this.dependencies.dialect.readLoad(attempt.responseHead);
         if (load !== undefined) {
-            upstreamState.load = load;
-            upstreamState.loadAskedAtMs = this.nowMs();
+            recordReportedLoad(upstreamState, load, this.nowMs());
         }
     }
 
@@ -235,9 +242,14 @@
         // Neither a cancelled attempt nor one with an unusable upload counts; the upstream may not be the cause.
         const isIgnoredForHealth = "failure" in attemptResult &&
             (attemptResult.failure === "cancelled" || this.upload?.isUnusable === true);
+        // An upstream that resets connections when it is full is healthy below its limit.
+        const wasFull = !isIgnoredForHealth && "failure" in attemptResult &&
+            attemptResult.failure === AttemptFailure.reset &&
+            this.dependencies.overloadControl?.recordReset(upstreamState, this.nowMs()) === true;
+        const outcome = wasFull ? UpstreamOutcome.refused : toUpstreamOutcome(attemptResult);
         if (
             !isIgnoredForHealth &&
-            this.dependencies.upstreamTable.recordOutcome(upstreamState, toUpstreamOutcome(attemptResult), this.nowMs())
+            this.dependencies.upstreamTable.recordOutcome(upstreamState, outcome, this.nowMs())
         ) {
             metrics.ejections.inc({ service: service.name });
             this.log("ejected an upstream", {
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -4,9 +4,15 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
+import type { OverloadControl } from "./overloadControl.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
-import { UpstreamOutcome, type UpstreamState, type UpstreamStateTable } from "./upstreamStateTable.js";
+import {
+    recordReportedLoad,
+    UpstreamOutcome,
+    type UpstreamState,
+    type UpstreamStateTable,
+} from "./upstreamStateTable.js";
 
 /** Timeout for the response; a later one is useless because the load has changed by then. */
 const probeTimeoutMs = 40;
@@ -35,6 +41,8 @@
     readonly dialect: Dialect;
     readonly clock: Clock;
     readonly metrics: GatewayMetrics;
+    /** Undefined where the settings do not ask for it. */
+    readonly overloadControl?: OverloadControl | undefined;
 }
 
 /** Probes upstreams for their load just before a request is placed. */
@@ -69,7 +77,7 @@
     }
 
     private async probeOne(upstreamState: UpstreamState, healthPath: string): Promise<ProbeResult | undefined> {
-        const { upstreamTable, upstreamLimits, connections, dialect, clock, metrics } = this.options;
+        const { upstreamTable, upstreamLimits, connections, dialect, clock, metrics, overloadControl } = this.options;
         const probedAtMs = clock.monotonicMs();
         const { address, id } = upstreamState.registration;
         const connection = connections.lease(address, probedAtMs);
@@ -77,14 +85,20 @@
             return undefined;
         }
         upstreamLimits.recordSent(upstreamState, MessageKind.probe);
-        const head = await fetchHead(connection.dispatcher, healthPath);
+        const { head, isReset } = await fetchHead(connection.dispatcher, healthPath);
         // A duplicate of an earlier response on the connection states the id of its request.
         const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
             (dialect.readUpstreamId(head) ?? id) === id;
         if (!isMatchingResponse || head.status !== 200) {
             connection.discard();
             metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
-            upstreamTable.recordOutcome(upstreamState, UpstreamOutcome.broken, clock.monotonicMs());
+            const nowMs = clock.monotonicMs();
+            const wasFull = isReset && overloadControl?.recordReset(upstreamState, nowMs) === true;
+            upstreamTable.recordOutcome(
+                upstreamState,
+                wasFull ? UpstreamOutcome.refused : UpstreamOutcome.broken,
+                nowMs,
+            );
             return undefined;
         }
         metrics.loadProbes.inc({ end: "answered" });
@@ -92,23 +106,28 @@
         upstreamLimits.recordStatement(upstreamState, dialect.readRateLimit(head), MessageKind.probe, false);
         const load = dialect.readLoad(head);
         if (load !== undefined) {
-            upstreamState.load = load;
-            upstreamState.loadAskedAtMs = probedAtMs;
+            recordReportedLoad(upstreamState, load, probedAtMs);
         }
         return { upstreamState, connection };
     }
 }
 
-/** Returns the head of the response; undefined when the request fails or times out. */
-function fetchHead(dispatcher: Dispatcher, path: string): Promise<ResponseHead | undefined> {
+interface ProbeResponse {
+    /** Undefined when the request fails or times out. */
+    readonly head: ResponseHead | undefined;
+    /** Whether the connection was closed or reset after the request had been sent on it. */
+    readonly isReset: boolean;
+}
+
+function fetchHead(dispatcher: Dispatcher, path: string): Promise<ProbeResponse> {
     return new Promise(resolve => {
         let controller: Dispatcher.DispatchController | undefined;
         let head: ResponseHead | undefined;
         let isFinished = false;
-        const finish = (result: ResponseHead | undefined) => {
+        const finish = (result: ResponseHead | undefined, isReset = false) => {
             isFinished = true;
             clearTimeout(timer);
-            resolve(result);
+            resolve({ head: result, isReset });
         };
         const onProbeTimeout = () => {
             finish(undefined);
@@ -131,7 +150,7 @@
             onResponseData: () => undefined,
             onResponseEnd: () => finish(head),
             // Treated like a missing response.
-            onResponseError: () => finish(undefined),
+            onResponseError: (_controller, error) => finish(undefined, controller !== undefined && isClosed(error)),
         };
         try {
             dispatcher.dispatch({ method: "GET", path }, handler);
@@ -142,3 +161,9 @@
         }
     });
 }
+
+const closedCodes = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
+
+function isClosed(error: NodeJS.ErrnoException): boolean {
+    return closedCodes.has(error.code ?? "");
+}
--- a/src/gateway/placement.test.ts
+++ b/src/gateway/placement.test.ts
@@ -100,6 +100,14 @@
     });
 }
 
+test("guards against the last slot of an upstream that resets connections when it is full", t => {
+    const [upstreamState] = makeUpstreamStates([{ load: load(3, 4) }]);
+    t.not(choosePlacement([upstreamState], true, new SeededRandom(1), nowMs), undefined);
+    upstreamState.concurrencyLimit = { maxOutstanding: 3, recoversAtMs: nowMs + 1, recoveryMs: 15_000 };
+    t.is(choosePlacement([upstreamState], true, new SeededRandom(1), nowMs), undefined);
+    t.not(choosePlacement([upstreamState], true, new SeededRandom(1), nowMs + 1), undefined);
+});
+
 test("guards against ejections that leave a service without upstreams", t => {
     const upstreamTable = new UpstreamStateTable();
     upstreamTable.set(makeRegistration(), nowMs);
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,6 +1,7 @@
 import type { UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import { RegistrationState } from "../directory/model.js";
+import { getMaxOutstanding } from "../overload/concurrencyLimit.js";
 import type { UpstreamState } from "./upstreamStateTable.js";
 
 /**
@@ -47,6 +48,11 @@
     return upstreamState.load.running + upstreamState.load.waiting + sentSinceProbe;
 }
 
+/** Returns the slots of an upstream, as last reported. */
+export function getSlots({ load, registration }: UpstreamState): number {
+    return Math.max(1, load?.slots ?? registration.slots);
+}
+
 /**
  * Returns the upstream with the lowest rank: its cost, adjusted for first use and failures. Undefined when none has a
  * free slot below the soft limit or, with `canExceedSoftLimit`, any free slot.
@@ -61,9 +67,12 @@
     let bestRank = Infinity;
     let bestDraw = 0;
     for (const upstreamState of candidates) {
-        const slots = Math.max(1, upstreamState.load?.slots ?? upstreamState.registration.slots);
+        const slots = getSlots(upstreamState);
         const outstanding = estimateOutstanding(upstreamState);
-        if (outstanding >= (canExceedSoftLimit ? slots : Math.ceil(slots * softLimitShare))) {
+        const { concurrencyLimit } = upstreamState;
+        const isAtLearnedLimit = concurrencyLimit !== undefined &&
+            outstanding >= getMaxOutstanding(concurrencyLimit, slots, nowMs);
+        if (isAtLearnedLimit || outstanding >= (canExceedSoftLimit ? slots : Math.ceil(slots * softLimitShare))) {
             continue;
         }
         const cost = estimateCost(upstreamState, outstanding, slots, nowMs);
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -18,6 +18,7 @@
 import { GatewayRequestHandler } from "./gatewayRequestHandler.js";
 import { LoadProber } from "./loadProber.js";
 import type { GatewayLogger } from "./options.js";
+import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
@@ -186,14 +187,23 @@
     });
     private readonly dialect = new TestDialect();
 
-    constructor() {
+    constructor(isOverloadControlled = false) {
         const { upstreamTable, dialect, clock, metrics } = this;
         const random = new SeededRandom(1);
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
         const connections = new UpstreamConnections(limits);
-        const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
+        const overloadControl = isOverloadControlled ? new OverloadControl({ logger, metrics }) : undefined;
+        const prober = new LoadProber({
+            upstreamTable,
+            upstreamLimits,
+            connections,
+            dialect,
+            clock,
+            metrics,
+            overloadControl,
+        });
         const probesPerSecond = () => highProbeRate;
         const dependencies: RequestDependencies = {
             placer: new Placer({
@@ -215,6 +225,7 @@
             }),
             durationEstimates: new DurationEstimates(),
             bufferBudget: new BufferBudget(limits.bufferedBytes),
+            overloadControl,
             dialect,
             metrics,
             logger,
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -1,5 +1,6 @@
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 import { type Registration, RegistrationState } from "../directory/model.js";
+import { type ConcurrencyLimit, raiseLimit } from "../overload/concurrencyLimit.js";
 import type { InstanceLoad } from "./dialect.js";
 
 /** First and maximum ejection time; it doubles with each further consecutive failure. */
@@ -55,10 +56,22 @@
     ejectedUntilMs: number;
     /** Rate limit that this entry saw last; undefined if it never saw one. */
     namedLimit: NamedLimit | undefined;
+    /** Learned limit of an upstream that resets connections when it is full; undefined if it did not. */
+    concurrencyLimit?: ConcurrencyLimit | undefined;
     /** Requests that this entry may send while the upstream is limited, at a time in monotonic milliseconds. */
     readonly permits: { count: number; settledAtMs: number; };
 }
 
+/** Records a reported load; it shows what an upstream with a learned limit holds without resets. */
+export function recordReportedLoad(upstreamState: UpstreamState, load: InstanceLoad, askedAtMs: number): void {
+    upstreamState.load = load;
+    upstreamState.loadAskedAtMs = askedAtMs;
+    const { concurrencyLimit } = upstreamState;
+    if (concurrencyLimit !== undefined) {
+        upstreamState.concurrencyLimit = raiseLimit(concurrencyLimit, load.running + load.waiting, load.slots);
+    }
+}
+
 /** Known upstreams and their state, by id. */
 export class UpstreamStateTable {
     private readonly statesById = new Map<UpstreamId, UpstreamState>();
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -44,6 +44,11 @@
         "Requests refused before their wait ended, while capacity was insufficient",
         ["service", "priority"],
     );
+    readonly resetsWhenFull = this.addCounter(
+        "figwharf_resets_when_full_total",
+        "Connections that upstreams reset or closed while they were nearly full",
+        ["service"],
+    );
     readonly callerDisconnects = this.addCounter("figwharf_callers_gone_total", "Requests whose caller left early", []);
     readonly ejections = this.addCounter("figwharf_ejections_total", "Upstreams left out after failures", ["service"]);
     readonly loadProbes = this.addCounter("figwharf_load_questions_total", "Questions for the load of upstreams", [
