Share recent demand in a zone, so that its entries admit the same requests

Cause: an entry gets a few requests a second and learns only from its own refusals that capacity is insufficient. Change: while requests are rejected, entries add their demand by service and priority to their reports, the control VM returns the sums of its attached entries by zone, and entries compute the admitted fraction of each priority from them. Requests beyond it are refused at once. Requests that would be late are refused at once and not counted as demand.

--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -104,6 +104,20 @@
     t.is(await service.readRoutes(), undefined);
 });
 
+test("guards against entries that do not learn what their zone rejects, and against bytes while nothing is", async t => {
+    const { service, clock } = makeService();
+    const entry = { id: "e-1", address: "10.0.1.1:80", availabilityZone: "az-1", isServing: true };
+    const watch = () => service.watch({ entry: { ...entry, id: "e-3" }, version: -1, waitMs: 1 });
+    t.false("demand" in await watch());
+    const demand = [{ service: "orders", rows: [[1, 10, 4, 4]] as const }];
+    service.recordEntry({ ...entry, demand });
+    service.recordEntry({ ...entry, id: "e-2", demand });
+    const expected = [{ service: "orders", availabilityZone: "az-1", rows: [[1, 20, 8, 8]] as const }];
+    t.deepEqual((await watch()).demand, expected);
+    clock.advance(1501);
+    t.false("demand" in await watch());
+});
+
 test("guards against offering callers an entry that is gone or stopping", t => {
     const { service, clock } = makeService();
     const report = { id: "e-1", address: "10.0.1.1:80", availabilityZone: "az-1", isServing: true };
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
+import { DemandTable } from "../overload/demand.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
@@ -52,6 +53,7 @@
 export class DirectoryService {
     private readonly attachedEntries = new AttachedEntries();
     private readonly entryCounts = new EntryCounts();
+    private readonly demandTable = new DemandTable();
     private readonly limits: LimitCoordinator;
     private readonly leaderReports: LeaderReports;
     private readonly changeListeners = new Set<() => void>();
@@ -180,12 +182,15 @@
         const { log } = this.options;
         const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
         const nowMs = this.nowMs();
+        const demand = this.demandTable.describe(nowMs);
         return {
             isLed: log.isLed,
             delta,
             entryCount: this.attachedEntries.count(nowMs),
             entryTotal: this.entryCounts.getTotal(nowMs),
             limits: this.limits.describe(entry.id, limitsVersion ?? undefined),
+            // Absent while nothing is rejected, so that the answer is that of the version before.
+            ...(demand === undefined ? {} : { demand }),
         };
     }
 
@@ -202,6 +207,10 @@
     recordEntry(entry: EntryReport): void {
         this.attachedEntries.recordReport(entry, this.nowMs());
         this.limits.recordEntryReport(entry);
+        const { id, availabilityZone, demand } = entry;
+        if (this.demandTable.record(id, availabilityZone, demand, this.nowMs())) {
+            this.notifyChange();
+        }
     }
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -124,6 +124,8 @@
 const limitReports = optional(
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
+const isRate: Check = value => isNumber(value) && Number(value) >= 0;
+const isDemandRow: Check = value => Array.isArray(value) && value.length === 4 && value.every(isRate);
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -131,6 +133,7 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    demand: optional(arrayOf(objectWith({ service: isString, rows: arrayOf(isDemandRow) }))),
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,6 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
+import type { ServiceDemand, ZoneDemand } from "../overload/demand.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
 import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
 
@@ -33,6 +34,8 @@
     readonly services?: readonly ServiceName[];
     /** Rate limits that the entry saw and that the control VM does not show yet. */
     readonly limits?: readonly LimitReport[];
+    /** Recent demand for the services of which requests were rejected; undefined while there are none. */
+    readonly demand?: readonly ServiceDemand[] | undefined;
 }
 
 /** Parameters of `directory.watch`. */
@@ -60,6 +63,8 @@
     readonly entryTotal?: number;
     /** Undefined while no instance has named a rate limit. */
     readonly limits?: EntryLimits;
+    /** Recent demand for the services of which requests were rejected, by zone; undefined while there are none. */
+    readonly demand?: readonly ZoneDemand[] | undefined;
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -54,6 +54,7 @@
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
+    private readonly overloadControl: OverloadControl | undefined;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -82,9 +83,17 @@
             onObserved: () => this.watch.report(),
         });
         const { upstreamLimits } = this;
-        const overloadControl = options.isOverloadControlled === true
-            ? new OverloadControl({ logger, metrics })
+        this.overloadControl = options.isOverloadControlled === true
+            ? new OverloadControl({
+                logger,
+                metrics,
+                clock,
+                random,
+                availabilityZone,
+                onShortage: () => this.watch.report(),
+            })
             : undefined;
+        const { overloadControl } = this;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
@@ -106,6 +115,7 @@
             describeEntry: () => this.buildReport(),
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
+            onDemand: overloadControl && ((demand, sentAt) => overloadControl.applyDemand(demand, sentAt)),
         });
         const { watch } = this;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
@@ -200,6 +210,7 @@
 
     private buildReport(): EntryReport {
         const { id, listen, availabilityZone } = this.options;
+        const demand = this.overloadControl?.describeDemand();
         return {
             id,
             address: `${listen.host}:${listen.port}`,
@@ -207,6 +218,7 @@
             isServing: this.isReady(),
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
+            ...(demand === undefined ? {} : { demand }),
         };
     }
 
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -8,6 +8,7 @@
 import type { EntryLimits } from "../directory/rateLimits.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { ZoneDemand } from "../overload/demand.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
 import type { GatewayLogger } from "./options.js";
 
@@ -49,6 +50,8 @@
     readonly onDelta: (delta: DirectoryDelta, table: RouteTable | undefined) => void;
     /** Receives the rate limits with this entry's shares. */
     readonly limits: LimitsReceiver;
+    /** Receives the demand for services that are short of capacity; undefined if there are none. */
+    readonly onDemand?: ((demand: readonly ZoneDemand[] | undefined, sentAt: Instant) => void) | undefined;
 }
 
 /** Watches the directory through one control VM at a time, preferably of the local availability zone. */
@@ -218,7 +221,10 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer({ isLed, delta, entryCount, entryTotal, limits }: WatchAnswer, sentAt: Instant): boolean {
+    private applyAnswer(
+        { isLed, delta, entryCount, entryTotal, limits, demand }: WatchAnswer,
+        sentAt: Instant,
+    ): boolean {
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
@@ -239,6 +245,7 @@
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
         }
+        this.options.onDemand?.(demand ?? undefined, sentAt);
         this.confirmedAt = sentAt;
         this.pendingWaits.forEach(settle => settle());
         return true;
--- a/src/gateway/placer.test.ts
+++ b/src/gateway/placer.test.ts
@@ -111,7 +111,8 @@
 
 test("guards against waits for capacity that is known to be insufficient", async t => {
     const shed: string[] = [];
-    const observer = { onShortage: () => shed.push("shortage"), onShed: () => shed.push("shed") };
+    const ignored = { isZoneShort: () => false, isAdmitted: () => true, onEnd: () => undefined };
+    const observer = { ...ignored, onShortage: () => shed.push("shortage"), onShed: () => shed.push("shed") };
     const setup = new PlacerSetup([full], () => new WorthQueuePolicy(observer));
     t.is(await setup.place(1), undefined, "nothing is known before the first wait has ended");
     const kept = setup.place(200);
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -163,7 +163,6 @@
             return Promise.resolve(undefined);
         }
         if (this.policy.isRefused(request, this.waiting, placedPerSecond, nowMs)) {
-            this.policy.record(request, false, nowMs);
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
--- a/src/gateway/queuePolicy.ts
+++ b/src/gateway/queuePolicy.ts
@@ -1,3 +1,4 @@
+import { CapacityOutcome } from "../overload/demand.js";
 import { type PendingRequest, SheddingOrder } from "../overload/sheddingOrder.js";
 import { isQueueTooLong, sortWaiting, type WaitingRequest } from "./placement.js";
 
@@ -7,7 +8,10 @@
 export abstract class QueuePolicy {
     /** Returns the requests in the order in which they are placed. */
     abstract sort<Waiting extends WaitingRequest>(waiting: readonly Waiting[], nowMs: number): readonly Waiting[];
-    /** Returns whether a new request is refused immediately; `placedPerSecond` is the recent rate of placements. */
+    /**
+     * Returns whether a new request is refused immediately, and then records that; `placedPerSecond` is the recent rate
+     * of placements.
+     */
     abstract isRefused(
         request: WaitingRequest,
         waiting: Iterable<WaitingRequest>,
@@ -20,7 +24,7 @@
         placedPerSecond: number,
         nowMs: number,
     ): readonly Waiting[];
-    /** Records that a request was placed or refused for lack of capacity. */
+    /** Records that a waiting request was placed or refused for lack of capacity. */
     abstract record(request: WaitingRequest, isPlaced: boolean, nowMs: number): void;
 }
 
@@ -53,8 +57,14 @@
     }
 }
 
-/** Receives what a queue policy decides. */
+/** Connects the queue of a service with the other decisions of its entry. */
 export interface QueueObserver {
+    /** Returns whether the entries of the zone know that the service is short of capacity. */
+    isZoneShort(): boolean;
+    /** Returns whether a new request is among those that are admitted in the zone. */
+    isAdmitted(request: PendingRequest): boolean;
+    /** A request was placed, or refused for lack of capacity. */
+    onEnd(request: PendingRequest, outcome: CapacityOutcome): void;
     /** Capacity has become insufficient. */
     onShortage(): void;
     /** A request is refused before its wait ends. */
@@ -83,9 +93,27 @@
         placedPerSecond: number,
         nowMs: number,
     ): boolean {
-        return this.order.isShort(nowMs)
+        const pending = toPending(request);
+        const isShort = this.order.isShort(nowMs);
+        if ((isShort || this.observer.isZoneShort()) && this.order.isDispensable(pending, nowMs)) {
+            // No demand that more capacity could serve in time, so it is not counted as such.
+            this.order.record(pending, false, nowMs);
+            this.observer.onShed(pending);
+            return true;
+        }
+        if (!this.observer.isAdmitted(pending)) {
+            this.order.record(pending, false, nowMs);
+            this.observer.onEnd(pending, CapacityOutcome.notAdmitted);
+            this.observer.onShed(pending);
+            return true;
+        }
+        const isRefused = isShort
             ? this.selectRefused([...waiting, request], placedPerSecond, nowMs).includes(request)
             : super.isRefused(request, waiting, placedPerSecond, nowMs);
+        if (isRefused) {
+            this.record(request, false, nowMs);
+        }
+        return isRefused;
     }
 
     override selectRefused<Waiting extends WaitingRequest>(
@@ -109,6 +137,7 @@
     override record(request: WaitingRequest, isPlaced: boolean, nowMs: number): void {
         const wasShort = this.order.isShort(nowMs);
         this.order.record(toPending(request), isPlaced, nowMs);
+        this.observer.onEnd(toPending(request), isPlaced ? CapacityOutcome.placed : CapacityOutcome.unplaced);
         if (!isPlaced && !wasShort) {
             this.observer.onShortage();
         }
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -194,7 +194,9 @@
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
         const connections = new UpstreamConnections(limits);
-        const overloadControl = isOverloadControlled ? new OverloadControl({ logger, metrics }) : undefined;
+        const overloadControl = isOverloadControlled
+            ? new OverloadControl({ logger, metrics, clock, random, availabilityZone: "az-1", onShortage: () => 0 })
+            : undefined;
         const prober = new LoadProber({
             upstreamTable,
             upstreamLimits,
--- a/src/overload/sheddingOrder.test.ts
+++ b/src/overload/sheddingOrder.test.ts
@@ -76,7 +76,7 @@
         perSecond: () => demand * slots * 1000 / workMs / 3,
     }));
     return simulateLoad(
-        { kinds, slots, entryCount: 20, durationMs: 20_000, isRetrying: false, ...overrides },
+        { kinds, slots, entryCount: 20, durationMs: 20_000, isRetrying: false, isShared: false, ...overrides },
         new SeededRandom(7),
     );
 }
--- a/src/overload/sheddingOrder.ts
+++ b/src/overload/sheddingOrder.ts
@@ -61,6 +61,11 @@
         );
     }
 
+    /** Returns whether a request that would be late is rejected while capacity is insufficient. */
+    isDispensable(request: PendingRequest, nowMs: number): boolean {
+        return isDispensable(request, this.listPreferred(), nowMs);
+    }
+
     /**
      * Selects the requests that are rejected now, while capacity is insufficient: those that would be late, which take
      * instance time that requests in time need here or at another entry, and those that the expected capacity does not
@@ -79,8 +84,7 @@
         for (const request of this.sort(pending, nowMs)) {
             const expectedMs = capacityPerMs * Math.max(0, request.waitUntilMs - nowMs);
             const isReached = aheadCount < minWaiting || aheadWorkMs + request.workMs <= expectedMs;
-            const isDispensable = isTooLate(request, nowMs) && !isInGroup(request, preferredGroups);
-            if (!isReached || isDispensable) {
+            if (!isReached || isDispensable(request, preferredGroups, nowMs)) {
                 rejected.push(request);
             }
             else {
@@ -128,6 +132,10 @@
     }
 }
 
+function isDispensable(request: PendingRequest, preferredGroups: ReadonlySet<string>, nowMs: number): boolean {
+    return isTooLate(request, nowMs) && !isInGroup(request, preferredGroups);
+}
+
 function isInGroup(request: PendingRequest, groups: ReadonlySet<string>): boolean {
     return listGroups(request).some(group => groups.has(group));
 }
