Answer lookups with the entries of all control VMs of a zone

Cause: a control VM named only entries attached to itself, and entries stayed with the first control VM of their zone. With two control VMs in a zone, one of them could have no entry and answer every lookup with 503.

Change: entries choose the control VM of their zone by rendezvous hashing, move to it when it appears or returns, and keep the connection in use until the other one is open.

--- a/src/directory/attachedEntries.ts
+++ b/src/directory/attachedEntries.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import type { EntryId } from "../core/ids.js";
+import type { EntryState } from "./entryLists.js";
 import type { EntryReport } from "./messages.js";
 
 /** Maximum age of the last report of an entry that is offered to callers; entries report at least every 400 ms. */
@@ -10,14 +10,23 @@
 interface AttachedEntry {
     readonly report: EntryReport;
     readonly reportedAtMs: number;
+    /** Since when the entry has reported the same address, availability zone and serving state. */
+    readonly sinceMs: number;
 }
 
 /** Entries that are attached to one control VM. */
 export class AttachedEntries {
     private readonly entriesById = new Map<EntryId, AttachedEntry>();
 
-    recordReport(report: EntryReport, nowMs: number): void {
-        this.entriesById.set(report.id, { report, reportedAtMs: nowMs });
+    /** Records a report; returns whether it changes what lookups offer. */
+    recordReport(report: EntryReport, nowMs: number): boolean {
+        const previous = this.entriesById.get(report.id);
+        const isSame = previous !== undefined && nowMs - previous.reportedAtMs <= maxOfferedAgeMs &&
+            previous.report.isServing === report.isServing && previous.report.address === report.address &&
+            previous.report.availabilityZone === report.availabilityZone;
+        const sinceMs = isSame ? previous.sinceMs : nowMs;
+        this.entriesById.set(report.id, { report, reportedAtMs: nowMs, sinceMs });
+        return !isSame;
     }
 
     count(nowMs: number): number {
@@ -26,37 +35,26 @@
 
     /** Lists the last reports of the entries that are counted. */
     listCounted(nowMs: number): readonly EntryReport[] {
-        return this.listRecent(nowMs, maxCountedAgeMs);
+        return this.listRecent(nowMs, maxCountedAgeMs).map(attached => attached.report);
     }
 
-    /**
-     * Returns up to `maxAddresses` entry addresses for a caller, from its availability zone if there are any. If there
-     * are more, a hash of the caller's IP address selects them: callers spread evenly, and each keeps the same entries.
-     */
-    listAddresses(
-        availabilityZone: string | undefined,
-        nowMs: number,
-        maxAddresses: number,
-        callerIp: string,
-    ): readonly string[] {
-        const serving = this.listRecent(nowMs, maxOfferedAgeMs).filter(report => report.isServing);
-        const inZone = serving.filter(report => report.availabilityZone === availabilityZone);
-        const addresses = (inZone.length > 0 ? inZone : serving).map(report => report.address).sort();
-        if (addresses.length <= maxAddresses) {
-            return addresses;
-        }
-        const firstIndex = createHash("sha256").update(callerIp).digest().readUInt32BE(0);
-        return Array.from({ length: maxAddresses }, (_, index) => addresses[(firstIndex + index) % addresses.length]);
+    /** Lists the states of the entries that reported recently enough to be offered, serving or not. */
+    listStates(nowMs: number): readonly EntryState[] {
+        return this.listRecent(nowMs, maxOfferedAgeMs).map(({ report, sinceMs }) => ({
+            id: report.id,
+            address: report.address,
+            availabilityZone: report.availabilityZone,
+            isServing: report.isServing,
+            sinceMs,
+        }));
     }
 
-    private listRecent(nowMs: number, maxAgeMs: number): readonly EntryReport[] {
+    private listRecent(nowMs: number, maxAgeMs: number): readonly AttachedEntry[] {
         for (const [id, attached] of this.entriesById) {
             if (nowMs - attached.reportedAtMs > maxCountedAgeMs) {
                 this.entriesById.delete(id);
             }
         }
-        return [...this.entriesById.values()].filter(attached => nowMs - attached.reportedAtMs <= maxAgeMs).map(
-            attached => attached.report,
-        );
+        return [...this.entriesById.values()].filter(attached => nowMs - attached.reportedAtMs <= maxAgeMs);
     }
 }
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -17,6 +17,7 @@
 import { areParametersValid } from "./messageChecks.js";
 import {
     DirectoryMethod,
+    type EntryListParams,
     type EntryReport,
     type HeartbeatReport,
     type ProposeParams,
@@ -117,7 +118,14 @@
         };
         this.host = new ReplicaHost({ selfId, machine, limits, store, links, clock, random, logger, onFailed });
         const { heartbeatIntervalMs } = options;
-        this.service = new DirectoryService({ log: this.host, links, clock, logger, heartbeatIntervalMs });
+        this.service = new DirectoryService({
+            log: this.host,
+            links,
+            clock,
+            logger,
+            heartbeatIntervalMs,
+            self: { peerAddress, availabilityZone: options.availabilityZone },
+        });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
         this.peerServer = new ChannelServer(channel, (method, params, from) => this.handleCall(method, params, from));
     }
@@ -180,6 +188,8 @@
                 return service.confirmReadRevision();
             case DirectoryMethod.reportHeartbeats:
                 return service.recordHeartbeatReport(params as HeartbeatReport, from);
+            case DirectoryMethod.entryList:
+                return service.listAttachedEntries(params as EntryListParams);
             case DirectoryMethod.join:
                 return this.formation.handleJoin({ ...params as Member, id: from });
             case DirectoryMethod.leaving:
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -8,10 +8,14 @@
 import { AttachedEntries } from "./attachedEntries.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
+import { EntryListExchange } from "./entryListExchange.js";
+import { EntryListHistory, selectAddresses } from "./entryLists.js";
 import { LeaderReports } from "./leaderReports.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
     DirectoryMethod,
+    type EntryListAnswer,
+    type EntryListParams,
     type EntryReport,
     type ForwardedOutcome,
     type HeartbeatReport,
@@ -46,12 +50,18 @@
     readonly logger: ControlLogger;
     /** Time between two heartbeats of an instance. */
     readonly heartbeatIntervalMs: number;
+    /** Address and availability zone of this control VM; without them, it does not ask others for their entries. */
+    readonly self?: Pick<ControlNode, "peerAddress" | "availabilityZone">;
 }
 
 /** Handles requests to one control VM from operators, instances, entries and other control VMs. */
 export class DirectoryService {
     private readonly attachedEntries = new AttachedEntries();
     private readonly entryCounts = new EntryCounts();
+    private readonly entryListHistory: EntryListHistory;
+    private readonly entryListExchange: EntryListExchange | undefined;
+    /** Called when an attached entry reports another state. */
+    private readonly entryListeners = new Set<() => void>();
     private readonly limits: LimitCoordinator;
     private readonly leaderReports: LeaderReports;
     private readonly changeListeners = new Set<() => void>();
@@ -96,6 +106,16 @@
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
         });
+        this.entryListHistory = new EntryListHistory(options.clock.now().getTime());
+        const { self, links, clock, logger } = options;
+        this.entryListExchange = self === undefined ? undefined : new EntryListExchange({
+            self,
+            links,
+            clock,
+            logger,
+            listNodes: () => this.state.nodes,
+            listOwn: () => this.attachedEntries.listStates(this.nowMs()),
+        });
         options.log.state.onChange = () => this.notifyChange();
     }
 
@@ -195,12 +215,25 @@
         maxAddresses: number,
         callerIp: string,
     ): readonly string[] {
-        return this.attachedEntries.listAddresses(availabilityZone, this.nowMs(), maxAddresses, callerIp);
+        const states = this.entryListExchange?.listAll() ?? this.attachedEntries.listStates(this.nowMs());
+        return selectAddresses(states, availabilityZone, maxAddresses, callerIp);
+    }
+
+    /** Answers another control VM once the attached entries differ from its list, or after `waitMs`. */
+    async listAttachedEntries({ version, waitMs }: EntryListParams): Promise<EntryListAnswer> {
+        this.entryListHistory.update(this.attachedEntries.listStates(this.nowMs()));
+        if (!this.entryListHistory.hasNews(version)) {
+            await waitForCall(this.entryListeners, waitMs);
+            this.entryListHistory.update(this.attachedEntries.listStates(this.nowMs()));
+        }
+        return this.entryListHistory.describe(version, this.nowMs());
     }
 
     /** Records the reported state of an entry. */
     recordEntry(entry: EntryReport): void {
-        this.attachedEntries.recordReport(entry, this.nowMs());
+        if (this.attachedEntries.recordReport(entry, this.nowMs())) {
+            this.entryListeners.forEach(listener => listener());
+        }
         this.limits.recordEntryReport(entry);
     }
 
@@ -231,6 +264,7 @@
     runMaintenance(): void {
         const { log } = this.options;
         this.limits.runMaintenance();
+        this.entryListExchange?.refresh();
         if (log.isLeader) {
             this.leaderSinceMs ??= this.nowMs();
             this.expireInstances(this.leaderSinceMs);
@@ -317,15 +351,7 @@
     }
 
     private waitForChange(waitMs: number): Promise<void> {
-        return new Promise(resolve => {
-            const settle = () => {
-                clearTimeout(timer);
-                this.changeListeners.delete(settle);
-                resolve();
-            };
-            const timer = setTimeout(settle, waitMs);
-            this.changeListeners.add(settle);
-        });
+        return waitForCall(this.changeListeners, waitMs);
     }
 
     private removeNonMembers(): void {
@@ -365,3 +391,16 @@
         }
     }
 }
+
+/** Waits until the listeners of a set are called, or for `waitMs`. */
+function waitForCall(listeners: Set<() => void>, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+        const settle = () => {
+            clearTimeout(timer);
+            listeners.delete(settle);
+            resolve();
+        };
+        const timer = setTimeout(settle, waitMs);
+        listeners.add(settle);
+    });
+}
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -153,6 +153,7 @@
         ),
         limits: limitReports,
     }),
+    [DirectoryMethod.entryList]: objectWith({ version: isNumber, waitMs: isNumber }),
     [DirectoryMethod.join]: objectWith(memberFields),
     [DirectoryMethod.leaving]: objectWith(memberFields),
 };
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -15,6 +15,8 @@
     readVersion: "directory.read-version",
     /** Control VM to leader: reports received heartbeats and the number of attached entries. */
     reportHeartbeats: "directory.heard",
+    /** Control VM to control VM: asks for the entries attached to the other one, and waits for changes of them. */
+    entryList: "directory.entries",
     /** Control VM to control VM: the sender asks to join the group. */
     join: "directory.join",
     /** Control VM to control VM: the sender is about to stop. */
@@ -109,6 +111,34 @@
     readonly shares: readonly (readonly [position: number, share: number])[];
 }
 
+/** Parameters of `directory.entries`. */
+export interface EntryListParams {
+    /** Version of the list that the sender holds; 0 if it holds none. */
+    readonly version: number;
+    /** Longest wait for a change in milliseconds. */
+    readonly waitMs: number;
+}
+
+/** An attached entry; `ageMs` is the time since it first reported this state. */
+export type EntryRow = readonly [
+    id: EntryId,
+    address: string,
+    availabilityZone: string,
+    isServing: boolean,
+    ageMs: number,
+];
+
+/** Answer of `directory.entries`. */
+export interface EntryListAnswer {
+    readonly version: number;
+    /** Whether `rows` is the whole list and not only what changed. */
+    readonly isFull?: boolean;
+    /** Undefined when nothing has changed. */
+    readonly rows?: readonly EntryRow[];
+    /** Entries that are no longer attached; undefined with a whole list. */
+    readonly removed?: readonly EntryId[];
+}
+
 /** Answer of `directory.join`: the members known to the answering VM. */
 export interface JoinAnswer {
     readonly members: readonly Member[];
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -7,6 +7,7 @@
 import { emptyRouteTable, type RouteTable } from "../directory/model.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelServer } from "../transport/channel.js";
+import { rankControlVms } from "./controlVmRanking.js";
 import { DirectoryWatch, type DirectoryWatchOptions } from "./directoryWatch.js";
 
 const secret = "test-secret";
@@ -21,7 +22,11 @@
     table: RouteTable | undefined = emptyRouteTable;
     tableUpdate: TableUpdate | undefined;
     onWatchCall: (watchCall: WatchParams) => void = () => undefined;
+    onReport: () => void = () => undefined;
     private readonly server = new ChannelServer({ selfId: "control", secret }, (method, params) => {
+        if (method === DirectoryMethod.reportEntry) {
+            this.onReport();
+        }
         if (method !== DirectoryMethod.watch) {
             return undefined;
         }
@@ -69,6 +74,52 @@
     await remoteControl.close();
 });
 
+test("guards against entries that stay with the first of two control VMs of their zone", async t => {
+    const controls = [new FakeControl(), new FakeControl()];
+    const addresses = await Promise.all(controls.map(control => control.start()));
+    const [preferred] = rankControlVms("entry", addresses);
+    // The second control VM joins once the entry is attached to the first.
+    const [early, late] = preferred === addresses[1] ? [0, 1] : [1, 0];
+    const nodes = addresses.map(address => makeNode(address, "az-1"));
+    controls[early].nodes = [nodes[early]];
+    controls[late].nodes = nodes;
+    controls[early].onWatchCall = () => {
+        if (controls[early].watchCalls.length === 3) {
+            controls[early].nodes = nodes;
+        }
+    };
+    const watch = makeWatch([addresses[early]], () => {
+        if (controls[late].watchCalls.length > 0) {
+            watch.close();
+        }
+    });
+    await watch.run();
+    t.is(controls[early].watchCalls.length, 3, "the entry moves when it learns of the control VM that it prefers");
+    await Promise.all(controls.map(control => control.close()));
+});
+
+test("guards against an entry that leaves its control VM for a preferred one that cannot be reached", async t => {
+    const control = new FakeControl();
+    const address = await control.start();
+    const unreachable = "127.0.0.1:1";
+    control.nodes = [makeNode(address, "az-1"), makeNode(unreachable, "az-1")];
+    const selfId = ["entry", "e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7"].find(id =>
+        rankControlVms(id, [address, unreachable])[0] === unreachable
+    );
+    t.not(selfId, undefined);
+    const watch = makeWatch([address], () => undefined, new SystemClock(), selfId);
+    let reports = 0;
+    control.onReport = () => reports++;
+    control.onWatchCall = () => {
+        if (control.watchCalls.length === 5) {
+            watch.close();
+        }
+    };
+    await watch.run();
+    t.is(reports, 1, "the control VM in use offers the entry while the other one is tried, which is done once");
+    await control.close();
+});
+
 test("guards against requests that keep waiting after the directory is known", async t => {
     const control = new FakeControl();
     const watch = makeWatch([await control.start()], () => undefined);
@@ -112,9 +163,10 @@
     seeds: readonly string[],
     onDelta: DirectoryWatchOptions["onDelta"],
     clock: Clock = new SystemClock(),
+    selfId = "entry",
 ): DirectoryWatch {
     return new DirectoryWatch({
-        channel: { selfId: "entry", secret },
+        channel: { selfId, secret },
         availabilityZone: "az-1",
         seeds,
         clock,
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -9,6 +9,7 @@
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
+import { rankControlVms } from "./controlVmRanking.js";
 import type { GatewayLogger } from "./options.js";
 
 /** Time for which a control VM may hold a watch call while the directory does not change. */
@@ -94,9 +95,8 @@
                 this.detach();
                 await new Promise(resolve => setTimeout(resolve, retryPauseMs));
             }
-            else if (this.shouldFailBack()) {
-                this.client?.close();
-                this.client = undefined;
+            else {
+                await this.moveToPreferred();
             }
         }
     }
@@ -153,15 +153,21 @@
         }
     }
 
-    /** Lists the local availability zone first, then the others in random order; recently failed control VMs last. */
+    /**
+     * Lists the local availability zone first, in order of preference, then the others in random order; recently failed
+     * control VMs last.
+     */
     private listCandidates(): readonly string[] {
         const { seeds, random } = this.options;
-        const addresses = new Set([...this.nodes.map(node => node.peerAddress), ...seeds]);
+        const nodeAddresses = this.nodes.map(node => node.peerAddress);
+        const addresses = new Set([...nodeAddresses, ...seeds]);
+        const preferences = rankControlVms(this.options.channel.selfId, nodeAddresses);
         const rank = (address: string) => {
             const sinceFailureMs = this.nowMs() - (this.failedAtMs.get(address) ?? -Infinity);
             return (sinceFailureMs < failureCooldownMs ? 4 - sinceFailureMs / failureCooldownMs : 0) +
-                (this.isInLocalZone(address) ? 0 : 1) +
-                random.nextUnit() / 2;
+                (this.isInLocalZone(address)
+                    ? preferences.indexOf(address) / (2 * preferences.length)
+                    : 1 + random.nextUnit() / 2);
         };
         return [...addresses].map(address => ({ address, rank: rank(address) }))
             .sort((first, second) => first.rank - second.rank)
@@ -173,11 +179,32 @@
         return this.nodes.some(node => node.peerAddress === address && node.availabilityZone === availabilityZone);
     }
 
-    private shouldFailBack(): boolean {
-        const { client } = this;
-        const localNode = this.nodes.find(node => this.isInLocalZone(node.peerAddress));
-        const isRemote = client !== undefined && localNode !== undefined && !this.isInLocalZone(client.address);
-        return isRemote && this.nowMs() - (this.failedAtMs.get(localNode.peerAddress) ?? -Infinity) > failbackDelayMs;
+    /** Moves to the preferred control VM of the local availability zone if it can be connected. */
+    private async moveToPreferred(): Promise<void> {
+        const address = this.findPreferred();
+        if (address === undefined || address === this.client?.address) {
+            return;
+        }
+        // The control VM in use keeps offering this entry to callers while the other one is connected.
+        this.report();
+        const client = new ChannelClient(address, this.options.channel);
+        if (!await client.waitConnected(connectTimeoutMs) || this.isClosed) {
+            this.options.logger.info("the preferred control VM cannot be reached", { address });
+            this.failedAtMs.set(address, this.nowMs());
+            client.close();
+            return;
+        }
+        this.client?.close();
+        this.client = client;
+        this.options.limits.resetVersion();
+    }
+
+    /** Returns the control VM of the local availability zone that this entry uses unless it has failed recently. */
+    private findPreferred(): string | undefined {
+        const hasFailed = (address: string) =>
+            this.nowMs() - (this.failedAtMs.get(address) ?? -Infinity) <= failbackDelayMs;
+        const local = this.nodes.map(node => node.peerAddress).filter(address => this.isInLocalZone(address));
+        return rankControlVms(this.options.channel.selfId, local).find(address => !hasFailed(address));
     }
 
     private async poll(client: ChannelClient): Promise<boolean> {
