Authenticate requests of organisations by key

Cause: organisations that share a deployment need keys, so that their requests can be told apart, limited and rejected.

Change: configurations carry organisations; control VMs keep their keys and send entries only digests. An entry checks route, key, home regions and quota in this order, before it reads an upload's body, removes the key, and tells instances the name of the organisation. The quota gate admits everything for now.

--- a/src/directory/diffRoutes.ts
+++ b/src/directory/diffRoutes.ts
@@ -1,3 +1,4 @@
+import { diffOrganisations } from "../organisations/organisationChanges.js";
 import type { HostRoutes, Route, RouteTable, RouteUpdate } from "./model.js";
 
 /** Returns the update that turns `before` into `after`, except for the order of items and hosts without routes. */
@@ -24,6 +25,7 @@
         ),
         removedRoutes: [...routesBefore.keys()].filter(name => !namesAfter.has(name)),
         removedServices: [...servicesBefore.keys()].filter(name => !serviceNamesAfter.has(name)),
+        ...diffOrganisations(before, after),
     };
 }
 
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -2,6 +2,8 @@
 import { createHash } from "node:crypto";
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
+import { concealKeysInTable, concealKeysInUpdate } from "../organisations/keyConcealment.js";
+import { findOrganisationProblem, type OrganisationProblem } from "../organisations/organisationProblems.js";
 import { diffRoutes } from "./diffRoutes.js";
 import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
 import { RegistrationTable } from "./registrations.js";
@@ -61,6 +63,8 @@
     readonly outcome: RouteOutcome;
     /** Reason for the rejection; empty if accepted. */
     readonly detail: string;
+    /** Field of an organisation that caused the rejection; undefined for other reasons. */
+    readonly organisationField?: OrganisationProblem["field"];
 }
 
 /** Audit record of a route change. */
@@ -122,6 +126,8 @@
     private recentTables: { readonly atRevision: number; readonly table: RouteTable; }[] = [];
     /** Updates from earlier route tables to the current one, by the revision at which the earlier one was installed. */
     private readonly cachedTableUpdates = new Map<number, TableUpdate>();
+    /** The current route table as entries get it; undefined until it is asked for. */
+    private cachedEntryTable: RouteTable | undefined;
     private nodesChangedAtRevision = 0;
     /** Revision of the last change of each registration. */
     private readonly registrationRevisions = new Map<UpstreamId, number>();
@@ -180,7 +186,10 @@
         }
     }
 
-    /** Returns the delta since a revision. `canUpdate`: whether the receiver supports updates of its route table. */
+    /**
+     * Returns the delta since a revision, with digests instead of keys. `canUpdate`: whether the receiver supports
+     * updates of its route table.
+     */
     diffSince(heldRevision: number, canUpdate = false): DirectoryDelta {
         const isFull = heldRevision < this.oldestDeltaRevision || heldRevision > this.stateRevision ||
             heldRevision === 0;
@@ -190,7 +199,7 @@
         return {
             version: this.stateRevision,
             isFull,
-            table: isTableChanged && tableUpdate === undefined ? this.table : undefined,
+            table: isTableChanged && tableUpdate === undefined ? this.getEntryTable() : undefined,
             tableUpdate,
             registrations: this.registrations.list().filter(registered =>
                 (this.registrationRevisions.get(registered.id) ?? 0) > since
@@ -223,6 +232,7 @@
         this.tableChangedAtRevision = this.stateRevision;
         this.recentTables = [{ atRevision: this.stateRevision, table: this.table }];
         this.cachedTableUpdates.clear();
+        this.cachedEntryTable = undefined;
         this.nodesChangedAtRevision = this.stateRevision;
         this.registrationRevisions.clear();
         this.removals = [];
@@ -238,7 +248,8 @@
         const result = this.validateAndApply(change);
         const version = change.table?.version ?? change.update?.version ?? 0;
         const { baseVersion, proposedAtMs } = change;
-        this.auditRecords.push({ baseVersion, version, ...result, proposedAtMs });
+        const { outcome, detail } = result;
+        this.auditRecords.push({ baseVersion, version, outcome, detail, proposedAtMs });
         this.auditRecords.splice(0, this.auditRecords.length - maxAuditRecords);
         if (result.outcome === RouteOutcome.accepted) {
             this.recordDigest(digest);
@@ -257,6 +268,11 @@
         if (newTable === undefined || problem !== undefined) {
             return { outcome: RouteOutcome.invalid, detail: problem ?? "" };
         }
+        const organisationProblem = findOrganisationProblem(newTable.organisations ?? []);
+        if (organisationProblem !== undefined) {
+            const { text, field } = organisationProblem;
+            return { outcome: RouteOutcome.invalid, detail: text, organisationField: field };
+        }
         if (newTable.version <= version) {
             const detail = `version ${newTable.version} is not above version ${version}, which is in force`;
             return { outcome: RouteOutcome.invalid, detail };
@@ -267,17 +283,25 @@
             -maxRecentTables,
         );
         this.cachedTableUpdates.clear();
+        this.cachedEntryTable = undefined;
         return accepted;
     }
 
+    private getEntryTable(): RouteTable {
+        this.cachedEntryTable ??= concealKeysInTable(this.table);
+        return this.cachedEntryTable;
+    }
+
     private findTableUpdate(heldRevision: number): TableUpdate | undefined {
         const base = this.recentTables.findLast(installed => installed.atRevision <= heldRevision);
         if (base === undefined || base.table.version === 0) {
             return undefined;
         }
         const cached = this.cachedTableUpdates.get(base.atRevision);
-        const updateFromBase = cached ??
-            { baseVersion: base.table.version, update: diffRoutes(base.table, this.table) } satisfies TableUpdate;
+        const updateFromBase: TableUpdate = cached ?? {
+            baseVersion: base.table.version,
+            update: concealKeysInUpdate(diffRoutes(base.table, this.table)),
+        };
         this.cachedTableUpdates.set(base.atRevision, updateFromBase);
         return updateFromBase;
     }
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -83,10 +83,19 @@
     targets: arrayOf(objectWith({ service: isString, weight: isNumber })),
     isSplit: isBoolean,
 });
+const isOrganisation = objectWith({
+    name: isString,
+    keys: arrayOf(isString),
+    priority: optional(isNumber),
+    ratePerSecond: optional(isNumber),
+    burst: optional(isNumber),
+    homes: optional(arrayOf(isString)),
+});
 const routeTableFields = {
     version: isNumber,
     hosts: arrayOf(objectWith({ host: isString, routes: arrayOf(isRoute) })),
     services: arrayOf(objectWith({ name: isString, healthPath: isString })),
+    organisations: optional(arrayOf(isOrganisation)),
 };
 
 /** Returns whether a value is a directory change. A malformed change would crash each replica that applies it. */
@@ -100,6 +109,7 @@
             limits: optional(objectWith({})),
             removedRoutes: arrayOf(isString),
             removedServices: arrayOf(isString),
+            removedOrganisations: optional(arrayOf(isString)),
         })),
     },
     "register": {
--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -76,8 +76,10 @@
 /** A customer of the operators whose callers authenticate with keys. */
 export interface Organisation {
     readonly name: string;
-    /** Secrets of its callers. */
+    /** Secrets of its callers. Empty in messages to entries, which carry only digests. */
     readonly keys: readonly string[];
+    /** Digests of the keys; present only in messages to entries. */
+    readonly keyDigests?: readonly string[];
     /** Takes precedence over the priority of the route; 0 is the highest, undefined if the route's applies. */
     readonly priority?: number;
     /** Quota over all entries together; undefined or 0 without a limit. */
@@ -115,7 +117,7 @@
     services: [],
 };
 
-/** Routes (listed under their hosts) and services to add or replace by name, and names of those to remove. */
+/** Routes (listed under their hosts), services and organisations to add or replace, and names of those to remove. */
 export interface RouteUpdate {
     /** Version of the updated table. */
     readonly version: number;
@@ -125,6 +127,10 @@
     readonly services: readonly RoutedService[];
     readonly removedRoutes: readonly string[];
     readonly removedServices: readonly string[];
+    /** Organisations to add or replace by name; undefined if unchanged. */
+    readonly organisations?: readonly Organisation[];
+    /** Names of organisations to remove; undefined if there are none. */
+    readonly removedOrganisations?: readonly string[];
 }
 
 /** Whether an instance accepts new requests. */
--- a/src/directory/updateRoutes.ts
+++ b/src/directory/updateRoutes.ts
@@ -1,8 +1,9 @@
+import { updateOrganisations } from "../organisations/organisationChanges.js";
 import type { HostRoutes, Route, RoutedService, RouteTable, RouteUpdate } from "./model.js";
 
 /**
- * Returns the table with an update applied. A route that the update lists under another host moves there; a route or
- * service that the update both lists and removes stays.
+ * Returns the table with an update applied. A route that the update lists under another host moves there; a route,
+ * service or organisation that the update both lists and removes stays.
  */
 export function updateRoutes(table: RouteTable, update: RouteUpdate): RouteTable {
     const changedRoutes = new Map<string, { readonly host: string; readonly route: Route; }>();
@@ -29,6 +30,7 @@
         limits: update.limits ?? table.limits,
         hosts: addRoutes(updatedHosts, update.hosts, replacedNames),
         services: updateServices(table.services, update),
+        ...updateOrganisations(table, update),
     };
 }
 
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,6 +6,7 @@
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import { UnlimitedQuotaGate } from "../organisations/quotaGate.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -116,6 +117,7 @@
             }),
             upstreamTable: this.upstreamTable,
             upstreamLimits,
+            quotaGate: new UnlimitedQuotaGate(),
             retryBudget: new SharedRetryBudget({
                 limits: options.retries,
                 countEntries,
@@ -136,6 +138,7 @@
             logger,
             metrics,
             random,
+            region: options.region,
             dependencies,
             watch: this.watch,
         });
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -22,10 +22,16 @@
 export abstract class Dialect {
     /** Lower-case names of request headers that the entry replaces. */
     abstract readonly replacedHeaders: ReadonlySet<string>;
+    /** Lower-case names of request headers that a caller must not set when organisations are configured. */
+    abstract readonly organisationHeaders: ReadonlySet<string>;
     /** Returns the caller's deadline in ms; undefined when it is absent, NaN when it is invalid. */
     abstract readDeadlineMs(headers: IncomingHttpHeaders): number | undefined;
     /** Returns the id of the caller's request; undefined when it is absent. */
     abstract readRequestId(headers: IncomingHttpHeaders): string | undefined;
+    /** Returns the keys of a request, one for each header field that carries one, from a flat list of header fields. */
+    abstract readKeys(rawHeaders: readonly string[]): readonly string[];
+    /** Returns the headers that tell an instance the organisation of a request, as a flat list of names and values. */
+    abstract listOrganisationHeaders(organisation: string): readonly string[];
     /** Returns the headers that the entry adds to an attempt, as a flat list of names and values. */
     abstract listAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): readonly string[];
     /** Returns the id of the request that a response answers; undefined when it states none. */
--- a/src/gateway/gatewayExchange.ts
+++ b/src/gateway/gatewayExchange.ts
@@ -10,6 +10,10 @@
     dialect!: Dialect;
     /** Origin of the response, for metrics. */
     source: "upstream" | "entry" = "entry";
+    /** Whether organisations are configured; instances then get the name of one only from the entry. */
+    hasOrganisations = false;
+    /** Organisation of the request's key; undefined if no key is required. */
+    organisation: string | undefined;
 
     /** Sends `100 Continue` when the caller expects it (RFC 9110, 10.1.1). */
     sendContinueIfExpected(): void {
@@ -21,11 +25,17 @@
 
     /** Returns the headers of a request to an upstream as a flat list of names and values. */
     buildAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): string[] {
-        const { replacedHeaders } = this.dialect;
+        const { replacedHeaders, organisationHeaders } = this.dialect;
+        const isForwarded = (lowerName: string) =>
+            !replacedHeaders.has(lowerName) && !framingHeaders.has(lowerName) &&
+            !(this.hasOrganisations && organisationHeaders.has(lowerName));
         const headers = selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
-            .filter(([name]) => !replacedHeaders.has(name.toLowerCase()) && !framingHeaders.has(name.toLowerCase()))
+            .filter(([name]) => isForwarded(name.toLowerCase()))
             .flat() as string[];
         headers.push(...this.dialect.listAttemptHeaders(upstreamId, remainingMs));
+        if (this.organisation !== undefined) {
+            headers.push(...this.dialect.listOrganisationHeaders(this.organisation));
+        }
         if (this.body.buffer === undefined && this.body.lengthBytes !== undefined && this.body.content !== null) {
             headers.push("Content-Length", String(this.body.lengthBytes));
         }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -2,9 +2,10 @@
 import type { UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import { Verdict } from "../core/verdict.js";
-import type { Route, RoutedService } from "../directory/model.js";
+import type { Organisation, Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { QuotaGate } from "../organisations/quotaGate.js";
 import type { GeneratedAnswer, ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
@@ -34,6 +35,7 @@
     readonly placer: Placer;
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
+    readonly quotaGate: QuotaGate;
     readonly retryBudget: SharedRetryBudget;
     readonly durationEstimates: DurationEstimates;
     readonly bufferBudget: BufferBudget;
@@ -49,6 +51,8 @@
     readonly exchange: GatewayExchange;
     readonly requestId: string | undefined;
     readonly route: Route;
+    /** Organisation of the request, which was taken from its quota; undefined if no key is required. */
+    readonly organisation: Organisation | undefined;
     readonly service: RoutedService;
     readonly deadlineAtMs: number;
     /** Estimated time that the caller had waited when the request arrived, including its earlier refused requests. */
@@ -64,6 +68,8 @@
     private lastErrorAttempt: GatewayAttempt | undefined;
     /** Whether an ended attempt may have run the request. */
     private mayHaveRun = false;
+    /** Whether the unit taken last from the organisation's quota was used by an attempt that may have run. */
+    private isQuotaUnitUsed = false;
     private attemptCount = 0;
     /** Time until a limited upstream may get a request; undefined unless the request was refused for the limits. */
     private permitDelayMs: number | undefined;
@@ -86,6 +92,14 @@
         }
         finally {
             clearTimeout(timer);
+            this.returnUnusedQuota();
+        }
+    }
+
+    private returnUnusedQuota(): void {
+        const { organisation } = this.context;
+        if (organisation !== undefined && !this.isQuotaUnitUsed) {
+            this.dependencies.quotaGate.giveBack(organisation.name);
         }
     }
 
@@ -145,13 +159,13 @@
     }
 
     private findPlacement(): Promise<LeasedPlacement | undefined> {
-        const { route, service, exchange } = this.context;
+        const { route, organisation, service, exchange } = this.context;
         const baselineMs = this.dependencies.durationEstimates.get(route.name, this.times.targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
         return this.dependencies.placer.place({
             service,
             excluded: this.excluded,
-            priority: route.priority,
+            priority: organisation?.priority ?? route.priority,
             ...this.times.computeWaitLimits(startMs, baselineMs),
             isExchangeEnded: () => exchange.isEnded,
         });
@@ -211,6 +225,7 @@
         }
         upstreamState.openSentAtMs.delete(sentAtMs);
         this.mayHaveRun ||= attempt.mayHaveRun;
+        this.isQuotaUnitUsed ||= attempt.mayHaveRun;
         return attemptResult;
     }
 
@@ -277,7 +292,7 @@
         const isSafeToRetry = route.isIdempotent || !this.mayHaveRun;
         const isRetryPossible = isSafeToRetry && this.attemptCount < route.maxAttempts && this.canReplayBody() &&
             this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
-        if (!isRetryPossible) {
+        if (!isRetryPossible || !this.takeQuotaForRetry()) {
             return false;
         }
         const isWithinBudget = retryBudget.take(service.name, this.nowMs());
@@ -285,6 +300,17 @@
         return isWithinBudget;
     }
 
+    /** Takes another unit for a retry after an attempt that may have run, since both may run; returns whether it did. */
+    private takeQuotaForRetry(): boolean {
+        const { organisation } = this.context;
+        if (organisation === undefined || !this.isQuotaUnitUsed) {
+            return true;
+        }
+        const { isAdmitted } = this.dependencies.quotaGate.take(organisation.name);
+        this.isQuotaUnitUsed = !isAdmitted;
+        return isAdmitted;
+    }
+
     /** Delivers the held error response of an upstream if there is one; otherwise the entry generates an answer. */
     private answerFailure(reason: string, detail: string): void {
         if (this.lastErrorAttempt !== undefined) {
@@ -357,8 +383,16 @@
 
     private log(text: string, fields: object): void {
         const { requestId, route, exchange } = this.context;
+        const organisation = this.context.organisation?.name;
         const ageMs = Math.round(this.nowMs() - exchange.receivedAtMs);
         const { callerAgeMs } = this.context;
-        this.dependencies.logger.info(text, { requestId, route: route.name, ageMs, callerAgeMs, ...fields });
+        this.dependencies.logger.info(text, {
+            requestId,
+            route: route.name,
+            organisation,
+            ageMs,
+            callerAgeMs,
+            ...fields,
+        });
     }
 }
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from "../core/random.js";
 import {
     emptyRouteTable,
+    type Organisation,
     RequestKind,
     requestKindOf,
     type Route,
@@ -11,6 +12,8 @@
 import type { EntryLimits } from "../entry/options.js";
 import { parseBodyLength, readBody } from "../entry/requestBody.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { Authentication } from "../organisations/authentication.js";
+import { OrganisationAdmission } from "../organisations/organisationAdmission.js";
 import { CallerAgeEstimator } from "./callerAge.js";
 import type { Dialect } from "./dialect.js";
 import type { DirectoryWatch } from "./directoryWatch.js";
@@ -45,6 +48,8 @@
     readonly logger: GatewayLogger;
     readonly metrics: GatewayMetrics;
     readonly random: RandomSource;
+    /** Region of the entry; undefined if it is not known. */
+    readonly region?: string;
     readonly dependencies: RequestDependencies;
     readonly watch: Pick<DirectoryWatch, "version" | "isConfirmed" | "waitUntilKnown">;
 }
@@ -57,8 +62,12 @@
     private services = new Map<string, RoutedService>();
     private readonly roundRobin = new WeightedRoundRobin();
     private readonly callerAgeEstimator = new CallerAgeEstimator();
+    private readonly admission: OrganisationAdmission;
 
-    constructor(private readonly options: RequestHandlerOptions) {}
+    constructor(private readonly options: RequestHandlerOptions) {
+        const { region, metrics, dependencies } = options;
+        this.admission = new OrganisationAdmission({ region, metrics, quotaGate: dependencies.quotaGate });
+    }
 
     /** Version of the routes in force; 0 before any were applied. */
     get routesVersion(): number {
@@ -69,6 +78,7 @@
     setRoutes(table: RouteTable): void {
         this.routeLookup = new RouteLookup(table);
         this.services = new Map(table.services.map(routedService => [routedService.name, routedService]));
+        this.admission.setTable(table);
     }
 
     /** Handles a request whose head has arrived; resolves when it has ended. */
@@ -88,7 +98,12 @@
         }
         await this.options.watch.waitUntilKnown(Math.min(maxDirectoryWaitMs, directoryWaitShare * deadlineMs));
         const deadlineAtMs = exchange.receivedAtMs + deadlineMs;
-        const context = isUpload(this.findRoute(exchange))
+        const route = this.findRoute(exchange);
+        // No body is read for a request that will be refused.
+        if (route !== undefined && !this.isRefusingAll && this.authenticate(exchange, route).kind === "refused") {
+            return;
+        }
+        const context = isUpload(route)
             ? this.prepareUpload(exchange, deadlineAtMs)
             : await this.prepareBuffered(exchange, deadlineAtMs);
         if (context !== undefined) {
@@ -163,7 +178,7 @@
         }
         if (route === undefined) {
             // An unconfirmed directory may lack a route that is in force.
-            const isRouteTableConfirmed = this.routesVersion > 0 && this.options.watch.isConfirmed;
+            const { isRouteTableConfirmed } = this;
             const status = isRouteTableConfirmed ? 404 : 503;
             this.refuse(
                 exchange,
@@ -174,6 +189,12 @@
             );
             return undefined;
         }
+        // A key may have been removed while the body arrived.
+        const authentication = this.authenticate(exchange, route);
+        if (authentication.kind === "refused") {
+            return undefined;
+        }
+        const { organisation } = authentication;
         const service = this.services.get(this.roundRobin.choose(route));
         if (service === undefined) {
             this.refuse(
@@ -185,11 +206,47 @@
             );
             return undefined;
         }
+        if (organisation !== undefined && !this.takeQuota(exchange, organisation)) {
+            return undefined;
+        }
+        exchange.hasOrganisations = this.admission.hasOrganisations;
+        exchange.organisation = organisation?.name;
         const callerAgeMs = this.callerAgeEstimator.recordAndEstimateAgeMs(
             route.name,
             deadlineAtMs - exchange.receivedAtMs,
         );
-        return { exchange, requestId, route, service, deadlineAtMs, callerAgeMs };
+        return { exchange, requestId, route, organisation, service, deadlineAtMs, callerAgeMs };
+    }
+
+    private get isRouteTableConfirmed(): boolean {
+        return this.routesVersion > 0 && this.options.watch.isConfirmed;
+    }
+
+    /** Checks the key and the home regions; has answered the request if the result is a refusal. */
+    private authenticate(exchange: GatewayExchange, route: Route): Authentication {
+        const readKeys = () => this.options.dialect.readKeys(exchange.incoming.rawHeaders);
+        const authentication = this.admission.check(route, readKeys, this.isRouteTableConfirmed);
+        if (authentication.kind === "refused") {
+            const { status, reason, detail, isUnconfirmed } = authentication;
+            this.refuse(
+                exchange,
+                status,
+                reason,
+                detail,
+                isUnconfirmed ? this.drawUnconfirmedRetryAfterMs() : undefined,
+            );
+        }
+        return authentication;
+    }
+
+    /** Takes a unit of the organisation's quota; returns false when it has refused the request. */
+    private takeQuota(exchange: GatewayExchange, organisation: Organisation): boolean {
+        const { isAdmitted, retryAfterMs } = this.admission.takeQuota(organisation);
+        if (!isAdmitted) {
+            const detail = "The organisation has used its quota.";
+            this.refuse(exchange, 429, "over-quota", detail, retryAfterMs, organisation.name);
+        }
+        return isAdmitted;
     }
 
     private drawUnconfirmedRetryAfterMs(): number {
@@ -202,11 +259,13 @@
         reason: string,
         detail: string,
         retryAfterMs?: number,
+        organisation?: string,
     ): void {
         const { dialect, watch, logger, metrics } = this.options;
         const requestId = dialect.readRequestId(exchange.incoming.headers);
         const { version } = watch;
-        logger.info("request refused", { requestId, status, reason, version, routesVersion: this.routesVersion });
+        const { routesVersion } = this;
+        logger.info("request refused", { requestId, status, reason, organisation, version, routesVersion });
         metrics.refusals.inc({ reason });
         exchange.answer(refuse(status, reason, detail, retryAfterMs));
     }
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -26,6 +26,8 @@
 export interface GatewayOptions {
     readonly id: EntryId;
     readonly availabilityZone: string;
+    /** Region of the entry; requests whose home regions do not include it are refused. */
+    readonly region: string;
     readonly listen: ListenAddress;
     /** Address on which metrics are served; undefined to disable. */
     readonly metricsListen: ListenAddress | undefined;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -9,6 +9,7 @@
 import { findHeader } from "../entry/headers.js";
 import { defaultEntryLimits } from "../entry/options.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { type QuotaGate, UnlimitedQuotaGate } from "../organisations/quotaGate.js";
 import type { ResponseHead } from "../requests/model.js";
 import { CallerServer } from "./callerServer.js";
 import { Dialect, type InstanceLoad, type RateLimitStatement } from "./dialect.js";
@@ -46,7 +47,8 @@
 
 /** Headers of tests: deadline, request id, not-run statement, load and upstream id. */
 export class TestDialect extends Dialect {
-    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms"]);
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key"]);
+    readonly organisationHeaders: ReadonlySet<string> = new Set(["organisation"]);
 
     readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
         return headers["deadline-ms"] === undefined ? undefined : Number(headers["deadline-ms"]);
@@ -56,6 +58,14 @@
         return headers["request-id"] === undefined ? undefined : String(headers["request-id"]);
     }
 
+    readKeys(rawHeaders: readonly string[]): readonly string[] {
+        return rawHeaders.filter((_value, index) => index % 2 === 1 && rawHeaders[index - 1].toLowerCase() === "key");
+    }
+
+    listOrganisationHeaders(organisation: string): readonly string[] {
+        return ["Organisation", organisation];
+    }
+
     listAttemptHeaders(_upstreamId: string, remainingMs: number): readonly string[] {
         return ["Deadline-Ms", String(remainingMs)];
     }
@@ -168,7 +178,9 @@
     readonly clock = new SystemClock();
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
-    private readonly metrics = new GatewayMetrics({
+    /** Whether the directory is confirmed to be up to date. */
+    isConfirmed = true;
+    readonly metrics = new GatewayMetrics({
         inFlight: () => 0,
         directoryVersion: () => 1,
         routesVersion: () => this.requestHandler.routesVersion,
@@ -186,7 +198,7 @@
     });
     private readonly dialect = new TestDialect();
 
-    constructor() {
+    constructor(quotaGate: QuotaGate = new UnlimitedQuotaGate()) {
         const { upstreamTable, dialect, clock, metrics } = this;
         const random = new SeededRandom(1);
         const limits = defaultEntryLimits;
@@ -207,6 +219,7 @@
             }),
             upstreamTable,
             upstreamLimits,
+            quotaGate,
             retryBudget: new SharedRetryBudget({
                 limits: { ratio: 1, slack: 100, windowMs: 10_000 },
                 countEntries: () => 1,
@@ -222,13 +235,21 @@
             random,
         };
         const waitUntilKnown = () => Promise.resolve(this.onDirectoryWait());
-        const watch = { version: 1, isConfirmed: true, waitUntilKnown };
+        const isConfirmed = () => this.isConfirmed;
+        const watch = {
+            version: 1,
+            get isConfirmed() {
+                return isConfirmed();
+            },
+            waitUntilKnown,
+        };
         this.requestHandler = new GatewayRequestHandler({
             limits,
             dialect,
             logger,
             metrics,
             random,
+            region: "west",
             dependencies,
             watch,
         });
@@ -251,9 +272,14 @@
     }
 
     /** Sends a request; resolves with status and body, or rejects when the connection breaks. */
-    async send(path: string, id: string, method = "GET"): Promise<{ readonly status: number; readonly text: string; }> {
+    async send(
+        path: string,
+        id: string,
+        method = "GET",
+        fields: http.OutgoingHttpHeaders = {},
+    ): Promise<{ readonly status: number; readonly text: string; }> {
         const { port } = this.server;
-        const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(longDeadlineMs) };
+        const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(longDeadlineMs), ...fields };
         const request = http.request({ host: "127.0.0.1", port, path, method, headers, agent: false });
         request.end();
         const [response] = await once(request, "response") as [http.IncomingMessage];
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -39,6 +39,12 @@
     readonly retries = this.addCounter("figwharf_resends_total", "Requests sent to another upstream", ["service"]);
     readonly retriesDenied = this.addCounter("figwharf_resends_denied_total", "Resends the budget denied", ["service"]);
     readonly refusals = this.addCounter("figwharf_refusals_total", "Requests answered without an upstream", ["reason"]);
+    readonly organisationRequests = this.addCounter(
+        "figwharf_organisation_requests_total",
+        "Requests with a valid key by organisation and by whether its quota admitted them",
+        ["organisation", "outcome"],
+    );
+    readonly rejectedKeys = this.addCounter("figwharf_rejected_keys_total", "Requests without a valid key", ["reason"]);
     readonly callerDisconnects = this.addCounter("figwharf_callers_gone_total", "Requests whose caller left early", []);
     readonly ejections = this.addCounter("figwharf_ejections_total", "Upstreams left out after failures", ["service"]);
     readonly loadProbes = this.addCounter("figwharf_load_questions_total", "Questions for the load of upstreams", [
