Let each entry prefer a small set of a service's upstreams

A request that arrived during a round of probes was also served by the wide steps of that round. Others are sampled only when the preferred ones have no free capacity. Without eligible upstreams in its zone, an entry probes those of other zones in the same steps. A request that arrives during a round gets a round of its own.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -16,6 +16,7 @@
 import type { GatewayOptions } from "./options.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
@@ -109,6 +110,7 @@
                 upstreamTable: this.upstreamTable,
                 upstreamLimits,
                 prober,
+                affinity: new UpstreamAffinity(id),
                 availabilityZone,
                 probesPerSecond: () => options.probesPerUpstreamSecond / countEntries(),
                 clock,
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -8,6 +8,7 @@
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ProbeResult } from "./loadProber.js";
 import { Placer } from "./placer.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
 import { type UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
@@ -67,6 +68,7 @@
         const onObserved = () => fleet.report(this);
         this.limits = new UpstreamLimits({ upstreamTable, clock, logger: silentLogger, metrics, onObserved });
         this.placer = new Placer({
+            affinity: new UpstreamAffinity(id),
             upstreamTable,
             upstreamLimits: this.limits,
             prober: {
--- a/src/gateway/placer.test.ts
+++ b/src/gateway/placer.test.ts
@@ -6,6 +6,7 @@
 import type { InstanceLoad } from "./dialect.js";
 import type { ProbeResult } from "./loadProber.js";
 import { type LeasedPlacement, Placer } from "./placer.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
 import { type UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
@@ -17,10 +18,11 @@
     readonly upstreamTable = new UpstreamStateTable();
     readonly placer: Placer;
     probeCount = 0;
+    readonly probedIds = new Set<string>();
     private readonly clock = new SystemClock();
     private readonly loads = new Map<string, InstanceLoad>();
 
-    constructor(loads: readonly InstanceLoad[]) {
+    constructor(loads: readonly InstanceLoad[], entryId = "entry-1") {
         const { upstreamTable, clock } = this;
         loads.forEach((load, index) => {
             const registration = makeRegistration({ id: `i-${index}`, address: `10.0.0.${index}:80` });
@@ -28,6 +30,7 @@
             this.loads.set(registration.id, load);
         });
         this.placer = new Placer({
+            affinity: new UpstreamAffinity(entryId),
             upstreamTable,
             upstreamLimits: new UpstreamLimits({
                 upstreamTable,
@@ -48,6 +51,10 @@
         });
     }
 
+    setLoad(id: string, load: InstanceLoad): void {
+        this.loads.set(id, load);
+    }
+
     place(waitMs: number): Promise<LeasedPlacement | undefined> {
         const nowMs = this.clock.monotonicMs();
         return this.placer.place({
@@ -65,6 +72,7 @@
     private answerProbes(candidates: readonly UpstreamState[]): readonly ProbeResult[] {
         this.probeCount += candidates.length;
         return candidates.map(upstreamState => {
+            this.probedIds.add(upstreamState.registration.id);
             upstreamState.load = this.loads.get(upstreamState.registration.id);
             upstreamState.loadAskedAtMs = this.clock.monotonicMs();
             return {
@@ -91,6 +99,33 @@
     t.is(setup.probeCount, 4 * requestCount);
 });
 
+test("guards against an entry that opens connections to all upstreams of a large service, and against gaps", async t => {
+    const upstreamCount = 66;
+    const entryCount = 39;
+    // More requests within a second would enlarge the set of preferred upstreams.
+    const requestCount = 8;
+    const usedIds = new Set<string>();
+    for (let number = 0; number < entryCount; number++) {
+        const setup = new PlacerSetup(Array.from({ length: upstreamCount }, () => idle), `entry-${number}`);
+        for (let request = 0; request < requestCount; request++) {
+            await setup.place(longWaitMs);
+        }
+        t.true(setup.probedIds.size <= 16, `entry-${number} probed ${setup.probedIds.size} upstreams`);
+        setup.probedIds.forEach(id => usedIds.add(id));
+    }
+    t.is(usedIds.size, upstreamCount, "the entries together use all upstreams");
+});
+
+test("guards against a refusal while only upstreams beyond the preferred ones have free capacity", async t => {
+    const setup = new PlacerSetup(Array.from({ length: 66 }, () => full));
+    await setup.place(1);
+    const unprobedId = setup.upstreamTable.list().map(({ registration }) => registration.id)
+        .find(id => !setup.probedIds.has(id));
+    t.not(unprobedId, undefined);
+    setup.setLoad(unprobedId ?? "", idle);
+    t.is((await setup.place(longWaitMs))?.upstreamState.registration.id, unprobedId);
+});
+
 test("guards against a request that waits while an upstream outside the first sample has free capacity", async t => {
     const setup = new PlacerSetup([full, full, full, full, full, full, full, idle]);
     setup.upstreamTable.list().forEach(upstreamState => upstreamState.isUsed = upstreamState.registration.id !== "i-7");
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -14,6 +14,7 @@
     type UpstreamSnapshot,
     type WaitingRequest,
 } from "./placement.js";
+import type { PreferredUpstreams, UpstreamAffinity } from "./upstreamAffinity.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
 import type { UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
@@ -28,6 +29,8 @@
  * these is idle and fast; others follow only if requests still wait, since each probe and new connection has a cost.
  */
 const initialSampleSize = 4;
+/** Number of upstreams beyond the preferred ones that a round probes; rounds follow each other with new samples. */
+const otherSampleSize = 16;
 /** Pause between rounds of probes, short compared with the 150 ms or so within which loads change. */
 const probeIntervalMs = 25;
 /** Share of the operators' probe budget that counted entries use together; the rest is for entries not counted yet. */
@@ -59,6 +62,8 @@
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
     readonly prober: Pick<LoadProber, "probeAll" | "isConnected" | "connect">;
+    /** The upstreams that this entry prefers. */
+    readonly affinity: UpstreamAffinity;
     readonly availabilityZone: string;
     /** Returns this entry's probes per second and upstream; a service's upstreams share the sum as one budget. */
     readonly probesPerSecond: () => number;
@@ -219,23 +224,13 @@
         const candidates = this.listUnlimited();
         const isInLocalZone = (upstreamState: UpstreamState) =>
             upstreamState.registration.availabilityZone === this.options.availabilityZone;
-        const { random, prober } = this.options;
-        const localCandidates = orderForProbing(
-            candidates.filter(isInLocalZone),
-            upstreamState => prober.isConnected(upstreamState),
-            random,
-        );
-        const initialCandidates = localCandidates.slice(0, initialSampleSize * this.waiting.size);
-        await this.probeCandidates(initialCandidates, initialCandidates.length);
-        if (this.waiting.size > 0 && initialCandidates.length < localCandidates.length) {
-            await this.probeCandidates(localCandidates.slice(initialCandidates.length), localCandidates.length);
-        }
-        if (this.waiting.size > 0) {
-            const remoteCandidates = candidates.filter(upstreamState => !isInLocalZone(upstreamState));
-            await this.probeCandidates(
-                remoteCandidates,
-                localCandidates.length === 0 ? remoteCandidates.length : remoteSampleSize,
-            );
+        const local = candidates.filter(isInLocalZone);
+        const remote = candidates.filter(upstreamState => !isInLocalZone(upstreamState));
+        // Requests that arrive meanwhile get a round of their own, which begins with a few upstreams again.
+        const requests = [...this.waiting];
+        await this.probeInSteps(local.length > 0 ? local : remote, requests);
+        if (local.length > 0 && this.isAnyWaiting(requests)) {
+            await this.probeCandidates(this.divide(remote).preferred, remoteSampleSize);
         }
         this.isProbing = false;
         if (this.waiting.size > 0) {
@@ -243,6 +238,32 @@
         }
     }
 
+    /** Probes a few preferred upstreams; if requests still wait, the other preferred ones, then a sample of the rest. */
+    private async probeInSteps(
+        candidates: readonly UpstreamState[],
+        requests: readonly WaitingPlacement[],
+    ): Promise<void> {
+        const { random, prober } = this.options;
+        const { preferred, others } = this.divide(candidates);
+        const ordered = orderForProbing(preferred, upstreamState => prober.isConnected(upstreamState), random);
+        const initial = ordered.slice(0, initialSampleSize * requests.length);
+        await this.probeCandidates(initial, initial.length);
+        if (initial.length < ordered.length && this.isAnyWaiting(requests)) {
+            await this.probeCandidates(ordered.slice(initial.length), ordered.length);
+        }
+        if (others.length > 0 && this.isAnyWaiting(requests)) {
+            await this.probeCandidates(others, otherSampleSize);
+        }
+    }
+
+    private isAnyWaiting(requests: readonly WaitingPlacement[]): boolean {
+        return requests.some(request => this.waiting.has(request));
+    }
+
+    private divide(candidates: readonly UpstreamState[]): PreferredUpstreams {
+        return this.options.affinity.divide(candidates, this.measurePlacementRate(this.nowMs()));
+    }
+
     /** Places waiting requests on limited upstreams for which this entry has permits, without probes. */
     private placeOnLimited(): void {
         const { upstreamLimits, prober, availabilityZone } = this.options;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -20,6 +20,7 @@
 import type { GatewayLogger } from "./options.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
@@ -197,6 +198,7 @@
         const probesPerSecond = () => highProbeRate;
         const dependencies: RequestDependencies = {
             placer: new Placer({
+                affinity: new UpstreamAffinity("entry-1"),
                 upstreamTable,
                 upstreamLimits,
                 prober,
