Let a stopping entry refuse requests in the second half of its grace period

Cause: an entry accepted requests until 0.6 of its grace period. Change: gateway/shutdownPhases decides until when requests are accepted: half of the grace period.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -17,6 +17,7 @@
 import type { GatewayOptions } from "./options.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { computeShutdownPhases } from "./shutdownPhases.js";
 import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
@@ -24,10 +25,6 @@
 
 const connectionCleanupIntervalMs = 5000;
 const drainPollMs = 50;
-/** Requests are refused after at most this share of the grace period; later ones might not complete before the kill. */
-const acceptingShareOfGrace = 0.6;
-/** Share of the grace period after which the drain ends and connections are closed even if requests are in flight. */
-const closingShareOfGrace = 0.9;
 const idPrefixBytes = 6;
 const msPerSecond = 1000;
 
@@ -174,11 +171,11 @@
         logger.info("entry drains", { inFlight: this.exchanges.size });
         this.isDraining = true;
         this.watch.report();
-        const acceptingMs = Math.min(stop.addressLifetimeMs, acceptingShareOfGrace * stop.graceMs);
+        const { acceptingMs, closingMs } = computeShutdownPhases(stop);
         await this.waitUntil(startMs + acceptingMs, () => false);
         this.requestHandler.isRefusingAll = true;
         this.server.stopListening();
-        await this.waitUntil(startMs + closingShareOfGrace * stop.graceMs, () => this.exchanges.size === 0);
+        await this.waitUntil(startMs + closingMs, () => this.exchanges.size === 0);
         logger.info("entry drained", { inFlight: this.exchanges.size, afterMs: Math.round(this.nowMs() - startMs) });
         clearInterval(this.connectionCleanupTimer);
         this.watch.close();
