Exclude leaving instances and respect back-offs at the entry

Cause: an instance that announced in its responses that it leaves was used until its own heartbeat said so, and one that asked for a pause with 503 and Retry-After was probed and used again at once. Change: the entry excludes a leaving incarnation (id and start time) at once, also when it is registered again later, and reports it to the control VM, which records it in the replicated log as draining; other entries learn it with the watch. An instance that rejected a message with 503, a not-run statement and a delay gets neither requests nor probes from that entry until the delay has passed. When all instances of a service back off, requests are refused at once with a Retry-After that covers the earliest end, up to a third of the caller's remaining time.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -9,6 +9,7 @@
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
 import { LeaderReports } from "./leaderReports.js";
+import { LeavingInstances } from "./leavingInstances.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
     DirectoryMethod,
@@ -54,6 +55,7 @@
     private readonly entryCounts = new EntryCounts();
     private readonly limits: LimitCoordinator;
     private readonly leaderReports: LeaderReports;
+    private readonly leavingInstances: LeavingInstances;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
     /** Instances that sent heartbeats since the last report to the leader. */
@@ -84,6 +86,13 @@
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
+        this.leavingInstances = new LeavingInstances({
+            find: id => this.state.registrations.get(id),
+            submit: registration => {
+                const { id, state, bornAtMs } = registration;
+                return this.submitAndLog({ kind: "register", registration }, { id, state, bornAtMs, by: "an entry" });
+            },
+        });
         this.metrics = new DirectoryMetrics({
             isLeader: () => log.isLeader,
             isLed: () => log.isLed,
@@ -202,6 +211,7 @@
     recordEntry(entry: EntryReport): void {
         this.attachedEntries.recordReport(entry, this.nowMs());
         this.limits.recordEntryReport(entry);
+        this.leavingInstances.recordReport(entry);
     }
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -131,6 +131,7 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    leaving: optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber }))),
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -21,6 +21,12 @@
     leaving: "directory.leaving",
 } as const;
 
+/** Incarnation of an instance whose responses announce that it leaves. */
+export interface LeavingInstance {
+    readonly id: UpstreamId;
+    readonly bornAtMs: number;
+}
+
 /** State of an entry, as reported to a control VM. */
 export interface EntryReport {
     readonly id: EntryId;
@@ -33,6 +39,8 @@
     readonly services?: readonly ServiceName[];
     /** Rate limits that the entry saw and that the control VM does not show yet. */
     readonly limits?: readonly LimitReport[];
+    /** Instances that told the entry that they leave and that the directory shows as ready; undefined if none. */
+    readonly leaving?: readonly LeavingInstance[];
 }
 
 /** Parameters of `directory.watch`. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -18,6 +18,7 @@
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
+import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const connectionCleanupIntervalMs = 5000;
@@ -53,6 +54,7 @@
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
+    private readonly upstreamStatements: UpstreamStatements;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -81,9 +83,19 @@
             onObserved: () => this.watch.report(),
         });
         const { upstreamLimits } = this;
+        this.upstreamStatements = new UpstreamStatements({
+            upstreamTable: this.upstreamTable,
+            dialect,
+            clock,
+            logger,
+            metrics,
+            onLeaving: () => this.watch.report(),
+        });
+        const { upstreamStatements } = this;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
+            upstreamStatements,
             connections: this.connections,
             dialect,
             clock,
@@ -116,6 +128,7 @@
             }),
             upstreamTable: this.upstreamTable,
             upstreamLimits,
+            upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: options.retries,
                 countEntries,
@@ -193,6 +206,7 @@
 
     private buildReport(): EntryReport {
         const { id, listen, availabilityZone } = this.options;
+        const leaving = this.upstreamStatements.listUnreported();
         return {
             id,
             address: `${listen.host}:${listen.port}`,
@@ -200,6 +214,7 @@
             isServing: this.isReady(),
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
+            ...(leaving.length > 0 ? { leaving } : {}),
         };
     }
 
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -38,6 +38,13 @@
     abstract readLoad(head: ResponseHead): InstanceLoad | undefined;
     /** Returns the rate limit that a response names. */
     abstract readRateLimit(head: ResponseHead): RateLimitStatement;
+    /** Returns whether the response announces that its instance leaves. */
+    abstract isLeaving(head: ResponseHead): boolean;
+    /**
+     * Returns for how long an instance that rejected a message wants no further ones from this entry; undefined unless
+     * the response is a 503 that states that the message did not run and names a delay.
+     */
+    abstract readBackOffMs(head: ResponseHead): number | undefined;
     /** Returns the upstream id that a health check response states. */
     abstract readUpstreamId(head: ResponseHead): UpstreamId | undefined;
 }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -17,6 +17,7 @@
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
+import type { UpstreamStatements } from "./upstreamStatements.js";
 import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
 /** The deadline sent to the upstream is this long after the request's timeout, but never after the caller's. */
@@ -34,6 +35,7 @@
     readonly placer: Placer;
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
+    readonly upstreamStatements: UpstreamStatements;
     readonly retryBudget: SharedRetryBudget;
     readonly durationEstimates: DurationEstimates;
     readonly bufferBudget: BufferBudget;
@@ -67,6 +69,8 @@
     private attemptCount = 0;
     /** Time until a limited upstream may get a request; undefined unless the request was refused for the limits. */
     private permitDelayMs: number | undefined;
+    /** Time until an upstream accepts requests again; undefined unless the request was refused as all back off. */
+    private backOffDelayMs: number | undefined;
 
     constructor(private readonly context: RequestContext, private readonly dependencies: RequestDependencies) {
         const { route, exchange, deadlineAtMs, callerAgeMs } = context;
@@ -135,6 +139,11 @@
     }
 
     private answerUnplaced(): void {
+        this.backOffDelayMs = this.dependencies.placer.findBackOffDelayMs(this.context.service.name);
+        if (this.backOffDelayMs !== undefined) {
+            this.answerFailure("backing-off", "All upstreams of the service have asked for a pause.");
+            return;
+        }
         this.permitDelayMs = this.dependencies.placer.findPermitDelayMs(this.context.service.name, this.excluded);
         if (this.permitDelayMs === undefined) {
             this.answerFailure("no-room", "No upstream had room for the request in time.");
@@ -159,12 +168,13 @@
 
     private async sendAttempt({ upstreamState, cost, connection }: LeasedPlacement): Promise<AttemptResult> {
         const { exchange, requestId, deadlineAtMs, route, service } = this.context;
-        const { dialect, bufferBudget, upstreamLimits } = this.dependencies;
+        const { dialect, bufferBudget, upstreamLimits, upstreamStatements } = this.dependencies;
         const sentAtMs = this.nowMs();
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.times.timeoutAtMs + upstreamGraceMs) - sentAtMs);
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
-        const onHead = (head: ResponseHead, isNotRun: boolean) =>
+        const onHead = (head: ResponseHead, isNotRun: boolean) => {
+            upstreamStatements.recordHead(upstreamState, head, MessageKind.request);
             upstreamLimits.recordStatement(
                 upstreamState,
                 dialect.readRateLimit(head),
@@ -172,6 +182,7 @@
                 // Rejections and errors can come from a part of the instance that does not know the limit.
                 !isNotRun && head.status < minServerErrorStatus,
             );
+        };
         const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
         this.attemptCount++;
@@ -337,6 +348,7 @@
         const request: RefusedRequest = {
             cause: this.findRefusalCause(),
             permitDelayMs: this.permitDelayMs,
+            backOffDelayMs: this.backOffDelayMs,
             untilTargetMs: this.times.targetAtMs - this.nowMs(),
             untilDeadlineMs: this.context.deadlineAtMs - this.nowMs(),
             baselineMs: this.dependencies.durationEstimates.get(this.context.route.name, this.times.targetLatencyMs),
@@ -345,6 +357,9 @@
     }
 
     private findRefusalCause(): RefusalCause {
+        if (this.backOffDelayMs !== undefined) {
+            return RefusalCause.backingOff;
+        }
         if (this.permitDelayMs !== undefined) {
             return RefusalCause.limited;
         }
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -6,6 +6,7 @@
 import type { Dialect } from "./dialect.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
+import type { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamOutcome, type UpstreamState, type UpstreamStateTable } from "./upstreamStateTable.js";
 
 /** Timeout for the response; a later one is useless because the load has changed by then. */
@@ -31,6 +32,7 @@
 export interface LoadProberOptions {
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
+    readonly upstreamStatements: UpstreamStatements;
     readonly connections: UpstreamConnections;
     readonly dialect: Dialect;
     readonly clock: Clock;
@@ -69,7 +71,8 @@
     }
 
     private async probeOne(upstreamState: UpstreamState, healthPath: string): Promise<ProbeResult | undefined> {
-        const { upstreamTable, upstreamLimits, connections, dialect, clock, metrics } = this.options;
+        const { upstreamTable, upstreamLimits, upstreamStatements, connections, dialect, clock, metrics } =
+            this.options;
         const probedAtMs = clock.monotonicMs();
         const { address, id } = upstreamState.registration;
         const connection = connections.lease(address, probedAtMs);
@@ -81,6 +84,9 @@
         // A duplicate of an earlier response on the connection states the id of its request.
         const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
             (dialect.readUpstreamId(head) ?? id) === id;
+        if (isMatchingResponse) {
+            upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
+        }
         if (!isMatchingResponse || head.status !== 200) {
             connection.discard();
             metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
--- a/src/gateway/placement.test.ts
+++ b/src/gateway/placement.test.ts
@@ -116,8 +116,8 @@
     const upstreamTable = new UpstreamStateTable();
     upstreamTable.set(makeRegistration(), nowMs);
     const [upstreamState] = upstreamTable.list();
-    t.true(upstreamTable.isCurrent(upstreamState));
+    t.true(upstreamTable.isCurrent(upstreamState, nowMs));
     upstreamTable.set(makeRegistration({ state: "draining" }), nowMs);
-    t.false(upstreamTable.isCurrent(upstreamState));
+    t.false(upstreamTable.isCurrent(upstreamState, nowMs));
     t.deepEqual(upstreamTable.listEligible("orders", new Set(), nowMs), []);
 });
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -120,6 +120,11 @@
         return Math.max(0, permitAtMs - nowMs);
     }
 
+    /** Returns the time until an upstream of a service ends its back-off; undefined unless all of them back off. */
+    findBackOffDelayMs(service: ServiceName): number | undefined {
+        return this.options.upstreamTable.findBackOffDelayMs(service, this.options.clock.monotonicMs());
+    }
+
     /** Returns the number of requests that wait for an upstream. */
     countWaiting(): number {
         return [...this.services.values()].reduce((sum, placer) => sum + placer.waitingCount, 0);
@@ -215,6 +220,7 @@
         clearTimeout(this.probeTimer);
         this.isProbing = true;
         this.hasNewRequest = false;
+        this.refuseDuringBackOff();
         this.placeOnLimited();
         const candidates = this.listUnlimited();
         const isInLocalZone = (upstreamState: UpstreamState) =>
@@ -243,6 +249,13 @@
         }
     }
 
+    /** Gives up all waiting requests once all upstreams back off; their callers can use another entry meanwhile. */
+    private refuseDuringBackOff(): void {
+        if (this.options.upstreamTable.findBackOffDelayMs(this.service, this.nowMs()) !== undefined) {
+            this.waiting.forEach(waitingPlacement => this.settle(waitingPlacement, undefined));
+        }
+    }
+
     /** Places waiting requests on limited upstreams for which this entry has permits, without probes. */
     private placeOnLimited(): void {
         const { upstreamLimits, prober, availabilityZone } = this.options;
@@ -295,7 +308,7 @@
             }
             const candidates = [...unusedResults.keys()].filter(upstreamState =>
                 !waitingPlacement.excluded.has(upstreamState.registration.id) &&
-                this.options.upstreamTable.isCurrent(upstreamState) &&
+                this.options.upstreamTable.isCurrent(upstreamState, nowMs) &&
                 this.options.upstreamLimits.isPermitted(upstreamState)
             );
             const chosenPlacement = placeRequest(waitingPlacement, candidates, this.options.random, nowMs);
--- a/src/gateway/refusals.ts
+++ b/src/gateway/refusals.ts
@@ -8,6 +8,8 @@
     noCapacity: "no-room",
     /** All upstreams have reached the request rates that they accept. */
     limited: "limited",
+    /** All upstreams of the service have asked this entry for a pause. */
+    backingOff: "backing-off",
 } as const;
 
 export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause];
@@ -23,6 +25,8 @@
     readonly untilDeadlineMs: number;
     /** Time until an upstream may get another request; Infinity if that is not known, absent unless `limited`. */
     readonly permitDelayMs?: number | undefined;
+    /** Time until the first upstream ends its back-off; absent unless `backingOff`. */
+    readonly backOffDelayMs?: number | undefined;
 }
 
 /** Minimum and jitter of a caller's delay before an immediate retry; jitter separates callers refused together. */
@@ -37,6 +41,11 @@
 const capacityRetryAfterShare = 0.15;
 const capacityJitterShare = 0.17;
 const minCapacityRetryAfterMs = 100;
+/**
+ * Maximum delay for a back-off, as a share of the caller's remaining time. Callers do not wait longer before a retry, and
+ * other entries may still use the upstreams.
+ */
+const maxBackOffRetryShare = 1 / 3;
 
 /**
  * Draws the delay in milliseconds after which a refused caller retries. The caller of a shed request retries
@@ -44,7 +53,7 @@
  * jitter, when the load may have dropped or a limited upstream accepts a request again.
  */
 export function drawRetryAfterMs(request: RefusedRequest, random: RandomSource): number {
-    const { cause, untilTargetMs, baselineMs, untilDeadlineMs, permitDelayMs = Infinity } = request;
+    const { cause, untilTargetMs, baselineMs, untilDeadlineMs, permitDelayMs = Infinity, backOffDelayMs = 0 } = request;
     const canBeOnTime = untilTargetMs > callerRetryTripMs + baselineMs;
     if (cause === RefusalCause.shed && canBeOnTime) {
         return immediateRetryAfterMs + random.nextUnit() * immediateJitterMs;
@@ -52,6 +61,7 @@
     return Math.max(
         minCapacityRetryAfterMs,
         Number.isFinite(permitDelayMs) ? permitDelayMs : 0,
+        Math.min(backOffDelayMs + random.nextUnit() * immediateJitterMs, untilDeadlineMs * maxBackOffRetryShare),
         untilDeadlineMs * (capacityRetryAfterShare + random.nextUnit() * capacityJitterShare),
     );
 }
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -22,6 +22,7 @@
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
+import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const stallTimeoutMs = 5000;
@@ -87,6 +88,15 @@
         return text === undefined ? { kind: "none" } : { kind: "limit", perSecond: Number(text) };
     }
 
+    isLeaving({ headers }: ResponseHead): boolean {
+        return findHeader(headers, "leaving") !== undefined;
+    }
+
+    readBackOffMs(head: ResponseHead): number | undefined {
+        const text = findHeader(head.headers, "back-off-ms");
+        return this.isNotRun(head) && text !== undefined ? Number(text) : undefined;
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
@@ -99,12 +109,17 @@
     /** Whether it answers load probes. */
     isAnsweringProbes = true;
     load = "0,3,1";
+    /** Header fields that it adds to answers to load probes. */
+    probeFields: Record<string, string> = {};
+    /** Number of load probes that it received. */
+    probeCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
+            this.probeCount++;
             if (this.isAnsweringProbes) {
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...this.probeFields });
                 response.end();
             }
             return;
@@ -166,6 +181,9 @@
     readonly upstreamTable = new UpstreamStateTable();
     readonly requestHandler: GatewayRequestHandler;
     readonly clock = new SystemClock();
+    readonly upstreamStatements: UpstreamStatements;
+    /** How often an upstream announced that it leaves. */
+    leavingReportCount = 0;
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
     private readonly metrics = new GatewayMetrics({
@@ -192,8 +210,25 @@
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
+        const upstreamStatements = new UpstreamStatements({
+            upstreamTable,
+            dialect,
+            clock,
+            logger,
+            metrics,
+            onLeaving: () => this.leavingReportCount++,
+        });
+        this.upstreamStatements = upstreamStatements;
         const connections = new UpstreamConnections(limits);
-        const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
+        const prober = new LoadProber({
+            upstreamTable,
+            upstreamLimits,
+            upstreamStatements,
+            connections,
+            dialect,
+            clock,
+            metrics,
+        });
         const probesPerSecond = () => highProbeRate;
         const dependencies: RequestDependencies = {
             placer: new Placer({
@@ -207,6 +242,7 @@
             }),
             upstreamTable,
             upstreamLimits,
+            upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: { ratio: 1, slack: 100, windowMs: 10_000 },
                 countEntries: () => 1,
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -15,6 +15,8 @@
  */
 const outlierFactor = 1.5;
 const outlierShare = 0.1;
+/** Maximum number of leaving incarnations that are remembered after their registration has ended. */
+const maxLeavingIncarnations = 4096;
 
 /** Outcome of an attempt or probe for the health of an upstream. */
 export const UpstreamOutcome = {
@@ -53,6 +55,10 @@
     /** Moving average of failures, in [0, 1]. */
     failureShare: number;
     ejectedUntilMs: number;
+    /** Whether this incarnation has announced that it leaves; final. */
+    isLeaving: boolean;
+    /** Until when the upstream wants neither requests nor probes from this entry, in monotonic milliseconds. */
+    backOffUntilMs: number;
     /** Rate limit that this entry saw last; undefined if it never saw one. */
     namedLimit: NamedLimit | undefined;
     /** Requests that this entry may send while the upstream is limited, at a time in monotonic milliseconds. */
@@ -62,6 +68,8 @@
 /** Known upstreams and their state, by id. */
 export class UpstreamStateTable {
     private readonly statesById = new Map<UpstreamId, UpstreamState>();
+    /** Start times of the incarnations that announced that they leave, also after their state was deleted. */
+    private readonly leavingBornAtMs = new Map<UpstreamId, number>();
 
     /** Adds an upstream or updates its registration; a new incarnation starts with a new state. */
     set(registration: Registration, nowMs: number): void {
@@ -80,6 +88,8 @@
             failuresInRow: 0,
             failureShare: 0,
             ejectedUntilMs: -Infinity,
+            isLeaving: this.leavingBornAtMs.get(registration.id) === registration.bornAtMs,
+            backOffUntilMs: -Infinity,
             namedLimit: undefined,
             permits: { count: 0, settledAtMs: nowMs },
         });
@@ -103,14 +113,43 @@
     }
 
     /** Returns whether an upstream that was probed earlier may still get new requests. */
-    isCurrent(upstreamState: UpstreamState): boolean {
-        return this.statesById.get(upstreamState.registration.id) === upstreamState &&
-            upstreamState.registration.state === RegistrationState.ready;
+    isCurrent(upstreamState: UpstreamState, nowMs: number): boolean {
+        return this.statesById.get(upstreamState.registration.id) === upstreamState && isUsable(upstreamState, nowMs);
+    }
+
+    /** Excludes an incarnation that leaves, also when it is registered again later. */
+    markLeaving(upstreamState: UpstreamState): void {
+        const { id, bornAtMs } = upstreamState.registration;
+        upstreamState.isLeaving = true;
+        // Without a start time, a later incarnation could not be told from this one and would be excluded, too.
+        if (bornAtMs === 0) {
+            return;
+        }
+        this.leavingBornAtMs.delete(id);
+        this.leavingBornAtMs.set(id, bornAtMs);
+        for (const oldestId of this.leavingBornAtMs.keys()) {
+            if (this.leavingBornAtMs.size <= maxLeavingIncarnations) {
+                break;
+            }
+            this.leavingBornAtMs.delete(oldestId);
+        }
+    }
+
+    /**
+     * Returns the time until the first upstream of a service ends its back-off; undefined unless the service has
+     * upstreams and all of them back off.
+     */
+    findBackOffDelayMs(service: ServiceName, nowMs: number): number | undefined {
+        const present = this.list().filter(upstreamState =>
+            upstreamState.registration.service === service && isPresent(upstreamState)
+        );
+        const untilMs = Math.min(...present.map(upstreamState => upstreamState.backOffUntilMs));
+        return present.length > 0 && untilMs > nowMs ? untilMs - nowMs : undefined;
     }
 
     /**
      * Returns the upstreams of a service that may get new requests and that `isAccepted` accepts; ejected ones only when
-     * all of these are ejected.
+     * all of these are ejected. Leaving ones and those that back off are never returned.
      */
     listEligible(
         service: ServiceName,
@@ -120,7 +159,7 @@
     ): readonly UpstreamState[] {
         const ready = this.list().filter(upstreamState => {
             const { registration } = upstreamState;
-            return registration.service === service && registration.state === RegistrationState.ready &&
+            return registration.service === service && isUsable(upstreamState, nowMs) &&
                 !excluded.has(registration.id) && isAccepted(upstreamState);
         });
         const notEjected = ready.filter(upstreamState => upstreamState.ejectedUntilMs <= nowMs);
@@ -152,3 +191,12 @@
         return upstreamState.failureShare > outlierFactor * meanFailureShare + outlierShare;
     }
 }
+
+/** Returns whether an upstream neither drains nor leaves. */
+function isPresent({ registration, isLeaving }: UpstreamState): boolean {
+    return registration.state === RegistrationState.ready && !isLeaving;
+}
+
+function isUsable(upstreamState: UpstreamState, nowMs: number): boolean {
+    return isPresent(upstreamState) && upstreamState.backOffUntilMs <= nowMs;
+}
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -49,6 +49,16 @@
         "Requests and load probes sent to upstreams that name a rate limit",
         ["kind"],
     );
+    readonly leavingUpstreams = this.addCounter(
+        "figwharf_upstreams_leaving_total",
+        "Upstreams whose responses announced that they leave",
+        ["service"],
+    );
+    readonly backOffs = this.addCounter(
+        "figwharf_upstream_back_offs_total",
+        "Pauses that upstreams asked for when they rejected a message",
+        ["service"],
+    );
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
--- a/test/boundary.test.ts
+++ b/test/boundary.test.ts
@@ -9,6 +9,7 @@
 const platformNamePatterns = [
     /x-figwharf-/i,
     /server-limit/i,
+    /server-leaving/i,
     /figwharf\/(rpc|resolve|readyz)/,
     /FIGWHARF_BOOT/,
     /\b(seedNodes|nodeName|toleranceCounted|heartbeatAddr|warmupLeft|maxConcurrency|weightedBackends|routeType)\b/,
