--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -11,6 +11,7 @@
 import { EntryListExchange } from "./entryListExchange.js";
 import { EntryListHistory, selectAddresses } from "./entryLists.js";
 import { LeaderReports } from "./leaderReports.js";
+import { LeavingInstances } from "./leavingInstances.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
     DirectoryMethod,
@@ -64,6 +65,7 @@
     private readonly entryListeners = new Set<() => void>();
     private readonly limits: LimitCoordinator;
     private readonly leaderReports: LeaderReports;
+    private readonly leavingInstances: LeavingInstances;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
     /** Instances that sent heartbeats since the last report to the leader. */
@@ -94,6 +96,13 @@
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
+        this.leavingInstances = new LeavingInstances({
+            find: id => this.state.registrations.get(id),
+            submit: registration => {
+                const { id, state, bornAtMs } = registration;
+                return this.submitAndLog({ kind: "register", registration }, { id, state, bornAtMs, by: "an entry" });
+            },
+        });
         this.metrics = new DirectoryMetrics({
             isLeader: () => log.isLeader,
             isLed: () => log.isLed,
@@ -235,6 +244,7 @@
             this.entryListeners.forEach(listener => listener());
         }
         this.limits.recordEntryReport(entry);
+        this.leavingInstances.recordReport(entry);
     }
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -24,6 +24,7 @@
 import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
+import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const stallTimeoutMs = 5000;
@@ -98,6 +99,15 @@
         return text === undefined ? { kind: "none" } : { kind: "limit", perSecond: Number(text) };
     }
 
+    isLeaving({ headers }: ResponseHead): boolean {
+        return findHeader(headers, "leaving") !== undefined;
+    }
+
+    readBackOffMs(head: ResponseHead): number | undefined {
+        const text = findHeader(head.headers, "back-off-ms");
+        return this.isNotRun(head) && text !== undefined ? Number(text) : undefined;
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
@@ -110,12 +120,17 @@
     /** Whether it answers load probes. */
     isAnsweringProbes = true;
     load = "0,3,1";
+    /** Header fields that it adds to answers to load probes. */
+    probeFields: Record<string, string> = {};
+    /** Number of load probes that it received. */
+    probeCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
+            this.probeCount++;
             if (this.isAnsweringProbes) {
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...this.probeFields });
                 response.end();
             }
             return;
@@ -177,6 +192,9 @@
     readonly upstreamTable = new UpstreamStateTable();
     readonly requestHandler: GatewayRequestHandler;
     readonly clock = new SystemClock();
+    readonly upstreamStatements: UpstreamStatements;
+    /** How often an upstream announced that it leaves. */
+    leavingReportCount = 0;
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
     /** Whether the directory is confirmed to be up to date. */
@@ -205,8 +223,25 @@
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
+        const upstreamStatements = new UpstreamStatements({
+            upstreamTable,
+            dialect,
+            clock,
+            logger,
+            metrics,
+            onLeaving: () => this.leavingReportCount++,
+        });
+        this.upstreamStatements = upstreamStatements;
         const connections = new UpstreamConnections(limits);
-        const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
+        const prober = new LoadProber({
+            upstreamTable,
+            upstreamLimits,
+            upstreamStatements,
+            connections,
+            dialect,
+            clock,
+            metrics,
+        });
         const probesPerSecond = () => highProbeRate;
         const dependencies: RequestDependencies = {
             placer: new Placer({
@@ -222,6 +257,7 @@
             upstreamTable,
             upstreamLimits,
             quotaGate,
+            upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: { ratio: 1, slack: 100, windowMs: 10_000 },
                 countEntries: () => 1,
