--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -82,6 +82,8 @@
     maxAttempts: isNumber,
     targets: arrayOf(objectWith({ service: isString, weight: isNumber })),
     isSplit: isBoolean,
+    isPublic: optional(isBoolean),
+    homes: optional(arrayOf(isString)),
 });
 const isOrganisation = objectWith({
     name: isString,
--- a/src/entry/framing.ts
+++ b/src/entry/framing.ts
@@ -2,7 +2,8 @@
 
 /**
  * Describes an ambiguity in the head of a request; undefined if there is none. Node's parser rejects most forms itself,
- * but accepts several Host fields and several transfer codings, which another server may interpret differently.
+ * but accepts several Host fields, several transfer codings and spaces after field names, which another server may
+ * interpret differently.
  */
 export function findAmbiguity(incoming: IncomingMessage): string | undefined {
     const { rawHeaders } = incoming;
@@ -10,6 +11,10 @@
     let codingCount = 0;
     for (let index = 0; index < rawHeaders.length; index += 2) {
         const name = rawHeaders[index].toLowerCase();
+        // Node's parser keeps such a space as a part of the name (RFC 9112, 5.1, requires 400).
+        if (name.endsWith(" ") || name.endsWith("\t")) {
+            return "The name of a header field ends with a space.";
+        }
         if (name === "host") {
             hostCount++;
         }
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -255,6 +255,11 @@
         });
     }
 
+    /** Port for callers. */
+    get port(): number {
+        return this.server.port;
+    }
+
     async start(table?: RouteTable): Promise<void> {
         if (table !== undefined) {
             this.requestHandler.setRoutes(table);
--- a/test/boundary.test.ts
+++ b/test/boundary.test.ts
@@ -12,6 +12,7 @@
     /figwharf\/(rpc|resolve|readyz)/,
     /FIGWHARF_BOOT/,
     /\b(seedNodes|nodeName|toleranceCounted|heartbeatAddr|warmupLeft|maxConcurrency|weightedBackends|routeType)\b/,
+    /\b(apiKeys|ratePerS|warmupPerS|tenants?)\b/,
     /\b(configVersion|targetLatency|gracePeriod|budgetSlack|retryBudgetRatio|controlPlane|non_idempotent)\b/,
     /from ".*\/platform\//,
 ];
