Evacuate an availability zone on an operator's request

Cause: operators could not take the instances of a zone out of service.

Entries send no requests and no load probes to instances of these zones, also in a round of probes that has begun; requests in flight go on. If no other zone has ready instances, requests are refused at once with 503 and the reason `evacuated`. While its own zone is evacuated, an entry probes the instances of the other zones in small samples, as it does at home. Rate limits are divided as if these instances were draining.

--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -94,6 +94,19 @@
     );
 });
 
+test("guards against acknowledging an evacuation that was not committed", async t => {
+    const { service, log, state, calls } = makeService();
+    t.true(await service.changeEvacuation("az-2", true));
+    t.true(await service.changeEvacuation("az-2", true), "a resend");
+    t.deepEqual(state.evacuatedZones, ["az-2"]);
+    log.isLeader = false;
+    t.false(await service.changeEvacuation("az-2", true), "no leader is known");
+    log.leaderAddress = "10.0.0.9:7000";
+    t.false(await service.changeEvacuation("az-2", false), "the leader does not answer");
+    t.deepEqual(calls, ["directory.propose"]);
+    t.deepEqual(state.evacuatedZones, ["az-2"]);
+});
+
 test("guards against stale reads: routes are not returned without a confirmed leader", async t => {
     const { service, log, state } = makeService();
     state.apply({ kind: "routes", baseVersion: 0, table: makeTable(3), update: undefined, proposedAtMs: 0 });
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -10,6 +10,7 @@
 import { EntryCounts } from "./entryCounts.js";
 import { EntryListExchange } from "./entryListExchange.js";
 import { EntryListHistory, selectAddresses } from "./entryLists.js";
+import { markEvacuated } from "./evacuatedZones.js";
 import { LeaderReports } from "./leaderReports.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
@@ -72,6 +73,7 @@
     private leaderSinceMs: number | undefined;
     /** Time since which a control VM in the directory has not been a member of the group, by peer address. */
     private readonly nonMemberSinceMs = new Map<string, number>();
+    private loggedEvacuatedZones = "";
     readonly metrics: DirectoryMetrics;
 
     constructor(private readonly options: DirectoryServiceOptions) {
@@ -80,7 +82,7 @@
             log,
             clock: options.clock,
             logger: options.logger,
-            listRegistrations: () => this.state.registrations.list(),
+            listRegistrations: () => markEvacuated(this.state.registrations.list(), this.state.evacuatedZones),
             listEntries: () => this.attachedEntries.listCounted(this.nowMs()),
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
@@ -105,6 +107,7 @@
             attachedEntries: () => this.attachedEntries.count(this.nowMs()),
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
+            evacuatedZones: () => this.state.evacuatedZones.length,
         });
         this.entryListHistory = new EntryListHistory(options.clock.now().getTime());
         const { self, links, clock, logger } = options;
@@ -116,7 +119,7 @@
             listNodes: () => this.state.nodes,
             listOwn: () => this.attachedEntries.listStates(this.nowMs()),
         });
-        options.log.state.onChange = () => this.notifyChange();
+        options.log.state.onChange = () => this.onStateChange();
     }
 
     /** Submits a route change to the leader. Returns undefined if it was refused or its outcome is not known. */
@@ -144,6 +147,18 @@
         return proposalOutcome.result;
     }
 
+    /** Begins or ends the evacuation of an availability zone; returns whether the state is committed. */
+    async changeEvacuation(availabilityZone: string, isEvacuated: boolean): Promise<boolean> {
+        const proposedAtMs = this.options.clock.now().getTime();
+        const { kind } = await this.submit({ kind: "evacuation", availabilityZone, isEvacuated, proposedAtMs });
+        const isCommitted = kind === "applied";
+        this.options.logger[isCommitted ? "info" : "warn"](
+            isCommitted ? "evacuation committed" : "evacuation refused or its outcome unknown",
+            { availabilityZone, isEvacuated, end: kind, version: this.state.revision },
+        );
+        return isCommitted;
+    }
+
     /** Returns the current routes, or undefined if this VM cannot confirm that its routes are current. */
     async readRoutes(): Promise<RouteTable | undefined> {
         const version = await this.findReadRevision();
@@ -283,6 +298,15 @@
         return this.options.log.state;
     }
 
+    private onStateChange(): void {
+        const { evacuatedZones, revision } = this.state;
+        if (evacuatedZones.join() !== this.loggedEvacuatedZones) {
+            this.loggedEvacuatedZones = evacuatedZones.join();
+            this.options.logger.info("evacuated zones changed", { evacuatedZones, version: revision });
+        }
+        this.notifyChange();
+    }
+
     private notifyChange(): void {
         this.changeListeners.forEach(listener => listener());
     }
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -3,6 +3,7 @@
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
 import { diffRoutes } from "./diffRoutes.js";
+import { EvacuatedZones, type EvacuationChange } from "./evacuatedZones.js";
 import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
 import { RegistrationTable } from "./registrations.js";
 import { updateRoutes } from "./updateRoutes.js";
@@ -37,6 +38,7 @@
 /** Replicated change of the directory. */
 export type DirectoryChange =
     | RouteChange
+    | EvacuationChange
     | { readonly kind: "register"; readonly registration: Registration; }
     /** The instance has deregistered; `bornAtMs` identifies its incarnation, if known. */
     | { readonly kind: "end"; readonly id: UpstreamId; readonly bornAtMs: number | undefined; }
@@ -72,6 +74,9 @@
     readonly proposedAtMs: number;
 }
 
+/** Audit record of an operator's change; one of an evacuation is the change itself. */
+export type DirectoryAuditRecord = RouteAuditRecord | EvacuationChange;
+
 /** Difference between an earlier revision of the state and the current one. */
 export interface DirectoryDelta {
     /** Revision of the state after the delta. */
@@ -87,6 +92,8 @@
     readonly ended: readonly UpstreamId[];
     /** Undefined if unchanged. */
     readonly nodes: readonly ControlNode[] | undefined;
+    /** Evacuated availability zones; undefined if unchanged, and if `isFull` when there are none. */
+    readonly evacuatedZones?: readonly string[];
 }
 
 /** A `RouteUpdate` with the version of the route table to which it applies. */
@@ -102,7 +109,9 @@
     readonly registrations: ReturnType<RegistrationTable["toImage"]>;
     readonly nodes: readonly ControlNode[];
     readonly acceptedDigests: readonly string[];
-    readonly audit: readonly RouteAuditRecord[];
+    readonly audit: readonly DirectoryAuditRecord[];
+    /** Undefined in snapshots of versions without evacuations. */
+    readonly evacuatedZones?: readonly string[];
 }
 
 const accepted: DirectoryResult = { outcome: RouteOutcome.accepted, detail: "" };
@@ -116,7 +125,10 @@
     private nodesByAddress = new Map<string, ControlNode>();
     private stateRevision = 0;
     private acceptedDigests = new Set<string>();
-    private auditRecords: RouteAuditRecord[] = [];
+    private auditRecords: DirectoryAuditRecord[] = [];
+    private readonly evacuations = new EvacuatedZones();
+    /** Below every revision until the first evacuation, so that deltas and snapshots without one stay as they were. */
+    private evacuationChangedAtRevision = -1;
     private tableChangedAtRevision = 0;
     /** Latest route tables with the revisions at which they were installed, oldest first. */
     private recentTables: { readonly atRevision: number; readonly table: RouteTable; }[] = [];
@@ -142,10 +154,14 @@
         return [...this.nodesByAddress.values()];
     }
 
-    get audit(): readonly RouteAuditRecord[] {
+    get audit(): readonly DirectoryAuditRecord[] {
         return this.auditRecords;
     }
 
+    get evacuatedZones(): readonly string[] {
+        return this.evacuations.list();
+    }
+
     apply(change: DirectoryChange): DirectoryResult {
         const revisionBefore = this.stateRevision;
         const result = this.applyChange(change);
@@ -159,6 +175,9 @@
         switch (change.kind) {
             case "routes":
                 return this.changeRoutes(change);
+            case "evacuation":
+                this.changeEvacuation(change);
+                return accepted;
             case "register":
                 this.recordRegistrationChanges(this.registrations.register(change.registration));
                 return accepted;
@@ -197,6 +216,7 @@
             ),
             ended: isFull ? [] : this.removals.filter(removal => removal.atRevision > since).map(removal => removal.id),
             nodes: this.nodesChangedAtRevision > since ? this.nodes : undefined,
+            ...this.evacuationChangedAtRevision > since ? { evacuatedZones: this.evacuatedZones } : {},
         };
     }
 
@@ -208,6 +228,7 @@
             nodes: this.nodes,
             acceptedDigests: [...this.acceptedDigests],
             audit: this.auditRecords,
+            ...this.evacuatedZones.length > 0 ? { evacuatedZones: this.evacuatedZones } : {},
         };
         return packr.pack(snapshot);
     }
@@ -220,6 +241,8 @@
         this.nodesByAddress = new Map(snapshot.nodes.map(node => [node.peerAddress, node]));
         this.acceptedDigests = new Set(snapshot.acceptedDigests);
         this.auditRecords = [...snapshot.audit];
+        this.evacuations.restore(snapshot.evacuatedZones);
+        this.evacuationChangedAtRevision = this.evacuatedZones.length > 0 ? this.stateRevision : -1;
         this.tableChangedAtRevision = this.stateRevision;
         this.recentTables = [{ atRevision: this.stateRevision, table: this.table }];
         this.cachedTableUpdates.clear();
@@ -238,14 +261,25 @@
         const result = this.validateAndApply(change);
         const version = change.table?.version ?? change.update?.version ?? 0;
         const { baseVersion, proposedAtMs } = change;
-        this.auditRecords.push({ baseVersion, version, ...result, proposedAtMs });
-        this.auditRecords.splice(0, this.auditRecords.length - maxAuditRecords);
+        this.recordAudit({ baseVersion, version, ...result, proposedAtMs });
         if (result.outcome === RouteOutcome.accepted) {
             this.recordDigest(digest);
         }
         return result;
     }
 
+    private changeEvacuation(change: EvacuationChange): void {
+        if (this.evacuations.apply(change)) {
+            this.evacuationChangedAtRevision = this.incrementRevision();
+            this.recordAudit(change);
+        }
+    }
+
+    private recordAudit(record: DirectoryAuditRecord): void {
+        this.auditRecords.push(record);
+        this.auditRecords.splice(0, this.auditRecords.length - maxAuditRecords);
+    }
+
     private validateAndApply({ baseVersion, table, update }: RouteChange): DirectoryResult {
         const { version } = this.table;
         if (baseVersion !== version) {
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -102,6 +102,7 @@
             removedServices: arrayOf(isString),
         })),
     },
+    "evacuation": { availabilityZone: isString, isEvacuated: isBoolean, proposedAtMs: isNumber },
     "register": {
         registration: objectWith({
             id: isString,
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -71,6 +71,7 @@
             upstreams: () => this.upstreamTable.list().length,
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
             limitedUpstreams: () => this.upstreamLimits.countLimited(),
+            evacuatedZones: () => this.upstreamTable.evacuatedZones.size,
         });
         const { metrics } = this;
         this.upstreamLimits = new UpstreamLimits({
@@ -204,7 +205,7 @@
     }
 
     private onDelta(
-        { version, isFull, registrations, ended }: DirectoryDelta,
+        { version, isFull, registrations, ended, evacuatedZones }: DirectoryDelta,
         table: RouteTable | undefined,
     ): void {
         if (isFull) {
@@ -212,6 +213,7 @@
         }
         ended.forEach(id => this.upstreamTable.delete(id));
         registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
+        this.applyEvacuatedZones(evacuatedZones ?? (isFull ? [] : undefined));
         if (table !== undefined) {
             this.requestHandler.setRoutes(table);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
@@ -220,6 +222,14 @@
         this.watch.report();
     }
 
+    private applyEvacuatedZones(availabilityZones: readonly string[] | undefined): void {
+        const { evacuatedZones } = this.upstreamTable;
+        if (availabilityZones !== undefined && availabilityZones.join() !== [...evacuatedZones].join()) {
+            this.upstreamTable.setEvacuatedZones(availabilityZones);
+            this.options.logger.info("evacuated zones changed", { evacuatedZones: availabilityZones });
+        }
+    }
+
     private onRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
         const id = `${this.idPrefix}-${this.nextRequestNumber++}`;
         const { stallTimeoutMs } = this.options.limits;
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -136,7 +136,10 @@
 
     private answerUnplaced(): void {
         this.permitDelayMs = this.dependencies.placer.findPermitDelayMs(this.context.service.name, this.excluded);
-        if (this.permitDelayMs === undefined) {
+        if (this.dependencies.upstreamTable.isEvacuated(this.context.service.name)) {
+            this.answerFailure("evacuated", "All availability zones with upstreams of the service are evacuated.");
+        }
+        else if (this.permitDelayMs === undefined) {
             this.answerFailure("no-room", "No upstream had room for the request in time.");
         }
         else {
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -213,13 +213,20 @@
             return;
         }
         clearTimeout(this.probeTimer);
+        if (this.options.upstreamTable.isEvacuated(this.service)) {
+            // Requests that waited when the last zone was evacuated are refused at once.
+            this.waiting.forEach(waitingPlacement => this.settle(waitingPlacement, undefined));
+            return;
+        }
         this.isProbing = true;
         this.hasNewRequest = false;
         this.placeOnLimited();
         const candidates = this.listUnlimited();
+        const { random, prober, upstreamTable, availabilityZone } = this.options;
+        // While the local zone is evacuated, the others take its place, so that a round does not probe all of theirs.
+        const isLocalZoneEvacuated = upstreamTable.evacuatedZones.has(availabilityZone);
         const isInLocalZone = (upstreamState: UpstreamState) =>
-            upstreamState.registration.availabilityZone === this.options.availabilityZone;
-        const { random, prober } = this.options;
+            isLocalZoneEvacuated || upstreamState.registration.availabilityZone === availabilityZone;
         const localCandidates = orderForProbing(
             candidates.filter(isInLocalZone),
             upstreamState => prober.isConnected(upstreamState),
@@ -269,7 +276,10 @@
 
     private async probeCandidates(candidates: readonly UpstreamState[], count: number): Promise<void> {
         const nowMs = this.nowMs();
-        const worthProbing = candidates.filter(upstreamState => isWorthProbing(upstreamState, this.waiting, nowMs));
+        // The candidates were listed at the start of the round; some may have been evacuated or have left since.
+        const worthProbing = candidates.filter(upstreamState =>
+            this.options.upstreamTable.isCurrent(upstreamState) && isWorthProbing(upstreamState, this.waiting, nowMs)
+        );
         const rate = probeBudgetShare * this.options.probesPerSecond() * this.listUnlimited().length;
         const allowed = this.budget.take(Math.min(count, worthProbing.length), rate, nowMs);
         // Any request supplies the health path, since all are for the same service.
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -62,6 +62,27 @@
 /** Known upstreams and their state, by id. */
 export class UpstreamStateTable {
     private readonly statesById = new Map<UpstreamId, UpstreamState>();
+    private evacuated: ReadonlySet<string> = new Set();
+
+    /** Availability zones whose upstreams get no new requests and no load probes. */
+    get evacuatedZones(): ReadonlySet<string> {
+        return this.evacuated;
+    }
+
+    setEvacuatedZones(availabilityZones: readonly string[]): void {
+        this.evacuated = new Set(availabilityZones);
+    }
+
+    /** Returns whether a service has ready upstreams, but only in evacuated availability zones. */
+    isEvacuated(service: ServiceName): boolean {
+        if (this.evacuated.size === 0) {
+            return false;
+        }
+        const ready = this.list().map(({ registration }) => registration).filter(registration =>
+            registration.service === service && registration.state === RegistrationState.ready
+        );
+        return ready.length > 0 && ready.every(({ availabilityZone }) => this.evacuated.has(availabilityZone));
+    }
 
     /** Adds an upstream or updates its registration; a new incarnation starts with a new state. */
     set(registration: Registration, nowMs: number): void {
@@ -105,7 +126,8 @@
     /** Returns whether an upstream that was probed earlier may still get new requests. */
     isCurrent(upstreamState: UpstreamState): boolean {
         return this.statesById.get(upstreamState.registration.id) === upstreamState &&
-            upstreamState.registration.state === RegistrationState.ready;
+            upstreamState.registration.state === RegistrationState.ready &&
+            !this.evacuated.has(upstreamState.registration.availabilityZone);
     }
 
     /**
@@ -121,7 +143,8 @@
         const ready = this.list().filter(upstreamState => {
             const { registration } = upstreamState;
             return registration.service === service && registration.state === RegistrationState.ready &&
-                !excluded.has(registration.id) && isAccepted(upstreamState);
+                !excluded.has(registration.id) && !this.evacuated.has(registration.availabilityZone) &&
+                isAccepted(upstreamState);
         });
         const notEjected = ready.filter(upstreamState => upstreamState.ejectedUntilMs <= nowMs);
         return notEjected.length > 0 ? notEjected : ready;
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -13,6 +13,7 @@
     readonly attachedEntries: () => number;
     readonly totalEntries: () => number;
     readonly limitedInstances: () => number;
+    readonly evacuatedZones?: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -60,6 +61,11 @@
             "Instances that name a rate limit, as this VM knows them",
             gauges.limitedInstances,
         );
+        this.addGauge(
+            "figwharf_zones_evacuated",
+            "Availability zones that are evacuated",
+            gauges.evacuatedZones ?? (() => 0),
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -15,6 +15,7 @@
     readonly upstreams: () => number;
     readonly ejectedUpstreams: () => number;
     readonly limitedUpstreams: () => number;
+    readonly evacuatedZones?: () => number;
 }
 
 /** Metrics of an entry that watches a directory. */
@@ -67,6 +68,11 @@
             gauges.ejectedUpstreams,
         );
         this.addGauge("figwharf_upstreams_limited", "Upstreams that name a rate limit", gauges.limitedUpstreams);
+        this.addGauge(
+            "figwharf_zones_evacuated",
+            "Availability zones that are evacuated",
+            gauges.evacuatedZones ?? (() => 0),
+        );
     }
 
     private addCounter<Label extends string>(name: string, help: string, labelNames: readonly Label[]): Counter<Label> {
