--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -114,6 +114,7 @@
             removedOrganisations: optional(arrayOf(isString)),
         })),
     },
+    "evacuation": { availabilityZone: isString, isEvacuated: isBoolean, proposedAtMs: isNumber },
     "register": {
         registration: objectWith({
             id: isString,
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -70,6 +70,27 @@
     private readonly statesById = new Map<UpstreamId, UpstreamState>();
     /** Start times of the incarnations that announced that they leave, also after their state was deleted. */
     private readonly leavingBornAtMs = new Map<UpstreamId, number>();
+    private evacuated: ReadonlySet<string> = new Set();
+
+    /** Availability zones whose upstreams get no new requests and no load probes. */
+    get evacuatedZones(): ReadonlySet<string> {
+        return this.evacuated;
+    }
+
+    setEvacuatedZones(availabilityZones: readonly string[]): void {
+        this.evacuated = new Set(availabilityZones);
+    }
+
+    /** Returns whether a service has ready upstreams, but only in evacuated availability zones. */
+    isEvacuated(service: ServiceName): boolean {
+        if (this.evacuated.size === 0) {
+            return false;
+        }
+        const ready = this.list().map(({ registration }) => registration).filter(registration =>
+            registration.service === service && registration.state === RegistrationState.ready
+        );
+        return ready.length > 0 && ready.every(({ availabilityZone }) => this.evacuated.has(availabilityZone));
+    }
 
     /** Adds an upstream or updates its registration; a new incarnation starts with a new state. */
     set(registration: Registration, nowMs: number): void {
@@ -114,7 +135,8 @@
 
     /** Returns whether an upstream that was probed earlier may still get new requests. */
     isCurrent(upstreamState: UpstreamState, nowMs: number): boolean {
-        return this.statesById.get(upstreamState.registration.id) === upstreamState && isUsable(upstreamState, nowMs);
+        return this.statesById.get(upstreamState.registration.id) === upstreamState &&
+            isUsable(upstreamState, nowMs) && !this.evacuated.has(upstreamState.registration.availabilityZone);
     }
 
     /** Excludes an incarnation that leaves, also when it is registered again later. */
@@ -160,7 +182,8 @@
         const ready = this.list().filter(upstreamState => {
             const { registration } = upstreamState;
             return registration.service === service && isUsable(upstreamState, nowMs) &&
-                !excluded.has(registration.id) && isAccepted(upstreamState);
+                !excluded.has(registration.id) && !this.evacuated.has(registration.availabilityZone) &&
+                isAccepted(upstreamState);
         });
         const notEjected = ready.filter(upstreamState => upstreamState.ejectedUntilMs <= nowMs);
         return notEjected.length > 0 ? notEjected : ready;
