Limit the rate of cold instances with shares from the leader

Cause: a cold instance crashes when all entries together send it more than it tolerates; so far a warmup only lowered its rank.

Change: the division of rate limits knows kinds of limits. The limit of a cold instance of a service with a configured warmup rate is divided as soon as its registration is applied; the other control VMs ask for shares at once. Entries without a share send it neither requests nor probes, also when they learn from an answer to a probe that it is cold again. Answers with 421 return the permit.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -6,7 +6,13 @@
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import { AttachedEntries } from "./attachedEntries.js";
-import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
+import type {
+    DirectoryChange,
+    DirectoryDelta,
+    DirectoryResult,
+    DirectoryState,
+    RouteChange,
+} from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
 import { LeaderReports } from "./leaderReports.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
@@ -71,6 +77,7 @@
             clock: options.clock,
             logger: options.logger,
             listRegistrations: () => this.state.registrations.list(),
+            listServices: () => this.state.routes.services,
             listEntries: () => this.attachedEntries.listCounted(this.nowMs()),
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
@@ -96,7 +103,11 @@
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
         });
-        options.log.state.onChange = () => this.notifyChange();
+        options.log.state.onChange = () => {
+            this.limits.onDirectoryChanged();
+            this.notifyChange();
+        };
+        this.limits.cold.refresh();
     }
 
     /** Submits a route change to the leader. Returns undefined if it was refused or its outcome is not known. */
@@ -142,7 +153,7 @@
      */
     async register(registration: Registration): Promise<boolean> {
         this.recordHeartbeat(registration.id);
-        if (!this.state.registrations.wouldChange(registration)) {
+        if (!this.state.registrations.wouldChange(registration, this.limits.cold.findRemainingMs(registration))) {
             this.metrics.reports.inc({ end: "known" });
             return true;
         }
@@ -178,7 +189,7 @@
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
-        const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
+        const delta = version === this.state.revision ? undefined : this.diffSince(version, canUpdate);
         const nowMs = this.nowMs();
         return {
             isLed: log.isLed,
@@ -249,6 +260,14 @@
         return this.options.log.state;
     }
 
+    private diffSince(version: number, canUpdate: boolean | undefined): DirectoryDelta {
+        const delta = this.state.diffSince(version, canUpdate);
+        return {
+            ...delta,
+            registrations: delta.registrations.map(registration => this.limits.cold.adjust(registration)),
+        };
+    }
+
     private notifyChange(): void {
         this.changeListeners.forEach(listener => listener());
     }
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -3,7 +3,14 @@
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
 import { diffRoutes } from "./diffRoutes.js";
-import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
+import {
+    type ControlNode,
+    emptyRouteTable,
+    isWarmupLimited,
+    type Registration,
+    type RouteTable,
+    type RouteUpdate,
+} from "./model.js";
 import { RegistrationTable } from "./registrations.js";
 import { updateRoutes } from "./updateRoutes.js";
 import { findRouteProblem } from "./validateRoutes.js";
@@ -160,7 +167,9 @@
             case "routes":
                 return this.changeRoutes(change);
             case "register":
-                this.recordRegistrationChanges(this.registrations.register(change.registration));
+                this.recordRegistrationChanges(
+                    this.registrations.register(change.registration, this.tracksWarmup(change.registration)),
+                );
                 return accepted;
             case "end":
             case "expire":
@@ -292,6 +301,10 @@
         }
     }
 
+    private tracksWarmup({ service }: Registration): boolean {
+        return this.table.services.some(routed => routed.name === service && isWarmupLimited(routed));
+    }
+
     private recordRegistrationChanges(ids: readonly UpstreamId[]): void {
         if (ids.length === 0) {
             return;
--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -1,9 +1,10 @@
 import type { ControlLogger } from "../control/options.js";
 import { ageMs, type Clock, type Instant, readInstant } from "../core/clock.js";
 import type { EntryId, UpstreamId } from "../core/ids.js";
-import { LimitShares, type SharedLimit, shareTtlMs } from "./limitShares.js";
+import { ColdLimits } from "./coldLimits.js";
+import { type AllocationInput, LimitShares, type SharedLimit, shareTtlMs } from "./limitShares.js";
 import type { EntryReport, HeartbeatReport, MemberLimits } from "./messages.js";
-import type { Registration } from "./model.js";
+import type { Registration, RoutedService } from "./model.js";
 import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
 
 /** Maximum age of the entries that another control VM reported; they are reported every second. */
@@ -17,6 +18,7 @@
     readonly clock: Clock;
     readonly logger: ControlLogger;
     readonly listRegistrations: () => readonly Registration[];
+    readonly listServices: () => readonly RoutedService[];
     /** Lists the entries that are attached to this control VM. */
     readonly listEntries: () => readonly EntryReport[];
     /** Called when the limits or shares of attached entries have changed. */
@@ -40,6 +42,8 @@
     /** The allocation that is under way. */
     private allocation: Promise<void> | undefined;
     private mustAllocateAgain = false;
+    /** Whether this VM has divided limits since it leads. */
+    private hasAllocated = false;
     private readonly memberEntries = new Map<
         string,
         { readonly entries: readonly EntryDemand[]; readonly receivedAtMs: number; }
@@ -49,25 +53,46 @@
     private limits: readonly SharedLimit[] = [];
     /** Changes with `limits`; 0 before the first change. */
     private version = 0;
-    private content = "[]";
+    private content = "[[],[]]";
     /** Until when the shares may be used: for `validMs` from `at`. */
     private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
 
-    constructor(private readonly options: LimitCoordinatorOptions) {}
+    /** Limits of cold instances; they share messages, versions and validity with the named ones. */
+    readonly cold: ColdLimits;
+
+    constructor(private readonly options: LimitCoordinatorOptions) {
+        this.cold = new ColdLimits(options);
+    }
 
     /** Number of instances that name a limit. */
     get limitedCount(): number {
         return this.limits.filter(limit => limit.perSecond !== undefined).length;
     }
 
+    /** Divides the limits of instances that are cold now, or asks the leader for shares. */
+    onDirectoryChanged(): void {
+        if (this.cold.refresh()) {
+            this.distribute();
+        }
+    }
+
     /** Records the limits in the report of an attached entry. */
-    recordEntryReport({ limits }: EntryReport): void {
+    recordEntryReport({ limits, cold }: EntryReport): void {
+        const hasColdNews = this.cold.recordReports(cold);
+        const hasNews = this.options.log.isLeader
+            ? this.observeAll(limits)
+            : (limits ?? []).filter(report => this.addPending(report)).length > 0;
+        if (hasNews || hasColdNews) {
+            this.distribute();
+        }
+    }
+
+    private distribute(): void {
         if (this.options.log.isLeader) {
-            if (this.observeAll(limits)) {
-                void this.allocate();
-            }
+            this.startLeading();
+            void this.allocate();
         }
-        else if ((limits ?? []).filter(report => this.addPending(report)).length > 0) {
+        else {
             this.options.onObserved();
         }
     }
@@ -91,17 +116,19 @@
             ageMs: nowMs - limit.observedAtMs,
             share: limit.shares.get(entryId) ?? 0,
         }));
-        return { version, validMs: this.validMs(), rows };
+        const cold = rows === undefined ? undefined : this.cold.describe(entryId);
+        return { version, validMs: this.validMs(), rows, ...(cold === undefined ? {} : { cold }) };
     }
 
-    /** Returns what this VM reports to the leader; nothing while it knows of no limit. */
-    buildReport(): Pick<HeartbeatReport, "entries" | "limits"> {
+    /** Returns what this VM reports to the leader; nothing while it knows of no limit and none is configured. */
+    buildReport(): Pick<HeartbeatReport, "entries" | "limits" | "cold"> {
         const nowMs = this.nowMs();
-        if (this.limits.length === 0 && this.pending.size === 0) {
+        if (this.limits.length === 0 && this.pending.size === 0 && !this.cold.isConfigured) {
             return {};
         }
         const limits = [...this.pending.values()].map(observation => toReport(observation, nowMs));
-        return { entries: this.listDemands(), limits };
+        const cold = this.cold.listReported();
+        return { entries: this.listDemands(), limits, ...(cold.length === 0 ? {} : { cold }) };
     }
 
     /** Applies the leader's answer to a report that was sent at `sentAt`. */
@@ -121,6 +148,7 @@
         }
         const nowMs = this.nowMs();
         this.validity = { at: sentAt, validMs: answer.validMs };
+        this.cold.applyRows(answer.cold ?? undefined, entries, sentAt.monotonicMs);
         this.setLimits(answer.rows.map(row => ({
             id: row.id,
             bornAtMs: row.bornAtMs,
@@ -135,7 +163,7 @@
 
     /** Handles the report of another control VM at the leader; returns the limits with the shares of its entries. */
     async handleReport(
-        { entries, limits }: Pick<HeartbeatReport, "entries" | "limits">,
+        { entries, limits, cold }: Pick<HeartbeatReport, "entries" | "limits" | "cold">,
         memberId: string,
     ): Promise<MemberLimits | undefined> {
         if (!this.options.log.isLeader) {
@@ -144,15 +172,22 @@
         if (entries !== undefined && entries !== null) {
             this.memberEntries.set(memberId, { entries, receivedAtMs: this.nowMs() });
         }
-        if (this.observeAll(limits)) {
+        const hasNews = this.observeAll(limits);
+        if (this.cold.recordReports(cold) || hasNews) {
             await this.allocate();
         }
-        if (!this.shares.canAllocate(this.nowMs())) {
+        // The answer includes what is being divided now, for a VM that has just applied a registration.
+        if (this.cold.isConfigured) {
+            await this.allocation;
+        }
+        if (!this.hasAllocated && !this.shares.canAllocate(this.nowMs())) {
             // The shares of the previous leader stay in force until they expire.
             return undefined;
         }
         const positions = new Map((entries ?? []).map((entry, position) => [entry.id, position]));
+        const coldRows = this.cold.describeForMember(positions);
         return {
+            ...(coldRows === undefined ? {} : { cold: coldRows }),
             validMs: this.validMs(),
             rows: this.limits.map(limit => ({
                 id: limit.id,
@@ -180,7 +215,7 @@
             return;
         }
         this.startLeading();
-        if (this.shares.size > 0 || this.limits.length > 0) {
+        if (this.shares.size > 0 || this.limits.length > 0 || this.cold.isConfigured) {
             void this.allocate();
         }
     }
@@ -188,6 +223,8 @@
     private startLeading(): void {
         if (!this.isLeading) {
             this.isLeading = true;
+            this.hasAllocated = false;
+            this.cold.startLeading();
             const nowMs = this.nowMs();
             const known = [...this.limits, ...this.pending.values()];
             this.shares.startLeading(known.map(observation => toReport(observation, nowMs)), nowMs);
@@ -230,16 +267,27 @@
         do {
             this.mustAllocateAgain = false;
             const at = readInstant(clock);
-            if (!await log.confirmLeadership() || !log.isLeader || !this.shares.canAllocate(this.nowMs())) {
+            if (!await log.confirmLeadership() || !log.isLeader || !this.isLeading) {
                 break;
             }
             const nowMs = this.nowMs();
-            const limits = this.shares.allocate({
+            const canDivideNamed = this.shares.canAllocate(nowMs);
+            if (!this.cold.confirm() && !canDivideNamed) {
+                break;
+            }
+            const input: AllocationInput = {
                 nowMs,
                 expiresAtMs: at.monotonicMs + shareTtlMs,
                 entries: this.listAllDemands(nowMs),
                 registrations: listRegistrations(),
-            });
+            };
+            // Before the shares of the previous leader have expired, only new cold instances are divided.
+            const limits = canDivideNamed
+                ? this.shares.allocate({ ...input, otherLimitedIds: this.cold.listIds() })
+                : this.limits.map(limit => ({ ...limit, shares: new Map<EntryId, number>() }));
+            const limitedIds = limits.filter(({ perSecond }) => perSecond !== undefined).map(({ id }) => id);
+            this.cold.allocate({ ...input, otherLimitedIds: new Set([...limitedIds, ...this.cold.listIds()]) });
+            this.hasAllocated = true;
             this.logChanges(limits);
             this.validity = { at, validMs: shareTtlMs };
             this.setLimits(limits);
@@ -268,7 +316,10 @@
     private setLimits(limits: readonly SharedLimit[]): void {
         this.limits = limits;
         const content = JSON.stringify(
-            limits.map(({ id, bornAtMs, perSecond, shares }) => [id, bornAtMs, perSecond, ...shares]),
+            [
+                limits.map(({ id, bornAtMs, perSecond, shares }) => [id, bornAtMs, perSecond, ...shares]),
+                this.cold.describeContent(),
+            ],
         );
         if (content !== this.content) {
             this.content = content;
--- a/src/directory/limitShares.ts
+++ b/src/directory/limitShares.ts
@@ -1,6 +1,7 @@
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
+import { type LimitKind, namedLimitKind } from "./limitKinds.js";
 import { type Registration, RegistrationState } from "./model.js";
-import { type EntryDemand, type LimitReport, maxHolders, usableRatePerSecond } from "./rateLimits.js";
+import type { EntryDemand, LimitReport } from "./rateLimits.js";
 
 /**
  * Time for which a share may be used without renewal, and for which a new leader waits. Longer than an election usually
@@ -17,6 +18,9 @@
 const minTermRequests = 30;
 const msPerSecond = 1000;
 const roundingTolerance = 1e-9;
+/** Time after the last grant of an earlier limit until the holders of a new one may start with permits. */
+const startDelayMs = 1000;
+const noIds: ReadonlySet<UpstreamId> = new Set();
 
 interface Grant {
     readonly share: number;
@@ -28,6 +32,8 @@
     /** Grants that the entry may still use, the newest last. */
     grants: Grant[];
     sinceMs: number;
+    /** Permits with which the entry starts. */
+    start: number;
 }
 
 interface LimitState {
@@ -40,11 +46,22 @@
     readonly releasedAtMs: Map<EntryId, number>;
     /** Shares in force, by entry. */
     shares: ReadonlyMap<EntryId, number>;
+    /** Starts of the holders that have one, by entry. */
+    starts: ReadonlyMap<EntryId, ShareStart>;
+    /** Part of the limit that was never granted; only its holders start with permits. */
+    unusedShare: number;
+}
+
+/** Permits with which the holder of a share starts. */
+export interface ShareStart {
+    readonly permits: number;
+    /** When the entry became a holder; identifies the holding. */
+    readonly grantedAtMs: number;
 }
 
 /** A limit with the shares in force. */
 export type SharedLimit = Readonly<
-    Pick<LimitState, "id" | "bornAtMs" | "perSecond" | "observedAtMs" | "shares">
+    Pick<LimitState, "id" | "bornAtMs" | "perSecond" | "observedAtMs" | "shares"> & Partial<Pick<LimitState, "starts">>
 >;
 
 /** Inputs of an allocation. */
@@ -54,6 +71,10 @@
     readonly expiresAtMs: number;
     readonly entries: readonly EntryDemand[];
     readonly registrations: readonly Registration[];
+    /** Instances with a limit of another kind. */
+    readonly otherLimitedIds?: ReadonlySet<UpstreamId>;
+    /** Instances that were not registered before this VM led. */
+    readonly newIds?: ReadonlySet<UpstreamId>;
 }
 
 /**
@@ -65,6 +86,8 @@
     private readonly limits = new Map<UpstreamId, LimitState>();
     private allocatesFromMs = Infinity;
 
+    constructor(private readonly kind: LimitKind = namedLimitKind) {}
+
     /** Starts with the limits that this VM knows when it becomes the leader; shares of the previous one expire first. */
     startLeading(known: readonly LimitReport[], nowMs: number): void {
         this.limits.clear();
@@ -89,11 +112,24 @@
             return false;
         }
         if (known === undefined || bornAtMs !== known.bornAtMs) {
-            const holdings = new Map<EntryId, Holding>();
-            const releasedAtMs = new Map<EntryId, number>();
-            this.limits.set(id, { id, bornAtMs, perSecond, observedAtMs, holdings, releasedAtMs, shares: new Map() });
+            this.limits.set(id, {
+                id,
+                bornAtMs,
+                perSecond,
+                observedAtMs,
+                holdings: new Map(),
+                releasedAtMs: new Map(),
+                shares: new Map(),
+                starts: new Map(),
+                unusedShare: 1,
+            });
             return true;
         }
+        if (
+            known.perSecond === undefined && perSecond !== undefined && findLastExpiryMs(known) < nowMs - startDelayMs
+        ) {
+            known.unusedShare = 1;
+        }
         const isNews = (known.perSecond === undefined) !== (perSecond === undefined);
         known.perSecond = perSecond;
         known.observedAtMs = observedAtMs;
@@ -106,7 +142,10 @@
         this.removeEnded(registrations, nowMs);
         const active = [...this.limits.values()].filter(limit => limit.perSecond !== undefined);
         const registrationsById = new Map(registrations.map(registered => [registered.id, registered]));
-        const demand = new Demand(input, new Set(active.map(limit => limit.id)));
+        const demand = new Demand(
+            input,
+            new Set([...active.map(limit => limit.id), ...input.otherLimitedIds ?? noIds]),
+        );
         const holdingCounts = countHoldings(active, nowMs);
         for (const limit of active) {
             const registration = registrationsById.get(limit.id);
@@ -114,12 +153,13 @@
                 this.divide(limit, demand.find(registration), holdingCounts, input);
             }
         }
-        return [...this.limits.values()].map(({ id, bornAtMs, perSecond, observedAtMs, shares }) => ({
+        return [...this.limits.values()].map(({ id, bornAtMs, perSecond, observedAtMs, shares, starts }) => ({
             id,
             bornAtMs,
             perSecond,
             observedAtMs,
             shares,
+            starts,
         }));
     }
 
@@ -138,38 +178,63 @@
         limit: LimitState,
         { wanting, isRotating }: ZoneDemand,
         holdingCounts: Map<EntryId, number>,
-        { nowMs, expiresAtMs }: AllocationInput,
+        { nowMs, expiresAtMs, newIds = noIds }: AllocationInput,
     ): void {
+        const { kind } = this;
         const { holdings } = limit;
         removeExpired(limit, nowMs);
         const limitPerSecond = limit.perSecond ?? 0;
-        const holderCount = Math.min(maxHolders(limitPerSecond), wanting.length);
+        const holderCount = Math.min(kind.maxHolders(limitPerSecond), wanting.length);
         const target = 1 / Math.max(1, holderCount);
-        const minShare = 1 / maxHolders(limitPerSecond);
-        const requestIntervalMs = msPerSecond / (target * usableRatePerSecond(limitPerSecond));
+        const minShare = 1 / kind.maxHolders(limitPerSecond);
+        const requestIntervalMs = msPerSecond / (target * kind.usableRatePerSecond(limitPerSecond));
         const termMs = isRotating ? Math.max(minTermMs, minTermRequests * requestIntervalMs) : Infinity;
         const shares = new Map<EntryId, number>();
         let free = 1 - sumReserved(holdings);
         for (const id of chooseHolders(limit, wanting, holderCount, termMs, holdingCounts, nowMs)) {
-            const holding = holdings.get(id) ?? { grants: [], sinceMs: nowMs };
+            const holding = holdings.get(id) ?? { grants: [], sinceMs: nowMs, start: 0 };
             const reserved = findReserved(holding);
             const share = Math.min(target, reserved + Math.max(0, free));
             if (share < minShare - roundingTolerance) {
                 // Too small for a whole request; it waits until more of the limit is free.
                 continue;
             }
-            free -= Math.max(0, share - reserved);
+            const added = Math.max(0, share - reserved);
+            free -= added;
             if (!holdings.has(id)) {
+                holding.start = added <= limit.unusedShare + roundingTolerance
+                    ? kind.findStart(shares.size, holderCount, newIds.has(limit.id))
+                    : 0;
                 holdings.set(id, holding);
                 holdingCounts.set(id, (holdingCounts.get(id) ?? 0) + 1);
             }
+            limit.unusedShare = Math.max(0, limit.unusedShare - added);
             addGrant(holding, share, expiresAtMs);
             shares.set(id, share);
         }
         limit.shares = shares;
+        limit.starts = findStarts(holdings, shares);
     }
 }
 
+function findStarts(
+    holdings: ReadonlyMap<EntryId, Holding>,
+    shares: ReadonlyMap<EntryId, number>,
+): ReadonlyMap<EntryId, ShareStart> {
+    return new Map(
+        [...holdings].flatMap(([id, { start, sinceMs }]) =>
+            start > 0 && shares.has(id) ? [[id, { permits: start, grantedAtMs: sinceMs }] as const] : []
+        ),
+    );
+}
+
+function findLastExpiryMs({ holdings }: LimitState): number {
+    return Math.max(
+        -Infinity,
+        ...[...holdings.values()].flatMap(({ grants }) => grants.map(grant => grant.expiresAtMs)),
+    );
+}
+
 function removeExpired({ holdings, releasedAtMs }: LimitState, nowMs: number): void {
     for (const [id, holding] of holdings) {
         holding.grants = holding.grants.filter(grant => grant.expiresAtMs > nowMs);
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -124,6 +124,7 @@
 const limitReports = optional(
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
+const coldReports = optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber, warmupMs: isNumber })));
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -131,6 +132,7 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    cold: coldReports,
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
@@ -152,6 +154,7 @@
             arrayOf(objectWith({ id: isString, availabilityZone: isString, services: arrayOf(isString) })),
         ),
         limits: limitReports,
+        cold: coldReports,
     }),
     [DirectoryMethod.join]: objectWith(memberFields),
     [DirectoryMethod.leaving]: objectWith(memberFields),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,7 +1,7 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
-import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
+import type { ColdReport, EntryDemand, EntryLimits, LimitReport, MemberColdRow } from "./rateLimits.js";
 
 /** Methods of the calls between the processes of a directory. */
 export const DirectoryMethod = {
@@ -33,6 +33,8 @@
     readonly services?: readonly ServiceName[];
     /** Rate limits that the entry saw and that the control VM does not show yet. */
     readonly limits?: readonly LimitReport[];
+    /** Warmups that the entry saw and that the control VM does not show yet. */
+    readonly cold?: readonly ColdReport[];
 }
 
 /** Parameters of `directory.watch`. */
@@ -82,10 +84,12 @@
     readonly ids: readonly UpstreamId[];
     /** Entries attached to the sender; undefined from versions without this field. */
     readonly entryCount?: number;
-    /** Entries attached to the sender; undefined while it knows of no rate limit. */
+    /** Entries attached to the sender; undefined while it knows of no rate limit and none is configured. */
     readonly entries?: readonly EntryDemand[];
     /** Rate limits that entries saw since the last report. */
     readonly limits?: readonly LimitReport[];
+    /** Warmups that entries saw and registrations do not show. */
+    readonly cold?: readonly ColdReport[];
 }
 
 /** Answer of `directory.heard`. */
@@ -101,6 +105,8 @@
     /** Time for which the shares may be used, in milliseconds from the report. */
     readonly validMs: number;
     readonly rows: readonly MemberLimitRow[];
+    /** Cold instances; undefined if none, and from versions without them. */
+    readonly cold?: readonly MemberColdRow[];
 }
 
 /** One rate limit for a control VM. */
--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -73,6 +73,14 @@
     readonly warmupPerSecond?: number;
 }
 
+/** Returns whether a service limits the rate of its cold instances. */
+export function isWarmupLimited(
+    service: RoutedService,
+): service is RoutedService & { readonly warmupPerSecond: number; } {
+    // The codec between processes may decode undefined as null.
+    return typeof service.warmupPerSecond === "number";
+}
+
 /** A customer of the operators whose callers authenticate with keys. */
 export interface Organisation {
     readonly name: string;
--- a/src/directory/rateLimits.ts
+++ b/src/directory/rateLimits.ts
@@ -33,6 +33,34 @@
     readonly validMs: number;
     /** Undefined if the entry has this version already. */
     readonly rows: readonly LimitRow[] | undefined;
+    /** Cold instances, with `rows`; undefined if none, and from versions without them. */
+    readonly cold?: readonly ColdRow[];
+}
+
+/** What an entry saw of the warmup of an instance. */
+export interface ColdReport {
+    readonly id: UpstreamId;
+    readonly bornAtMs: number;
+    /** Rest of the warmup when it was reported. */
+    readonly warmupMs: number;
+}
+
+/** Permits with which a holder starts. `grant` identifies the holding; `ageMs` is its age or more. */
+export type StartRow = readonly [permits: number, grant: number, ageMs: number];
+
+/** The limit of a cold instance with the share that one entry may use. */
+export interface ColdRow extends ColdReport {
+    readonly perSecond: number;
+    readonly share: number;
+    readonly start?: StartRow;
+}
+
+/** The limit of a cold instance for a control VM. */
+export interface MemberColdRow extends ColdReport {
+    readonly perSecond: number;
+    readonly isOnlyReported: boolean;
+    /** Shares by position of the entry in the report. */
+    readonly shares: readonly (readonly [position: number, share: number, start?: StartRow])[];
 }
 
 /** Part of a limit's burst that grows with it, in seconds of the limit, and the constant part. */
--- a/src/directory/registrations.ts
+++ b/src/directory/registrations.ts
@@ -4,6 +4,9 @@
 /** Maximum number of ended incarnations kept, so that delayed heartbeats do not register them again. */
 const maxEndedIncarnations = 4096;
 
+/** Smaller extensions of a warmup are differences in the time that heartbeats take. */
+export const warmupToleranceMs = 100;
+
 /** Incarnation of an instance that has deregistered, or whose address another instance has taken over. */
 interface EndedIncarnation {
     readonly id: UpstreamId;
@@ -27,8 +30,11 @@
         return this.registrationsById.get(id);
     }
 
-    /** Returns whether a heartbeat would change the table. */
-    wouldChange(heartbeat: Registration): boolean {
+    /**
+     * Returns whether a heartbeat would change the table. `remainingWarmupMs` is the rest of the warmup that the table
+     * shows, by the clock of the caller; undefined if warmups do not matter. One that merely counts down is no change.
+     */
+    wouldChange(heartbeat: Registration, remainingWarmupMs?: number): boolean {
         if (this.isStale(heartbeat)) {
             return false;
         }
@@ -36,12 +42,18 @@
         return existing === undefined || existing.bornAtMs !== heartbeat.bornAtMs ||
             existing.state !== heartbeat.state ||
             existing.address !== heartbeat.address || existing.service !== heartbeat.service ||
-            existing.slots !== heartbeat.slots;
+            existing.slots !== heartbeat.slots ||
+            remainingWarmupMs !== undefined && heartbeat.sequence > existing.sequence &&
+                (heartbeat.warmupMs > remainingWarmupMs + warmupToleranceMs ||
+                    heartbeat.warmupMs === 0 && existing.warmupMs > 0);
     }
 
-    /** Applies a heartbeat; returns the ids of the registrations that were changed or removed. */
-    register(heartbeat: Registration): readonly UpstreamId[] {
-        if (!this.wouldChange(heartbeat)) {
+    /**
+     * Applies a heartbeat; returns the ids of the registrations that were changed or removed. With `tracksWarmup`, a
+     * later heartbeat with another warmup is a change: only such that `wouldChange` accepted are proposed.
+     */
+    register(heartbeat: Registration, tracksWarmup = false): readonly UpstreamId[] {
+        if (!this.wouldChange(heartbeat) && !(tracksWarmup && this.hasOtherWarmup(heartbeat))) {
             return [];
         }
         // The instance that started last owns the address.
@@ -102,6 +114,12 @@
         }
     }
 
+    private hasOtherWarmup(heartbeat: Registration): boolean {
+        const existing = this.registrationsById.get(heartbeat.id);
+        return existing !== undefined && !this.isStale(heartbeat) && heartbeat.sequence > existing.sequence &&
+            heartbeat.warmupMs !== existing.warmupMs;
+    }
+
     /** Whether a heartbeat is from an earlier incarnation, or was sent before the state in the table. */
     private isStale(heartbeat: Registration): boolean {
         const existing = this.registrationsById.get(heartbeat.id);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -200,6 +200,7 @@
             isServing: this.isReady(),
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
+            ...this.upstreamLimits.cold.describeUnreported(),
         };
     }
 
@@ -214,6 +215,7 @@
         registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
         if (table !== undefined) {
             this.requestHandler.setRoutes(table);
+            this.upstreamLimits.cold.setServices(table.services);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
             this.options.logger.info("applied routes", { routesVersion: table.version, version });
         }
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -38,6 +38,10 @@
     abstract readLoad(head: ResponseHead): InstanceLoad | undefined;
     /** Returns the rate limit that a response names. */
     abstract readRateLimit(head: ResponseHead): RateLimitStatement;
+    /** Returns the rest of the warmup that an answer to a health check states; undefined when it states none. */
+    abstract readWarmupMs(head: ResponseHead): number | undefined;
+    /** Returns whether the request reached a process other than the upstream. */
+    abstract isMisdirected(head: ResponseHead): boolean;
     /** Returns the upstream id that a health check response states. */
     abstract readUpstreamId(head: ResponseHead): UpstreamId | undefined;
 }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -164,7 +164,10 @@
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.times.timeoutAtMs + upstreamGraceMs) - sentAtMs);
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
-        const onHead = (head: ResponseHead, isNotRun: boolean) =>
+        const onHead = (head: ResponseHead, isNotRun: boolean) => {
+            if (dialect.isMisdirected(head)) {
+                upstreamLimits.cold.returnPermit(upstreamState);
+            }
             upstreamLimits.recordStatement(
                 upstreamState,
                 dialect.readRateLimit(head),
@@ -172,6 +175,7 @@
                 // Rejections and errors can come from a part of the instance that does not know the limit.
                 !isNotRun && head.status < minServerErrorStatus,
             );
+        };
         const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
         this.attemptCount++;
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -90,6 +90,7 @@
         metrics.loadProbes.inc({ end: "answered" });
         // Instances need not name their limit in answers to probes, so such an answer does not withdraw it.
         upstreamLimits.recordStatement(upstreamState, dialect.readRateLimit(head), MessageKind.probe, false);
+        upstreamLimits.cold.recordProbe(upstreamState, dialect.readWarmupMs(head));
         const load = dialect.readLoad(head);
         if (load !== undefined) {
             upstreamState.load = load;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -87,6 +87,15 @@
         return text === undefined ? { kind: "none" } : { kind: "limit", perSecond: Number(text) };
     }
 
+    readWarmupMs({ headers }: ResponseHead): number | undefined {
+        const text = findHeader(headers, "warmup-ms");
+        return text === undefined ? undefined : Number(text);
+    }
+
+    isMisdirected({ status }: ResponseHead): boolean {
+        return status === 421;
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -8,8 +8,10 @@
     usableRatePerSecond,
 } from "../directory/rateLimits.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { ColdUpstreams } from "./coldUpstreams.js";
 import type { RateLimitStatement } from "./dialect.js";
 import type { GatewayLogger } from "./options.js";
+import { type Allowance, countPermitsUntil, findPermitAtMs, settlePermits } from "./permits.js";
 import type { UpstreamState, UpstreamStateTable } from "./upstreamStateTable.js";
 
 /**
@@ -21,8 +23,6 @@
 const reportedChangeShare = 0.05;
 /** Time for which a service counts as requested after a request for it. */
 const demandTtlMs = 10_000;
-const msPerSecond = 1000;
-const roundingTolerance = 1e-9;
 
 /** What a message to an upstream was for. */
 export const MessageKind = { request: "request", probe: "probe" } as const;
@@ -44,8 +44,8 @@
 }
 
 /**
- * Rate limits that upstreams name in their responses, and this entry's shares of them. A limited upstream gets only
- * requests with a permit. Permits accrue at the rate of the entry's share, from none, and end with the share.
+ * Rate limits of upstreams, and this entry's shares of them: limits that upstreams name in their responses, and those of
+ * cold upstreams (`cold`). A limited upstream gets only requests with a permit, for each of its limits. Permits accrue at the rate of the entry's share, from none, and end with the share.
  */
 export class UpstreamLimits {
     private rows: ReadonlyMap<UpstreamId, HeldRow> = new Map();
@@ -53,8 +53,11 @@
     private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
     private readonly requestedAtMs = new Map<ServiceName, number>();
     private heldVersion = 0;
+    readonly cold: ColdUpstreams;
 
-    constructor(private readonly options: UpstreamLimitsOptions) {}
+    constructor(private readonly options: UpstreamLimitsOptions) {
+        this.cold = new ColdUpstreams(options);
+    }
 
     /** Version of the limits received from the control VM in use; 0 if none. */
     get version(): number {
@@ -63,6 +66,12 @@
 
     /** Returns the requests a second that an upstream accepts from all entries together; undefined without a limit. */
     getLimit(upstreamState: UpstreamState): number | undefined {
+        const limits = [this.getNamedLimit(upstreamState), this.cold.getLimit(upstreamState)];
+        const perSecond = Math.min(...limits.map(limit => limit ?? Infinity));
+        return perSecond === Infinity ? undefined : perSecond;
+    }
+
+    private getNamedLimit(upstreamState: UpstreamState): number | undefined {
         const { namedLimit } = upstreamState;
         const row = this.findRow(upstreamState);
         if (namedLimit !== undefined && (row === undefined || namedLimit.observedAtMs >= row.observedAtMs)) {
@@ -81,17 +90,16 @@
 
     /** Returns when a request may be sent to an upstream: in the past, in the future, or Infinity without a share. */
     findPermitAtMs(upstreamState: UpstreamState): number {
-        if (!this.isLimited(upstreamState)) {
-            return -Infinity;
+        const coldPermitAtMs = this.cold.findPermitAtMs(upstreamState);
+        if (!this.isNamed(upstreamState)) {
+            return coldPermitAtMs;
         }
         this.settle(upstreamState);
-        const { ratePerSecond, burst } = this.findAllowance(upstreamState);
-        const { permits } = upstreamState;
-        if (burst < 1 - roundingTolerance) {
-            return Infinity;
-        }
-        const missing = 1 - roundingTolerance - permits.count;
-        return missing <= 0 ? -Infinity : permits.settledAtMs + missing * msPerSecond / ratePerSecond;
+        return Math.max(coldPermitAtMs, findPermitAtMs(upstreamState.permits, this.findAllowance(upstreamState)));
+    }
+
+    private isNamed(upstreamState: UpstreamState): boolean {
+        return this.getNamedLimit(upstreamState) !== undefined;
     }
 
     isPermitted(upstreamState: UpstreamState): boolean {
@@ -100,16 +108,19 @@
 
     /** Returns how many requests may be sent to a limited upstream until a time. */
     countPermitsUntil(upstreamState: UpstreamState, untilMs: number): number {
+        const coldCount = this.cold.countPermitsUntil(upstreamState, untilMs);
+        if (!this.isNamed(upstreamState)) {
+            return coldCount;
+        }
         this.settle(upstreamState);
-        const { ratePerSecond, burst } = this.findAllowance(upstreamState);
-        const { count, settledAtMs } = upstreamState.permits;
-        const accrued = count + Math.max(0, untilMs - settledAtMs) * ratePerSecond / msPerSecond;
-        return burst < 1 - roundingTolerance ? 0 : Math.floor(accrued + roundingTolerance);
+        const allowance = this.findAllowance(upstreamState);
+        return Math.min(coldCount, countPermitsUntil(upstreamState.permits, allowance, untilMs));
     }
 
     /** Uses a permit of a limited upstream. */
     takePermit(upstreamState: UpstreamState): void {
-        if (this.isLimited(upstreamState)) {
+        this.cold.takePermit(upstreamState);
+        if (this.isNamed(upstreamState)) {
             this.settle(upstreamState);
             upstreamState.permits.count = Math.max(0, upstreamState.permits.count - 1);
         }
@@ -117,7 +128,8 @@
 
     /** Returns a permit whose request was not sent. */
     returnPermit(upstreamState: UpstreamState): void {
-        if (this.isLimited(upstreamState)) {
+        this.cold.returnPermit(upstreamState);
+        if (this.isNamed(upstreamState)) {
             this.settle(upstreamState);
             const { burst } = this.findAllowance(upstreamState);
             upstreamState.permits.count = Math.min(burst, upstreamState.permits.count + 1);
@@ -153,8 +165,10 @@
     }
 
     /** Applies the limits of the control VM; `sentAt` is when the call was sent whose answer they are. */
-    apply({ version, validMs, rows }: EntryLimits, sentAt: Instant): void {
+    apply(limits: EntryLimits, sentAt: Instant): void {
+        const { version, validMs, rows } = limits;
         const nowMs = this.nowMs();
+        this.cold.apply(limits, sentAt);
         // Permits of the past accrue by the shares of the past.
         this.options.upstreamTable.list().forEach(upstreamState => this.settle(upstreamState));
         this.validity = { at: sentAt, validMs };
@@ -172,7 +186,7 @@
     /** Records a withdrawal that another entry saw, since the control VMs keep it only for a time. */
     private adoptWithdrawal(upstreamState: UpstreamState): void {
         const row = this.findRow(upstreamState);
-        if (row !== undefined && row.perSecond === undefined && !this.isLimited(upstreamState)) {
+        if (row !== undefined && row.perSecond === undefined && !this.isNamed(upstreamState)) {
             upstreamState.namedLimit = { perSecond: undefined, observedAtMs: row.observedAtMs };
         }
     }
@@ -191,7 +205,7 @@
     ): void {
         const { logger, onObserved } = this.options;
         const observedAtMs = this.nowMs();
-        const previousPerSecond = this.getLimit(upstreamState);
+        const previousPerSecond = this.getNamedLimit(upstreamState);
         const upstream = upstreamState.registration.id;
         switch (statement.kind) {
             case "limit": {
@@ -231,7 +245,10 @@
                 upstream: upstreamState.registration.id,
                 kind,
                 perSecond,
-                share: this.findShare(upstreamState),
+                share: this.cold.isCold(upstreamState)
+                    ? this.cold.findShare(upstreamState)
+                    : this.findShare(upstreamState),
+                isCold: this.cold.isCold(upstreamState) || undefined,
             });
         }
     }
@@ -245,22 +262,15 @@
 
     /** Brings the permits of an upstream up to date; without a valid share, there are none. */
     private settle(upstreamState: UpstreamState): void {
-        const { permits } = upstreamState;
-        const nowMs = this.nowMs();
-        if (this.isLimited(upstreamState)) {
-            const { ratePerSecond, burst } = this.findAllowance(upstreamState);
-            const accrued = Math.max(0, nowMs - permits.settledAtMs) * ratePerSecond / msPerSecond;
-            permits.count = Math.min(burst, permits.count + accrued);
-        }
-        else {
-            permits.count = 0;
-        }
-        permits.settledAtMs = nowMs;
+        const allowance = this.isNamed(upstreamState)
+            ? this.findAllowance(upstreamState)
+            : { ratePerSecond: 0, burst: 0 };
+        settlePermits(upstreamState.permits, allowance, this.nowMs());
     }
 
     /** Returns the rate and the burst of this entry's share; both are 0 without one. */
-    private findAllowance(upstreamState: UpstreamState): { readonly ratePerSecond: number; readonly burst: number; } {
-        const limit = this.getLimit(upstreamState) ?? 0;
+    private findAllowance(upstreamState: UpstreamState): Allowance {
+        const limit = this.getNamedLimit(upstreamState) ?? 0;
         const share = this.findShare(upstreamState);
         return { ratePerSecond: share * usableRatePerSecond(limit), burst: share * usableBurst(limit) };
     }
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -1,6 +1,7 @@
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 import { type Registration, RegistrationState } from "../directory/model.js";
 import type { InstanceLoad } from "./dialect.js";
+import type { Permits } from "./permits.js";
 
 /** First and maximum ejection time; it doubles with each further consecutive failure. */
 const baseEjectionMs = 250;
@@ -37,6 +38,16 @@
     readonly observedAtMs: number;
 }
 
+/** Warmup of an upstream and this entry's permits during it. Times are in monotonic milliseconds. */
+export interface ColdState {
+    /** End of the warmup by the registration, and by an answer to a probe of this entry. */
+    registeredUntilMs: number;
+    observedUntilMs: number;
+    readonly permits: Permits;
+    /** The holding whose first permits were added; undefined if none. */
+    startedGrant: number | undefined;
+}
+
 /** State of an upstream as known to this entry. */
 export interface UpstreamState {
     registration: Registration;
@@ -55,8 +66,9 @@
     ejectedUntilMs: number;
     /** Rate limit that this entry saw last; undefined if it never saw one. */
     namedLimit: NamedLimit | undefined;
-    /** Requests that this entry may send while the upstream is limited, at a time in monotonic milliseconds. */
-    readonly permits: { count: number; settledAtMs: number; };
+    /** Requests that this entry may send while the upstream is limited. */
+    readonly permits: Permits;
+    readonly cold: ColdState;
 }
 
 /** Known upstreams and their state, by id. */
@@ -68,6 +80,7 @@
         const upstreamState = this.statesById.get(registration.id);
         if (upstreamState !== undefined && upstreamState.registration.bornAtMs === registration.bornAtMs) {
             upstreamState.registration = registration;
+            upstreamState.cold.registeredUntilMs = nowMs + registration.warmupMs;
             return;
         }
         this.statesById.set(registration.id, {
@@ -82,6 +95,12 @@
             ejectedUntilMs: -Infinity,
             namedLimit: undefined,
             permits: { count: 0, settledAtMs: nowMs },
+            cold: {
+                registeredUntilMs: nowMs + registration.warmupMs,
+                observedUntilMs: -Infinity,
+                permits: { count: 0, settledAtMs: nowMs },
+                startedGrant: undefined,
+            },
         });
     }
 
