Simulate cold instances and tell entries about warmups that only entries saw

Cause: the bound for cold instances was not tested, and without a leader each entry had to learn by its own probe that an instance had become cold again.

Change: the fleet of the limit tests knows services with a warmup rate, wakes entries and delivers registrations.

--- a/src/directory/coldLimits.ts
+++ b/src/directory/coldLimits.ts
@@ -19,6 +19,9 @@
     readonly starts: ReadonlyMap<EntryId, ShareStart>;
 }
 
+const noShares: ReadonlyMap<EntryId, number> = new Map();
+const noStarts: ReadonlyMap<EntryId, ShareStart> = new Map();
+
 /** The limits of cold instances at a control VM: divided at the leader, known from its answers at the others. */
 export class ColdLimits {
     private readonly instances: ColdInstances;
@@ -47,9 +50,11 @@
 
     /** What decides about the shares of entries, to notice changes. */
     describeContent(): readonly unknown[] {
-        return this.limits.map((
-            { id, bornAtMs, perSecond, isOnlyReported, shares },
-        ) => [id, bornAtMs, perSecond, isOnlyReported, ...shares]);
+        const reported = this.instances.list().filter(({ isOnlyReported }) => isOnlyReported);
+        return [
+            ...this.limits.map(({ id, bornAtMs, perSecond, shares }) => [id, bornAtMs, perSecond, ...shares]),
+            ...reported.map(({ id, bornAtMs, coldUntilMs }) => [id, bornAtMs, coldUntilMs]),
+        ];
     }
 
     /** Follows the directory; returns whether an instance is cold that was not, or is cold for longer. */
@@ -128,10 +133,16 @@
         }
     }
 
-    /** Returns the rows of an entry: those with a share, and those that no registration shows. */
+    /** Returns the rows of an entry: those with a share, and those that no registration shows, also without a leader. */
     describe(entryId: EntryId): readonly ColdRow[] | undefined {
         const nowMs = this.nowMs();
-        const rows = this.listCurrent().filter(({ isOnlyReported, shares }) => isOnlyReported || shares.has(entryId));
+        const limits = this.listCurrent();
+        const limitedIds = new Set(limits.map(({ id }) => id));
+        const others = this.instances.list().filter(({ id }) => !limitedIds.has(id));
+        const withoutHolders = others.map(instance => ({ ...instance, shares: noShares, starts: noStarts }));
+        const rows = [...limits, ...withoutHolders].filter(({ isOnlyReported, shares }) =>
+            isOnlyReported || shares.has(entryId)
+        );
         return rows.length === 0 ? undefined : rows.map(({ id, bornAtMs, perSecond, coldUntilMs, shares, starts }) => ({
             id,
             bornAtMs,
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -157,6 +157,7 @@
             this.metrics.reports.inc({ end: "known" });
             return true;
         }
+        this.limits.recordWarmup(registration);
         const { id, state, service, address } = registration;
         return this.submitAndLog({ kind: "register", registration }, { id, state, service, address });
     }
--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -82,11 +82,22 @@
         const hasNews = this.options.log.isLeader
             ? this.observeAll(limits)
             : (limits ?? []).filter(report => this.addPending(report)).length > 0;
+        if (hasColdNews) {
+            this.updateVersion();
+        }
         if (hasNews || hasColdNews) {
             this.distribute();
         }
     }
 
+    /** Records that a heartbeat says that an instance is cold for longer, before that is committed. */
+    recordWarmup({ id, bornAtMs, warmupMs }: Registration): void {
+        if (warmupMs > 0 && this.cold.recordReports([{ id, bornAtMs, warmupMs }])) {
+            this.updateVersion();
+            this.distribute();
+        }
+    }
+
     private distribute(): void {
         if (this.options.log.isLeader) {
             this.startLeading();
@@ -315,6 +326,11 @@
 
     private setLimits(limits: readonly SharedLimit[]): void {
         this.limits = limits;
+        this.updateVersion();
+    }
+
+    private updateVersion(): void {
+        const { limits } = this;
         const content = JSON.stringify(
             [
                 limits.map(({ id, bornAtMs, perSecond, shares }) => [id, bornAtMs, perSecond, ...shares]),
--- a/src/directory/limitKinds.ts
+++ b/src/directory/limitKinds.ts
@@ -36,18 +36,20 @@
 const coldTolerance = 8;
 /** Requests by which the usable amount stays below the allowed one: connecting can delay some into a later second. */
 const coldMargin = 2;
+/** Part of the rate that is given out. Holders without a request at the right time leave about a sixth of it unused. */
+const coldRateFactor = 1.2;
 /** Requests that each holder can accumulate at least; with fewer, uneven demand leaves the share idle. */
-const coldBurstPerHolder = 2;
+const coldBurstPerHolder = 1.4;
 
 /** The limit of a cold instance; it ends with the warmup. */
 class ColdLimitKind extends LimitKind {
     usableRatePerSecond(limitPerSecond: number): number {
-        return limitPerSecond;
+        return coldRateFactor * limitPerSecond;
     }
 
     /** Rate and burst together stay below what the instance may get in one second. */
     usableBurst(limitPerSecond: number): number {
-        return (coldOvershoot - 1) * limitPerSecond + coldTolerance - coldMargin;
+        return (coldOvershoot - coldRateFactor) * limitPerSecond + coldTolerance - coldMargin;
     }
 
     maxHolders(limitPerSecond: number): number {
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -3,7 +3,7 @@
 import { type DirectoryLog, DirectoryService } from "../directory/directoryService.js";
 import { type DirectoryChange, DirectoryState } from "../directory/directoryState.js";
 import { DirectoryMethod, type EntryReport, type HeartbeatReport } from "../directory/messages.js";
-import type { Registration } from "../directory/model.js";
+import type { Registration, RoutedService } from "../directory/model.js";
 import { makeRegistration, makeTable } from "../directory/testing.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ProbeResult } from "./loadProber.js";
@@ -15,6 +15,7 @@
 const watchIntervalMs = 400;
 const reportIntervalMs = 1000;
 const workMs = 120;
+const retryMs = 100;
 const msPerSecond = 1000;
 /** Rule of the platform: requests in any window of this length, and when a limit and an entry begin to count. */
 const ruleWindowMs = 4000;
@@ -34,10 +35,14 @@
     readonly instanceZones?: readonly string[];
     /** Requests a second and entry. */
     readonly requestsPerSecond: number;
+    /** Configured services; with them, entries take registrations from the control VMs, which wake them. */
+    readonly services?: readonly RoutedService[];
 }
 
-interface SimulatedInstance {
+/** An instance and the messages that it got. */
+export interface SimulatedInstance {
     registration: Registration;
+    coldUntilMs?: number;
     /** Limits that it named, in requests a second, with their times; undefined when it named none. */
     namedLimits: { readonly atMs: number; readonly perSecond: number | undefined; }[];
     readonly arrivals: { readonly atMs: number; readonly entry: SimulatedEntry; readonly kind: MessageKind; }[];
@@ -51,6 +56,8 @@
     /** When a response with a limit was first passed on, by instance. */
     readonly toldAtMs = new Map<string, number>();
     isPartitioned = false;
+    version = 0;
+    suspendedUntilMs = 0;
 
     constructor(readonly fleet: LimitFleet, readonly id: string, readonly zone: string, public control: number) {
         const { clock, random } = fleet;
@@ -79,7 +86,10 @@
             clock,
             random,
         });
-        fleet.instances.forEach(({ registration }) => this.upstreamTable.set(registration, clock.monotonicMs()));
+        this.limits.cold.setServices(fleet.scale.services ?? []);
+        if (fleet.scale.services === undefined) {
+            fleet.instances.forEach(({ registration }) => this.upstreamTable.set(registration, clock.monotonicMs()));
+        }
     }
 
     /** Places a request; returns whether an instance got it. */
@@ -122,11 +132,17 @@
             isServing: true,
             services: this.limits.listRequestedServices(),
             limits: this.limits.listUnreported(),
+            ...this.limits.cold.describeUnreported(),
         };
     }
 
     private probe(upstreamState: UpstreamState): ProbeResult {
-        this.arrive(upstreamState, MessageKind.probe);
+        const { coldUntilMs } = this.arrive(upstreamState, MessageKind.probe);
+        const { nowMs } = this.fleet;
+        this.limits.cold.recordProbe(
+            upstreamState,
+            coldUntilMs === undefined ? undefined : Math.max(0, coldUntilMs - nowMs),
+        );
         upstreamState.load = { running: 0, waiting: 0, slots: 3, slowdown: 1 };
         upstreamState.loadAskedAtMs = this.fleet.nowMs;
         return this.lease(upstreamState);
@@ -138,7 +154,10 @@
 
     private arrive(upstreamState: UpstreamState, kind: MessageKind): SimulatedInstance {
         const instance = this.fleet.instance(upstreamState.registration.id);
-        instance.arrivals.push({ atMs: this.fleet.nowMs, entry: this, kind });
+        // An earlier incarnation's message is refused or answered 421.
+        if (instance.registration.bornAtMs === upstreamState.registration.bornAtMs) {
+            instance.arrivals.push({ atMs: this.fleet.nowMs, entry: this, kind });
+        }
         upstreamState.isUsed = true;
         return instance;
     }
@@ -146,8 +165,10 @@
 
 interface SimulatedControl {
     readonly service: DirectoryService;
-    readonly log: { isLeader: boolean; leaderAddress: string | undefined; };
+    readonly log: { isLeader: boolean; leaderAddress: string | undefined; readonly state: DirectoryState; };
     isDown: boolean;
+    /** Whether the directory or the shares have changed since the entries were last woken. */
+    hasChanged: boolean;
 }
 
 /** Entries and control VMs with the real decision code for limits; time and messages are simulated. */
@@ -241,6 +262,18 @@
         entry.limits.resetVersion();
     }
 
+    /** Commits a registration at the leader, once there is one, and then at the other control VMs. */
+    publish(registration: Registration): void {
+        const leader = this.controls.find(({ log }) => log.isLeader);
+        if (leader === undefined) {
+            this.schedule(retryMs, () => this.publish(registration));
+            return;
+        }
+        const apply = ({ log: { state } }: SimulatedControl) => state.apply({ kind: "register", registration });
+        this.schedule(stepMs, () => apply(leader));
+        this.schedule(2 * stepMs, () => this.controls.filter(control => control !== leader).forEach(apply));
+    }
+
     schedule(delayMs: number, run: () => void): void {
         this.scheduled.push({ atMs: this.nowMs + delayMs, run });
     }
@@ -297,9 +330,14 @@
                 control.service.runMaintenance();
             }
         });
-        const { requestsPerSecond } = this.scale;
+        const { requestsPerSecond, services } = this.scale;
+        const woken = this.controls.map(({ hasChanged }) => services !== undefined && hasChanged);
+        this.controls.forEach(control => control.hasChanged = false);
         const work = this.entries.flatMap((entry, index) => {
-            const isWatching = (nowMs + index * stepMs) % watchIntervalMs === 0;
+            if (entry.suspendedUntilMs > nowMs) {
+                return [];
+            }
+            const isWatching = woken[entry.control] || (nowMs + index * stepMs) % watchIntervalMs === 0;
             const isSending = this.random.nextUnit() < requestsPerSecond * stepMs / msPerSecond;
             return [...(isWatching ? [this.watch(entry)] : []), ...(isSending ? [this.send(entry)] : [])];
         });
@@ -326,12 +364,16 @@
             return;
         }
         const sentAt = readInstant(this.clock);
-        const { limits } = await control.service.watch({
+        const { limits, delta } = await control.service.watch({
             entry: entry.describe(),
-            version: 0,
+            version: entry.version,
             limitsVersion: entry.limits.version,
             waitMs: 0,
         });
+        if (delta !== undefined && this.scale.services !== undefined) {
+            entry.version = delta.version;
+            delta.registrations.forEach(registration => entry.upstreamTable.set(registration, this.nowMs));
+        }
         if (limits !== undefined) {
             entry.limits.apply(limits, sentAt);
         }
@@ -339,6 +381,11 @@
 
     private makeControl(index: number): SimulatedControl {
         const state = new DirectoryState();
+        const { services } = this.scale;
+        if (services !== undefined) {
+            const table = { ...makeTable(1), services };
+            state.apply({ kind: "routes", baseVersion: 0, table, update: undefined, proposedAtMs: 0 });
+        }
         this.instances.forEach(({ registration }) => state.apply({ kind: "register", registration }));
         const log = {
             isLeader: index === 0,
@@ -364,6 +411,8 @@
             logger: silentLogger,
             heartbeatIntervalMs: 1e9,
         });
-        return { service, log, isDown: false };
+        const control = { service, log, isDown: false, hasChanged: false };
+        service["changeListeners"].add(() => control.hasChanged = true);
+        return control;
     }
 }
