--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -179,6 +179,8 @@
     readonly entries: SimulatedEntry[];
     readonly controls: SimulatedControl[];
     placedCount = 0;
+    /** Demand relative to that of the scale. */
+    demandFactor = 1;
     refusedCount = 0;
     private readonly scheduled: { readonly atMs: number; readonly run: () => void; }[] = [];
 
@@ -338,8 +340,12 @@
                 return [];
             }
             const isWatching = woken[entry.control] || (nowMs + index * stepMs) % watchIntervalMs === 0;
-            const isSending = this.random.nextUnit() < requestsPerSecond * stepMs / msPerSecond;
-            return [...(isWatching ? [this.watch(entry)] : []), ...(isSending ? [this.send(entry)] : [])];
+            const expected = this.demandFactor * requestsPerSecond * stepMs / msPerSecond;
+            const sends = Math.floor(expected) + (this.random.nextUnit() < expected % 1 ? 1 : 0);
+            return [
+                ...(isWatching ? [this.watch(entry)] : []),
+                ...Array.from({ length: sends }, () => this.send(entry)),
+            ];
         });
         await Promise.all(work);
     }
