--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -6,7 +6,13 @@
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import { AttachedEntries } from "./attachedEntries.js";
-import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
+import type {
+    DirectoryChange,
+    DirectoryDelta,
+    DirectoryResult,
+    DirectoryState,
+    RouteChange,
+} from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
 import { EntryListExchange } from "./entryListExchange.js";
 import { EntryListHistory, selectAddresses } from "./entryLists.js";
@@ -85,6 +91,7 @@
             clock: options.clock,
             logger: options.logger,
             listRegistrations: () => markEvacuated(this.state.registrations.list(), this.state.evacuatedZones),
+            listServices: () => this.state.routes.services,
             listEntries: () => this.attachedEntries.listCounted(this.nowMs()),
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
@@ -129,6 +136,7 @@
             listOwn: () => this.attachedEntries.listStates(this.nowMs()),
         });
         options.log.state.onChange = () => this.onStateChange();
+        this.limits.cold.refresh();
     }
 
     /** Submits a route change to the leader. Returns undefined if it was refused or its outcome is not known. */
@@ -186,10 +194,11 @@
      */
     async register(registration: Registration): Promise<boolean> {
         this.recordHeartbeat(registration.id);
-        if (!this.state.registrations.wouldChange(registration)) {
+        if (!this.state.registrations.wouldChange(registration, this.limits.cold.findRemainingMs(registration))) {
             this.metrics.reports.inc({ end: "known" });
             return true;
         }
+        this.limits.recordWarmup(registration);
         const { id, state, service, address } = registration;
         return this.submitAndLog({ kind: "register", registration }, { id, state, service, address });
     }
@@ -222,7 +231,7 @@
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
-        const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
+        const delta = version === this.state.revision ? undefined : this.diffSince(version, canUpdate);
         const nowMs = this.nowMs();
         return {
             isLed: log.isLed,
@@ -314,9 +323,18 @@
             this.loggedEvacuatedZones = evacuatedZones.join();
             this.options.logger.info("evacuated zones changed", { evacuatedZones, version: revision });
         }
+        this.limits.onDirectoryChanged();
         this.notifyChange();
     }
 
+    private diffSince(version: number, canUpdate: boolean | undefined): DirectoryDelta {
+        const delta = this.state.diffSince(version, canUpdate);
+        return {
+            ...delta,
+            registrations: delta.registrations.map(registration => this.limits.cold.adjust(registration)),
+        };
+    }
+
     private notifyChange(): void {
         this.changeListeners.forEach(listener => listener());
     }
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -6,7 +6,14 @@
 import { findOrganisationProblem, type OrganisationProblem } from "../organisations/organisationProblems.js";
 import { diffRoutes } from "./diffRoutes.js";
 import { EvacuatedZones, type EvacuationChange } from "./evacuatedZones.js";
-import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
+import {
+    type ControlNode,
+    emptyRouteTable,
+    isWarmupLimited,
+    type Registration,
+    type RouteTable,
+    type RouteUpdate,
+} from "./model.js";
 import { RegistrationTable } from "./registrations.js";
 import { updateRoutes } from "./updateRoutes.js";
 import { findRouteProblem } from "./validateRoutes.js";
@@ -185,7 +192,9 @@
                 this.changeEvacuation(change);
                 return accepted;
             case "register":
-                this.recordRegistrationChanges(this.registrations.register(change.registration));
+                this.recordRegistrationChanges(
+                    this.registrations.register(change.registration, this.tracksWarmup(change.registration)),
+                );
                 return accepted;
             case "end":
             case "expire":
@@ -350,6 +359,10 @@
         }
     }
 
+    private tracksWarmup({ service }: Registration): boolean {
+        return this.table.services.some(routed => routed.name === service && isWarmupLimited(routed));
+    }
+
     private recordRegistrationChanges(ids: readonly UpstreamId[]): void {
         if (ids.length === 0) {
             return;
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -137,6 +137,7 @@
 const limitReports = optional(
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
+const coldReports = optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber, warmupMs: isNumber })));
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -145,6 +146,7 @@
     services: optional(arrayOf(isString)),
     limits: limitReports,
     leaving: optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber }))),
+    cold: coldReports,
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
@@ -166,6 +168,7 @@
             arrayOf(objectWith({ id: isString, availabilityZone: isString, services: arrayOf(isString) })),
         ),
         limits: limitReports,
+        cold: coldReports,
     }),
     [DirectoryMethod.entryList]: objectWith({ version: isNumber, waitMs: isNumber }),
     [DirectoryMethod.join]: objectWith(memberFields),
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -218,6 +218,7 @@
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
             ...(leaving.length > 0 ? { leaving } : {}),
+            ...this.upstreamLimits.cold.describeUnreported(),
         };
     }
 
@@ -233,6 +234,7 @@
         this.applyEvacuatedZones(evacuatedZones ?? (isFull ? [] : undefined));
         if (table !== undefined) {
             this.requestHandler.setRoutes(table);
+            this.upstreamLimits.cold.setServices(table.services);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
             this.options.logger.info("applied routes", { routesVersion: table.version, version });
         }
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -51,6 +51,10 @@
      * the response is a 503 that states that the message did not run and names a delay.
      */
     abstract readBackOffMs(head: ResponseHead): number | undefined;
+    /** Returns the rest of the warmup that an answer to a health check states; undefined when it states none. */
+    abstract readWarmupMs(head: ResponseHead): number | undefined;
+    /** Returns whether the request reached a process other than the upstream. */
+    abstract isMisdirected(head: ResponseHead): boolean;
     /** Returns the upstream id that a health check response states. */
     abstract readUpstreamId(head: ResponseHead): UpstreamId | undefined;
 }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -192,6 +192,9 @@
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
         const onHead = (head: ResponseHead, isNotRun: boolean) => {
             upstreamStatements.recordHead(upstreamState, head, MessageKind.request);
+            if (dialect.isMisdirected(head)) {
+                upstreamLimits.cold.returnPermit(upstreamState);
+            }
             upstreamLimits.recordStatement(
                 upstreamState,
                 dialect.readRateLimit(head),
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -108,6 +108,15 @@
         return this.isNotRun(head) && text !== undefined ? Number(text) : undefined;
     }
 
+    readWarmupMs({ headers }: ResponseHead): number | undefined {
+        const text = findHeader(headers, "warmup-ms");
+        return text === undefined ? undefined : Number(text);
+    }
+
+    isMisdirected({ status }: ResponseHead): boolean {
+        return status === 421;
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
