--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -11,6 +11,7 @@
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
+import type { QuotaBounds } from "../quotas/quotaBounds.js";
 import { DirectoryService } from "./directoryService.js";
 import { DirectoryState } from "./directoryState.js";
 import { type DirectoryHost, foundingIdentity, GroupFormation } from "./groupFormation.js";
@@ -63,6 +64,8 @@
     /** Control VMs that may be lost at the same time. */
     readonly toleratedLosses: number;
     readonly heartbeatIntervalMs: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
     readonly logger: ControlLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -116,8 +119,9 @@
             options.onFailed(error);
         };
         this.host = new ReplicaHost({ selfId, machine, limits, store, links, clock, random, logger, onFailed });
-        const { heartbeatIntervalMs } = options;
-        this.service = new DirectoryService({ log: this.host, links, clock, logger, heartbeatIntervalMs });
+        const { heartbeatIntervalMs, quotaBounds } = options;
+        const log = this.host;
+        this.service = new DirectoryService({ log, links, clock, logger, heartbeatIntervalMs, quotaBounds });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
         this.peerServer = new ChannelServer(channel, (method, params, from) => this.handleCall(method, params, from));
     }
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -5,6 +5,8 @@
 import type { Clock } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
+import { defaultQuotaBounds, type QuotaBounds } from "../quotas/quotaBounds.js";
+import { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
@@ -46,6 +48,8 @@
     readonly logger: ControlLogger;
     /** Time between two heartbeats of an instance. */
     readonly heartbeatIntervalMs: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
 }
 
 /** Handles requests to one control VM from operators, instances, entries and other control VMs. */
@@ -53,6 +57,7 @@
     private readonly attachedEntries = new AttachedEntries();
     private readonly entryCounts = new EntryCounts();
     private readonly limits: LimitCoordinator;
+    private readonly quotas: QuotaCoordinator;
     private readonly leaderReports: LeaderReports;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
@@ -75,12 +80,23 @@
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
         });
+        this.quotas = new QuotaCoordinator({
+            log,
+            clock: options.clock,
+            logger: options.logger,
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            getRoutes: () => this.state.routes,
+            getEntryTotal: () => this.entryCounts.getTotal(this.nowMs()),
+            onChanged: () => this.notifyChange(),
+            onUrgent: () => this.leaderReports.sendNews(),
+        });
         this.leaderReports = new LeaderReports({
             log,
             links: options.links,
             clock: options.clock,
             logger: options.logger,
             limits: this.limits,
+            quotas: this.quotas,
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
@@ -95,6 +111,7 @@
             attachedEntries: () => this.attachedEntries.count(this.nowMs()),
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
+            limitedOrganisations: () => this.quotas.limitedCount,
         });
         options.log.state.onChange = () => this.notifyChange();
     }
@@ -172,9 +189,11 @@
     }
 
     /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
-    async watch({ entry, version, canUpdate, limitsVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch({ entry, version, canUpdate, limitsVersion, quotasVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
         this.recordEntry(entry);
-        if (version === this.state.revision && !this.limits.hasNews(limitsVersion ?? undefined)) {
+        const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
+            this.quotas.hasNews(quotasVersion ?? undefined);
+        if (version === this.state.revision && !hasNews) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
@@ -186,6 +205,7 @@
             entryCount: this.attachedEntries.count(nowMs),
             entryTotal: this.entryCounts.getTotal(nowMs),
             limits: this.limits.describe(entry.id, limitsVersion ?? undefined),
+            ...this.quotas.describe(quotasVersion ?? undefined),
         };
     }
 
@@ -202,6 +222,7 @@
     recordEntry(entry: EntryReport): void {
         this.attachedEntries.recordReport(entry, this.nowMs());
         this.limits.recordEntryReport(entry);
+        this.quotas.recordEntryReport(entry.quotas);
     }
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
@@ -221,7 +242,9 @@
         report.ids.forEach(id => this.lastHeartbeatAtMs.set(id, nowMs));
         this.entryCounts.recordCount(memberId, report.entryCount, nowMs);
         const limits = await this.limits.handleReport(report, memberId);
-        return { entryTotal: this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined, limits };
+        const entryTotal = this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined;
+        const quotas = this.quotas.handleReport(report.quotas, memberId);
+        return quotas === undefined ? { entryTotal, limits } : { entryTotal, limits, quotas };
     }
 
     /**
@@ -231,6 +254,7 @@
     runMaintenance(): void {
         const { log } = this.options;
         this.limits.runMaintenance();
+        this.quotas.runMaintenance();
         if (log.isLeader) {
             this.leaderSinceMs ??= this.nowMs();
             this.expireInstances(this.leaderSinceMs);
--- a/src/directory/leaderReports.ts
+++ b/src/directory/leaderReports.ts
@@ -2,6 +2,8 @@
 import type { PeerLinks } from "../control/peerLinks.js";
 import { type Clock, readInstant } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
+import type { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
+import type { QuotaReport } from "../quotas/quotaMessages.js";
 import type { LimitCoordinator } from "./limitCoordinator.js";
 import { DirectoryMethod, type HeartbeatReport, type HeartbeatReportAnswer } from "./messages.js";
 
@@ -15,12 +17,18 @@
     readonly clock: Clock;
     readonly logger: ControlLogger;
     readonly limits: Pick<LimitCoordinator, "buildReport" | "applyAnswer">;
+    readonly quotas: Pick<QuotaCoordinator, "buildReport" | "applyAnswer">;
     /** Returns the number of entries attached to this control VM. */
     readonly countAttached: () => number;
     /** Receives the number of entries attached to all control VMs; undefined if the leader does not know it. */
     readonly onEntryTotal: (total: number | undefined) => void;
 }
 
+/** Omits the field without quotas, since an undefined one takes bytes. */
+function toField(quotas: QuotaReport | undefined): Pick<HeartbeatReport, "quotas"> {
+    return quotas === undefined ? {} : { quotas };
+}
+
 /** Reports of a control VM to the leader: received heartbeats, attached entries, and the rate limits that they saw. */
 export class LeaderReports {
     private hasLastSucceeded = true;
@@ -32,12 +40,14 @@
 
     /** Reports to the leader, if it is another VM; `ids` are instances that sent heartbeats since the last report. */
     async send(ids: readonly UpstreamId[]): Promise<void> {
-        const { log: { leaderAddress }, links, clock, logger, limits, countAttached, onEntryTotal } = this.options;
+        const { log: { leaderAddress }, links, clock, logger, limits, quotas, countAttached, onEntryTotal } =
+            this.options;
         if (leaderAddress === undefined) {
             return;
         }
         const limitReport = limits.buildReport();
-        const params: HeartbeatReport = { ids, entryCount: countAttached(), ...limitReport };
+        const quotaReport = quotas.buildReport();
+        const params: HeartbeatReport = { ids, entryCount: countAttached(), ...limitReport, ...toField(quotaReport) };
         const sentAt = readInstant(clock);
         try {
             const answer = await links.call(leaderAddress, DirectoryMethod.reportHeartbeats, params, reportTimeoutMs) as
@@ -45,9 +55,11 @@
                 | null;
             onEntryTotal(answer?.entryTotal ?? undefined);
             limits.applyAnswer(limitReport, answer?.limits ?? undefined, sentAt);
+            quotas.applyAnswer(quotaReport, answer?.quotas ?? undefined, sentAt);
             this.hasLastSucceeded = true;
         }
         catch (error) {
+            quotas.applyAnswer(quotaReport, undefined, sentAt);
             if (this.hasLastSucceeded) {
                 logger.info("report to the leader failed", { leaderAddress, reason: (error as Error).message });
             }
@@ -55,7 +67,7 @@
         }
     }
 
-    /** Reports at once that a limit begins or ends; what is observed during the call is reported after it. */
+    /** Reports at once, such as that a limit begins or ends; what is observed during the call is reported after it. */
     sendNews(): void {
         this.mustSendAgain = this.isSendingNews;
         if (this.isSendingNews) {
--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -1,6 +1,8 @@
 import type { ControlLogger } from "../control/options.js";
-import { ageMs, type Clock, type Instant, readInstant } from "../core/clock.js";
+import { type Clock, type Instant, readInstant } from "../core/clock.js";
 import type { EntryId, UpstreamId } from "../core/ids.js";
+import { GrantValidity } from "./grantValidity.js";
+import { LeaderTerm } from "./leaderTerm.js";
 import { LimitShares, type SharedLimit, shareTtlMs } from "./limitShares.js";
 import type { EntryReport, HeartbeatReport, MemberLimits } from "./messages.js";
 import type { Registration } from "./model.js";
@@ -8,8 +10,6 @@
 
 /** Maximum age of the entries that another control VM reported; they are reported every second. */
 const maxReportAgeMs = 3000;
-/** Time without maintenance after which this VM may have been suspended while another one led. */
-const maxMaintenancePauseMs = 2500;
 
 /** Dependencies of a limit coordinator. */
 export interface LimitCoordinatorOptions {
@@ -35,8 +35,7 @@
  */
 export class LimitCoordinator {
     private readonly shares = new LimitShares();
-    private isLeading = false;
-    private maintainedAt: Instant | undefined;
+    private readonly term: LeaderTerm;
     /** The allocation that is under way. */
     private allocation: Promise<void> | undefined;
     private mustAllocateAgain = false;
@@ -50,10 +49,13 @@
     /** Changes with `limits`; 0 before the first change. */
     private version = 0;
     private content = "[]";
-    /** Until when the shares may be used: for `validMs` from `at`. */
-    private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
+    /** Until when the shares may be used. */
+    private readonly validity: GrantValidity;
 
-    constructor(private readonly options: LimitCoordinatorOptions) {}
+    constructor(private readonly options: LimitCoordinatorOptions) {
+        this.term = new LeaderTerm(options.log, options.clock);
+        this.validity = new GrantValidity(options.clock);
+    }
 
     /** Number of instances that name a limit. */
     get limitedCount(): number {
@@ -91,7 +93,7 @@
             ageMs: nowMs - limit.observedAtMs,
             share: limit.shares.get(entryId) ?? 0,
         }));
-        return { version, validMs: this.validMs(), rows };
+        return { version, validMs: this.validity.remainingMs, rows };
     }
 
     /** Returns what this VM reports to the leader; nothing while it knows of no limit. */
@@ -120,7 +122,7 @@
             return;
         }
         const nowMs = this.nowMs();
-        this.validity = { at: sentAt, validMs: answer.validMs };
+        this.validity.renew(sentAt, answer.validMs);
         this.setLimits(answer.rows.map(row => ({
             id: row.id,
             bornAtMs: row.bornAtMs,
@@ -153,7 +155,7 @@
         }
         const positions = new Map((entries ?? []).map((entry, position) => [entry.id, position]));
         return {
-            validMs: this.validMs(),
+            validMs: this.validity.remainingMs,
             rows: this.limits.map(limit => ({
                 id: limit.id,
                 bornAtMs: limit.bornAtMs,
@@ -169,13 +171,8 @@
 
     /** Renews the shares at the leader; called every second. */
     runMaintenance(): void {
-        const { log, clock } = this.options;
-        const wasSuspended = this.maintainedAt !== undefined && ageMs(this.maintainedAt, clock) > maxMaintenancePauseMs;
-        this.maintainedAt = readInstant(clock);
-        if (!log.isLeader || wasSuspended) {
-            this.isLeading = false;
-        }
-        if (!log.isLeader) {
+        this.term.maintain();
+        if (!this.options.log.isLeader) {
             this.memberEntries.clear();
             return;
         }
@@ -186,8 +183,7 @@
     }
 
     private startLeading(): void {
-        if (!this.isLeading) {
-            this.isLeading = true;
+        if (this.term.begin()) {
             const nowMs = this.nowMs();
             const known = [...this.limits, ...this.pending.values()];
             this.shares.startLeading(known.map(observation => toReport(observation, nowMs)), nowMs);
@@ -241,7 +237,7 @@
                 registrations: listRegistrations(),
             });
             this.logChanges(limits);
-            this.validity = { at, validMs: shareTtlMs };
+            this.validity.renew(at, shareTtlMs);
             this.setLimits(limits);
         }
         while (this.mustAllocateAgain);
@@ -288,11 +284,6 @@
         }
     }
 
-    private validMs(): number {
-        const { validity } = this;
-        return validity === undefined ? 0 : Math.max(0, validity.validMs - ageMs(validity.at, this.options.clock));
-    }
-
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -124,6 +124,10 @@
 const limitReports = optional(
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
+const isQuotaUse: Check = value =>
+    Array.isArray(value) && value.length === 3 && isString(value[0]) && isNumber(value[1]) && isNumber(value[2]);
+const isQuotaLevel: Check = value =>
+    Array.isArray(value) && value.length === 2 && isString(value[0]) && isNumber(value[1]);
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -131,6 +135,7 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    quotas: optional(arrayOf(isQuotaUse)),
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
@@ -140,6 +145,7 @@
         version: isNumber,
         canUpdate: optional(isBoolean),
         limitsVersion: optional(isNumber),
+        quotasVersion: optional(isNumber),
         waitMs: isNumber,
     }),
     [DirectoryMethod.reportEntry]: objectWith(entryReportFields),
@@ -152,6 +158,7 @@
             arrayOf(objectWith({ id: isString, availabilityZone: isString, services: arrayOf(isString) })),
         ),
         limits: limitReports,
+        quotas: optional(objectWith({ uses: arrayOf(isQuotaUse), levels: optional(arrayOf(isQuotaLevel)) })),
     }),
     [DirectoryMethod.join]: objectWith(memberFields),
     [DirectoryMethod.leaving]: objectWith(memberFields),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,6 +1,7 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
+import type { EntryQuotas, MemberQuotas, QuotaReport, QuotaUse } from "../quotas/quotaMessages.js";
 import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
 
 /** Methods of the calls between the processes of a directory. */
@@ -33,6 +34,8 @@
     readonly services?: readonly ServiceName[];
     /** Rate limits that the entry saw and that the control VM does not show yet. */
     readonly limits?: readonly LimitReport[];
+    /** Requests of organisations with quotas since the last report; undefined if there were none. */
+    readonly quotas?: readonly QuotaUse[];
 }
 
 /** Parameters of `directory.watch`. */
@@ -44,6 +47,8 @@
     readonly canUpdate?: boolean;
     /** Version of the rate limits that the entry has; undefined from versions without them. */
     readonly limitsVersion?: number;
+    /** Version of the quotas that the entry has; undefined if no organisation has one. */
+    readonly quotasVersion?: number;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
@@ -60,6 +65,8 @@
     readonly entryTotal?: number;
     /** Undefined while no instance has named a rate limit. */
     readonly limits?: EntryLimits;
+    /** Undefined unless the entry named a version and organisations have quotas. */
+    readonly quotas?: EntryQuotas;
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
@@ -86,6 +93,8 @@
     readonly entries?: readonly EntryDemand[];
     /** Rate limits that entries saw since the last report. */
     readonly limits?: readonly LimitReport[];
+    /** Undefined unless organisations have quotas. */
+    readonly quotas?: QuotaReport;
 }
 
 /** Answer of `directory.heard`. */
@@ -94,6 +103,8 @@
     readonly entryTotal: number | undefined;
     /** Undefined unless the answering VM leads. */
     readonly limits?: MemberLimits;
+    /** Undefined unless the answering VM leads and organisations have quotas. */
+    readonly quotas?: MemberQuotas;
 }
 
 /** Rate limits with the shares of the entries that a control VM reported. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,6 +6,8 @@
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import { EntryQuotas } from "../quotas/entryQuotas.js";
+import { defaultQuotaBounds } from "../quotas/quotaBounds.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -53,6 +55,7 @@
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
+    private readonly quotas: EntryQuotas;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -80,6 +83,14 @@
             metrics,
             onObserved: () => this.watch.report(),
         });
+        this.quotas = new EntryQuotas({
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            clock,
+            random,
+            countEntries: () => countEntries(),
+            onUrgent: () => this.watch.report(),
+            onDecision: outcome => metrics.quotaDecisions.inc({ outcome }),
+        });
         const { upstreamLimits } = this;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
@@ -101,6 +112,7 @@
             describeEntry: () => this.buildReport(),
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
+            quotas: this.quotas,
         });
         const { watch } = this;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
@@ -200,6 +212,7 @@
             isServing: this.isReady(),
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
+            ...this.quotas.takeReport(),
         };
     }
 
@@ -213,6 +226,7 @@
         ended.forEach(id => this.upstreamTable.delete(id));
         registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
         if (table !== undefined) {
+            this.quotas.configure(table.organisations);
             this.requestHandler.setRoutes(table);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
             this.options.logger.info("applied routes", { routesVersion: table.version, version });
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -6,6 +6,7 @@
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
+import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
@@ -34,6 +35,16 @@
     resetVersion(): void;
 }
 
+/** Receives quotas of organisations from the control VM in use. */
+export interface QuotasReceiver {
+    /** Version of the quotas that are held; undefined while no organisation has one. */
+    readonly version: number | undefined;
+    apply(quotas: EntryQuotas, sentAt: Instant): void;
+    resetVersion(): void;
+    /** Takes back the use in a report that may not have arrived. */
+    returnUses(uses: readonly QuotaUse[] | undefined): void;
+}
+
 /** Options of a directory watch. */
 export interface DirectoryWatchOptions {
     readonly channel: ChannelOptions;
@@ -49,6 +60,8 @@
     readonly onDelta: (delta: DirectoryDelta, table: RouteTable | undefined) => void;
     /** Receives the rate limits with this entry's shares. */
     readonly limits: LimitsReceiver;
+    /** Receives the quotas of organisations; undefined if they are not supported. */
+    readonly quotas?: QuotasReceiver;
 }
 
 /** Watches the directory through one control VM at a time, preferably of the local availability zone. */
@@ -136,6 +149,7 @@
         if (address !== undefined) {
             this.client = new ChannelClient(address, this.options.channel);
             this.options.limits.resetVersion();
+            this.options.quotas?.resetVersion();
         }
         return this.client;
     }
@@ -184,16 +198,23 @@
         if (!await client.waitConnected(connectTimeoutMs)) {
             return false;
         }
+        const entry = this.options.describeEntry();
+        let isAnswered = false;
         try {
-            const entry = this.options.describeEntry();
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
-            const params: WatchParams = { entry, version, canUpdate, limitsVersion, waitMs };
+            const quotasVersion = this.options.quotas?.version;
+            const quotasField = quotasVersion === undefined ? {} : { quotasVersion };
+            const params: WatchParams = { entry, version, canUpdate, limitsVersion, waitMs, ...quotasField };
             const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
+            isAnswered = true;
             return this.applyAnswer(answer, sentAt);
         }
         catch (error) {
+            if (!isAnswered) {
+                this.options.quotas?.returnUses(entry.quotas);
+            }
             this.options.logger.info("watch call to a control VM failed", {
                 address: client.address,
                 reason: (error as Error).message,
@@ -218,7 +239,7 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer({ isLed, delta, entryCount, entryTotal, limits }: WatchAnswer, sentAt: Instant): boolean {
+    private applyAnswer({ isLed, delta, entryCount, entryTotal, limits, quotas }: WatchAnswer, sentAt: Instant): boolean {
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
@@ -239,6 +260,9 @@
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
         }
+        if (quotas !== undefined && quotas !== null) {
+            this.options.quotas?.apply(quotas, sentAt);
+        }
         this.confirmedAt = sentAt;
         this.pendingWaits.forEach(settle => settle());
         return true;
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -3,6 +3,7 @@
 import type { EntryId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import type { EntryLimits } from "../entry/options.js";
+import type { QuotaBounds } from "../quotas/quotaBounds.js";
 import type { Dialect } from "./dialect.js";
 import type { RetryLimits } from "./sharedRetryBudget.js";
 
@@ -38,6 +39,8 @@
     readonly retries: RetryLimits;
     /** Limit on load probes per second and upstream, over all entries; a service's upstreams share the sum. */
     readonly probesPerUpstreamSecond: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
     readonly stop: ShutdownTimes;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -1,5 +1,6 @@
-import { ageMs, type Clock, type Instant } from "../core/clock.js";
+import type { Clock, Instant } from "../core/clock.js";
 import type { ServiceName, UpstreamId } from "../core/ids.js";
+import { GrantValidity } from "../directory/grantValidity.js";
 import {
     type EntryLimits,
     type LimitReport,
@@ -49,12 +50,14 @@
  */
 export class UpstreamLimits {
     private rows: ReadonlyMap<UpstreamId, HeldRow> = new Map();
-    /** Until when the shares may be used: for `validMs` from `at`. */
-    private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
+    /** Until when the shares may be used. */
+    private readonly validity: GrantValidity;
     private readonly requestedAtMs = new Map<ServiceName, number>();
     private heldVersion = 0;
 
-    constructor(private readonly options: UpstreamLimitsOptions) {}
+    constructor(private readonly options: UpstreamLimitsOptions) {
+        this.validity = new GrantValidity(options.clock);
+    }
 
     /** Version of the limits received from the control VM in use; 0 if none. */
     get version(): number {
@@ -157,7 +160,7 @@
         const nowMs = this.nowMs();
         // Permits of the past accrue by the shares of the past.
         this.options.upstreamTable.list().forEach(upstreamState => this.settle(upstreamState));
-        this.validity = { at: sentAt, validMs };
+        this.validity.renew(sentAt, validMs);
         if (rows !== undefined && rows !== null) {
             this.heldVersion = version;
             this.rows = new Map(rows.map(row => [row.id, {
@@ -266,9 +269,7 @@
     }
 
     private findShare(upstreamState: UpstreamState): number {
-        const { validity } = this;
-        const isValid = validity !== undefined && ageMs(validity.at, this.options.clock) < validity.validMs;
-        return isValid ? this.findRow(upstreamState)?.share ?? 0 : 0;
+        return this.validity.remainingMs > 0 ? this.findRow(upstreamState)?.share ?? 0 : 0;
     }
 
     private findRow({ registration }: UpstreamState): HeldRow | undefined {
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -13,6 +13,7 @@
     readonly attachedEntries: () => number;
     readonly totalEntries: () => number;
     readonly limitedInstances: () => number;
+    readonly limitedOrganisations: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -60,6 +61,11 @@
             "Instances that name a rate limit, as this VM knows them",
             gauges.limitedInstances,
         );
+        this.addGauge(
+            "figwharf_quota_limited_organisations",
+            "Organisations that are at their quota; 0 at control VMs that do not lead",
+            gauges.limitedOrganisations,
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -49,6 +49,11 @@
         "Requests and load probes sent to upstreams that name a rate limit",
         ["kind"],
     );
+    readonly quotaDecisions = this.addCounter(
+        "figwharf_quota_decisions_total",
+        "Requests of organisations with a rate, by the decision of the quota",
+        ["outcome"],
+    );
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
--- /dev/null
+++ b/src/quotas/memberQuotas.ts
@@ -0,0 +1,216 @@
+import { bucketSize, type Quota, type QuotaBounds } from "./quotaBounds.js";
+import { demandScale, levelScale, rateScale, shareScale } from "./quotaLedger.js";
+import type { EntryQuotaRow, MemberQuotaRow, QuotaLevel, QuotaUse } from "./quotaMessages.js";
+import { RateEstimate } from "./rateEstimate.js";
+
+const msPerSecond = 1000;
+/** Time over which demand is averaged to compute the admitted share; short, as it delays the reaction to a rise. */
+const demandTimeConstantMs = 500;
+/** Time in which the requests that the bucket holds may be spent. */
+const spendingMs = 500;
+/** A report to the leader is due at once when less than this part of the share that was granted is left. */
+const lowLevelShare = 0.5;
+/** Smaller changes of the admitted share, in thousandths, are not sent unless it becomes 0 or 1000. */
+const minShareChange = 20;
+/** Entries are told at once of a decrease by this much; other changes go with the next answer to a watch call. */
+const urgentDecrease = 200;
+/** The demand of all entries is sent again after a change by this factor. */
+const demandChangeFactor = 1.5;
+
+interface MemberBucket {
+    quota: Quota;
+    size: number;
+    readonly demand: RateEstimate;
+    /** Share of this control VM, and rate to divide. */
+    share: number;
+    ratePerSecond: number;
+    /** What this control VM may still spend. */
+    level: number;
+    accruedAtMs: number;
+    grantedLevel: number;
+    /** Level of the leader's bucket when the share was granted. */
+    leaderLevel: number;
+    leaderLevelAtMs: number;
+    unreported: { demanded: number; admitted: number; };
+    totalDemand: number;
+    admittedShare: number;
+    sentDemand: number;
+    changedInVersion: number;
+}
+
+/** Spends one control VM's part of the quotas: computes the share of requests that its entries admit. */
+export class MemberQuotas {
+    private readonly buckets = new Map<string, MemberBucket>();
+    /** Changes with the rows for entries; `wakeVersion` only with those that entries must learn at once. */
+    private version = 0;
+    private wakeVersion = 0;
+
+    constructor(private readonly bounds: QuotaBounds) {}
+
+    get size(): number {
+        return this.buckets.size;
+    }
+
+    configure(quotas: readonly Quota[], nowMs: number): void {
+        const names = new Set(quotas.map(({ organisation }) => organisation));
+        [...this.buckets.keys()].filter(name => !names.has(name)).forEach(name => this.buckets.delete(name));
+        for (const quota of quotas) {
+            const bucket = this.buckets.get(quota.organisation);
+            if (bucket !== undefined) {
+                bucket.quota = quota;
+                bucket.size = bucketSize(quota, this.bounds);
+                continue;
+            }
+            this.buckets.set(quota.organisation, {
+                quota,
+                size: bucketSize(quota, this.bounds),
+                demand: new RateEstimate(demandTimeConstantMs, nowMs),
+                share: 0,
+                ratePerSecond: 0,
+                level: 0,
+                accruedAtMs: nowMs,
+                grantedLevel: 0,
+                leaderLevel: -Infinity,
+                leaderLevelAtMs: nowMs,
+                unreported: { demanded: 0, admitted: 0 },
+                totalDemand: 0,
+                admittedShare: shareScale,
+                sentDemand: 0,
+                changedInVersion: 0,
+            });
+        }
+    }
+
+    /** Charges what an entry reports; returns whether the leader should learn of it at once. */
+    record(uses: readonly QuotaUse[], nowMs: number): boolean {
+        let isLow = false;
+        for (const [organisation, demanded, admitted] of uses) {
+            const bucket = this.buckets.get(organisation);
+            if (bucket !== undefined) {
+                this.accrue(bucket, nowMs);
+                bucket.level -= admitted;
+                bucket.demand.add(demanded, nowMs);
+                bucket.unreported.demanded += demanded;
+                bucket.unreported.admitted += admitted;
+                isLow ||= bucket.level < Math.max(1, lowLevelShare * bucket.grantedLevel);
+            }
+        }
+        return isLow;
+    }
+
+    /** Returns the requests that were not reported to the leader. */
+    takeUses(): readonly QuotaUse[] {
+        return [...this.buckets.values()].flatMap(({ quota: { organisation }, unreported }) => {
+            const { demanded, admitted } = unreported;
+            unreported.demanded = 0;
+            unreported.admitted = 0;
+            return demanded === 0 && admitted === 0 ? [] : [[organisation, demanded, admitted] as const];
+        });
+    }
+
+    /** Keeps the requests of a report that may not have reached the leader, for the next report. */
+    returnUses(uses: readonly QuotaUse[]): void {
+        for (const [organisation, demanded, admitted] of uses) {
+            const unreported = this.buckets.get(organisation)?.unreported;
+            if (unreported !== undefined) {
+                unreported.demanded += demanded;
+                unreported.admitted += admitted;
+            }
+        }
+    }
+
+    /** Applies the leader's answer. */
+    apply(rows: readonly MemberQuotaRow[], nowMs: number): void {
+        for (const [organisation, share, level, rate, demand] of rows) {
+            const bucket = this.buckets.get(organisation);
+            if (bucket !== undefined) {
+                bucket.share = share / shareScale;
+                bucket.ratePerSecond = rate / rateScale;
+                bucket.leaderLevel = level / levelScale;
+                bucket.leaderLevelAtMs = nowMs;
+                bucket.grantedLevel = bucket.share * bucket.leaderLevel;
+                bucket.level = bucket.grantedLevel - bucket.unreported.admitted;
+                bucket.accruedAtMs = nowMs;
+                bucket.totalDemand = demand / demandScale;
+            }
+        }
+    }
+
+    /** Lists the levels of the leader's buckets as far as this control VM knows them. */
+    listLevels(nowMs: number): readonly QuotaLevel[] {
+        return [...this.buckets.values()].filter(({ leaderLevel }) => leaderLevel > -Infinity).map(bucket => {
+            const { quota, size, leaderLevel, leaderLevelAtMs, ratePerSecond } = bucket;
+            const level = leaderLevel + (nowMs - leaderLevelAtMs) * ratePerSecond / msPerSecond;
+            return [quota.organisation, Math.round(Math.min(size, level) * levelScale)];
+        });
+    }
+
+    /**
+     * Computes the shares that entries admit; returns whether one changed that they must learn at once. `firstVersion`
+     * exceeds the versions of a previous run of this VM.
+     */
+    update(nowMs: number, firstVersion: number): boolean {
+        const nextVersion = Math.max(this.version + 1, firstVersion);
+        let isUrgent = false;
+        for (const bucket of this.buckets.values()) {
+            this.accrue(bucket, nowMs);
+            const previous = bucket.admittedShare;
+            const next = this.computeShare(bucket, nowMs);
+            const isShareNews = next !== previous &&
+                (next === 0 || next === shareScale || Math.abs(next - previous) >= minShareChange);
+            const isDemandNews = isDifferent(bucket.totalDemand, bucket.sentDemand);
+            if (isShareNews || isDemandNews) {
+                bucket.admittedShare = next;
+                bucket.sentDemand = bucket.totalDemand;
+                bucket.changedInVersion = nextVersion;
+                this.version = nextVersion;
+                isUrgent ||= isShareNews && previous - next >= urgentDecrease;
+            }
+        }
+        if (isUrgent) {
+            this.wakeVersion = this.version;
+        }
+        return isUrgent;
+    }
+
+    /** Returns whether an entry must learn of changes at once. */
+    hasNews(heldVersion: number): boolean {
+        return this.wakeVersion > heldVersion || heldVersion === 0;
+    }
+
+    /** Returns the rows that changed since the version that an entry holds. */
+    describe(heldVersion: number): { readonly version: number; readonly rows: readonly EntryQuotaRow[]; } {
+        const rows = [...this.buckets.values()]
+            .filter(({ changedInVersion }) => heldVersion === 0 || changedInVersion > heldVersion)
+            .map(({ quota, admittedShare, sentDemand }): EntryQuotaRow => [
+                quota.organisation,
+                admittedShare,
+                Math.round(sentDemand * demandScale),
+            ]);
+        return { version: this.version, rows };
+    }
+
+    /** Returns the share of requests that keeps the spending within the rate and the level, in thousandths. */
+    private computeShare(bucket: MemberBucket, nowMs: number): number {
+        const { share, ratePerSecond, level, leaderLevel, demand } = bucket;
+        if (leaderLevel === -Infinity) {
+            // A new organisation; the leader answers within a second.
+            return shareScale;
+        }
+        const supply = Math.max(0, share * ratePerSecond + level * msPerSecond / spendingMs);
+        const demandPerSecond = demand.get(nowMs);
+        return level <= 0 ? 0 : demandPerSecond <= supply ? shareScale : Math.floor(shareScale * supply / demandPerSecond);
+    }
+
+    private accrue(bucket: MemberBucket, nowMs: number): void {
+        const { share, ratePerSecond, size } = bucket;
+        const elapsedMs = Math.max(0, nowMs - bucket.accruedAtMs);
+        bucket.level = Math.min(share * size, bucket.level + elapsedMs * share * ratePerSecond / msPerSecond);
+        bucket.accruedAtMs = Math.max(bucket.accruedAtMs, nowMs);
+    }
+}
+
+function isDifferent(demand: number, sent: number): boolean {
+    const [low, high] = demand < sent ? [demand, sent] : [sent, demand];
+    return high > 0 && high > low * demandChangeFactor + 1 / demandScale;
+}
--- /dev/null
+++ b/src/quotas/quotaLedger.ts
@@ -0,0 +1,228 @@
+import { bucketSize, type Quota, type QuotaBounds } from "./quotaBounds.js";
+import type { MemberQuotaRow, QuotaLevel, QuotaUse } from "./quotaMessages.js";
+import { RateEstimate } from "./rateEstimate.js";
+
+const msPerSecond = 1000;
+export const levelScale = 100;
+export const shareScale = 1000;
+export const rateScale = 1000;
+export const demandScale = 10;
+/** Time over which the demand of a control VM is averaged to divide a quota. */
+const demandTimeConstantMs = 3000;
+/** A control VM that has not reported for this time gets no share; it reports every second. */
+const memberTtlMs = 3000;
+/** Part of each quota that is divided equally, so that the first requests at a control VM are admitted. */
+const equalShare = 0.1;
+/**
+ * Sum of the shares that control VMs may hold at once. Above 1, demand that moves is served before the previous holder
+ * reports; at most this part of a bucket can be spent twice.
+ */
+const maxShareSum = 1.2;
+/** A row is sent to a control VM that did not ask for it if its share of the bucket changed by this part of the bucket. */
+const reportedChange = 0.1;
+/** For this time, a new leader takes lower levels of other control VMs, and starts unknown buckets empty. */
+const takeoverMs = 5000;
+/** Time for which the bucket of a removed organisation is kept, so that adding it again does not fill it. */
+const removedRetentionMs = 60_000;
+
+interface MemberShare {
+    readonly demand: RateEstimate;
+    reportedAtMs: number;
+    share: number;
+    /** Part of the bucket that was last sent, in requests. */
+    sentLevel: number;
+    sentRate: number;
+}
+
+interface Bucket {
+    quota: Quota;
+    size: number;
+    level: number;
+    accruedAtMs: number;
+    listedAtMs: number;
+    isLimited: boolean;
+    readonly members: Map<string, MemberShare>;
+}
+
+/** State of an organisation at the leader. */
+export interface LedgerRow {
+    readonly organisation: string;
+    readonly level: number;
+    readonly demand: number;
+    readonly isLimited: boolean;
+}
+
+/**
+ * Token buckets of organisations, at the leader. They are charged with what entries admitted, also below zero; control
+ * VMs get parts of a bucket in proportion to their recent demand and admit nothing while it is in debt.
+ */
+export class QuotaLedger {
+    private readonly buckets = new Map<string, Bucket>();
+    private readonly reportedAtMs = new Map<string, number>();
+    private ledSinceMs = -Infinity;
+    /** Part of the rates that entries without contact may be using. */
+    private reservedShare = 0;
+
+    constructor(private readonly bounds: QuotaBounds) {}
+
+    /** Starts with the levels that this VM knows when it becomes the leader; buckets that it does not know are empty. */
+    startLeading(known: readonly QuotaLevel[], nowMs: number): void {
+        this.buckets.clear();
+        this.reportedAtMs.clear();
+        this.ledSinceMs = nowMs;
+        this.knownLevels = new Map(known.map(([organisation, level]) => [organisation, level / levelScale]));
+    }
+
+    private knownLevels: ReadonlyMap<string, number> = new Map();
+
+    /** Applies the quotas of the configuration; a lower rate or burst takes effect at once. */
+    configure(quotas: readonly Quota[], nowMs: number): void {
+        for (const quota of quotas) {
+            const size = bucketSize(quota, this.bounds);
+            const bucket = this.buckets.get(quota.organisation);
+            if (bucket === undefined) {
+                const isNew = nowMs - this.ledSinceMs >= takeoverMs;
+                const level = Math.min(size, this.knownLevels.get(quota.organisation) ?? (isNew ? size : 0));
+                this.buckets.set(quota.organisation, {
+                    quota,
+                    size,
+                    level,
+                    accruedAtMs: nowMs,
+                    listedAtMs: nowMs,
+                    isLimited: false,
+                    members: new Map(),
+                });
+            }
+            else {
+                this.accrue(bucket, nowMs);
+                bucket.quota = quota;
+                bucket.size = size;
+                bucket.level = Math.min(size, bucket.level);
+                bucket.listedAtMs = nowMs;
+            }
+        }
+        for (const [organisation, { listedAtMs }] of this.buckets) {
+            if (nowMs - listedAtMs > removedRetentionMs) {
+                this.buckets.delete(organisation);
+            }
+        }
+    }
+
+    /** Sets the part of the rates that is kept for entries that may run without contact to a control VM. */
+    reserve(share: number): void {
+        this.reservedShare = share;
+    }
+
+    /** Returns whether a control VM should report the levels that it knows. */
+    wantsLevels(memberId: string, nowMs: number): boolean {
+        return nowMs - this.ledSinceMs < takeoverMs && !this.reportedAtMs.has(memberId);
+    }
+
+    /** Takes levels that are lower than the own ones, after a change of the leader. */
+    recordLevels(levels: readonly QuotaLevel[], nowMs: number): void {
+        if (nowMs - this.ledSinceMs >= takeoverMs) {
+            return;
+        }
+        for (const [organisation, level] of levels) {
+            const bucket = this.buckets.get(organisation);
+            if (bucket !== undefined) {
+                this.accrue(bucket, nowMs);
+                const isFirst = !this.knownLevels.has(organisation);
+                bucket.level = isFirst ? level / levelScale : Math.min(bucket.level, level / levelScale);
+                this.knownLevels = new Map([...this.knownLevels, [organisation, bucket.level]]);
+            }
+        }
+    }
+
+    /** Charges what a control VM reports; returns rows for the reported organisations and those that changed. */
+    exchange(memberId: string, uses: readonly QuotaUse[], nowMs: number): readonly MemberQuotaRow[] {
+        const isFirst = nowMs - (this.reportedAtMs.get(memberId) ?? -Infinity) >= memberTtlMs;
+        this.reportedAtMs.set(memberId, nowMs);
+        const usesByName = new Map(uses.map(use => [use[0], use]));
+        const rows: MemberQuotaRow[] = [];
+        for (const bucket of this.buckets.values()) {
+            const use = usesByName.get(bucket.quota.organisation);
+            this.accrue(bucket, nowMs);
+            const member = this.findMember(bucket, memberId, nowMs);
+            member.reportedAtMs = nowMs;
+            if (use !== undefined) {
+                bucket.level -= use[2];
+                member.demand.add(use[1], nowMs);
+            }
+            member.share = this.divide(bucket, member, nowMs);
+            const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
+            const level = member.share * bucket.level;
+            const change = Math.abs(level - member.sentLevel) / Math.max(1, bucket.size);
+            const rateChange = Math.abs(member.share * rate - member.sentRate) / bucket.quota.ratePerSecond;
+            if (isFirst || use !== undefined || change > reportedChange || rateChange > reportedChange) {
+                member.sentLevel = level;
+                member.sentRate = member.share * rate;
+                rows.push([
+                    bucket.quota.organisation,
+                    Math.round(member.share * shareScale),
+                    Math.round(bucket.level * levelScale),
+                    Math.round(rate * rateScale),
+                    Math.round(this.sumDemand(bucket, nowMs) * demandScale),
+                ]);
+            }
+        }
+        return rows;
+    }
+
+    /** Lists the organisations that have become limited or free since the last call. */
+    listTransitions(nowMs: number): readonly LedgerRow[] {
+        return [...this.buckets.values()].flatMap(bucket => {
+            this.accrue(bucket, nowMs);
+            const { quota: { organisation, ratePerSecond }, level, size } = bucket;
+            const demand = this.sumDemand(bucket, nowMs);
+            const isLimited = bucket.isLimited ? demand > ratePerSecond || level < size / 2 : level < 1 && demand > 0;
+            if (isLimited === bucket.isLimited) {
+                return [];
+            }
+            bucket.isLimited = isLimited;
+            return [{ organisation, level, demand, isLimited }];
+        });
+    }
+
+    countLimited(): number {
+        return [...this.buckets.values()].filter(bucket => bucket.isLimited).length;
+    }
+
+    private accrue(bucket: Bucket, nowMs: number): void {
+        const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
+        const elapsedMs = Math.max(0, nowMs - bucket.accruedAtMs);
+        bucket.level = Math.min(bucket.size, bucket.level + elapsedMs * rate / msPerSecond);
+        bucket.accruedAtMs = Math.max(bucket.accruedAtMs, nowMs);
+    }
+
+    private findMember({ members }: Bucket, memberId: string, nowMs: number): MemberShare {
+        const member = members.get(memberId) ?? {
+            demand: new RateEstimate(demandTimeConstantMs, nowMs),
+            reportedAtMs: nowMs,
+            share: 0,
+            sentLevel: 0,
+            sentRate: 0,
+        };
+        members.set(memberId, member);
+        return member;
+    }
+
+    /** Returns the share of a control VM: its part of the demand, as far as the others' shares leave it. */
+    private divide({ quota, members }: Bucket, member: MemberShare, nowMs: number): number {
+        for (const [id, { reportedAtMs }] of members) {
+            if (nowMs - reportedAtMs >= memberTtlMs) {
+                members.delete(id);
+            }
+        }
+        const base = equalShare * quota.ratePerSecond / members.size;
+        const weigh = ({ demand }: MemberShare) => demand.get(nowMs) + base;
+        const all = [...members.values()];
+        const target = weigh(member) / all.reduce((sum, other) => sum + weigh(other), 0);
+        const others = all.reduce((sum, other) => sum + (other === member ? 0 : other.share), 0);
+        return Math.min(target, Math.max(base / quota.ratePerSecond, maxShareSum - others));
+    }
+
+    private sumDemand({ members }: Bucket, nowMs: number): number {
+        return [...members.values()].reduce((sum, { demand }) => sum + demand.get(nowMs), 0);
+    }
+}
--- /dev/null
+++ b/src/quotas/quotaMessages.ts
@@ -0,0 +1,50 @@
+/** Requests of an organisation that were demanded and admitted since the sender's last report. */
+export type QuotaUse = readonly [organisation: string, demanded: number, admitted: number];
+
+/** Quotas for one entry, as its control VM knows them. */
+export interface EntryQuotas {
+    /** Increases with each change of a row. */
+    readonly version: number;
+    /** Time for which the rows may be used, in milliseconds from the call. */
+    readonly validMs: number;
+    /** Rows that changed since the version that the entry holds. */
+    readonly rows: readonly EntryQuotaRow[];
+}
+
+/**
+ * Share of an organisation's requests that entries admit, in thousandths, and the requests that callers send to all
+ * entries together, in tenths a second.
+ */
+export type EntryQuotaRow = readonly [organisation: string, admittedShare: number, demand: number];
+
+/** Report of a control VM to the leader. */
+export interface QuotaReport {
+    /** Requests at the attached entries that no leader has acknowledged. */
+    readonly uses: readonly QuotaUse[];
+    /** Bucket levels that the sender knows, in hundredths; only for a leader that asked for them. */
+    readonly levels?: readonly QuotaLevel[];
+}
+
+/** Level of an organisation's bucket, as reported to a new leader, in hundredths of a request. */
+export type QuotaLevel = readonly [organisation: string, level: number];
+
+/** Part of the buckets that a control VM may spend. */
+export interface MemberQuotas {
+    /** Time for which the shares may be used, in milliseconds from the report. */
+    readonly validMs: number;
+    /** Whether the leader needs the levels that the receiver knows. */
+    readonly wantsLevels: boolean;
+    readonly rows: readonly MemberQuotaRow[];
+}
+
+/**
+ * Share of the receiver in thousandths; level of the whole bucket in hundredths of a request; rate to divide in
+ * thousandths a second; demand in tenths a second.
+ */
+export type MemberQuotaRow = readonly [
+    organisation: string,
+    share: number,
+    level: number,
+    rate: number,
+    demand: number,
+];
