Reduce the messages of quotas, and simulate a fleet

Urgent reports and wake-ups took 74 KB/s at the leader with 3 hot organisations and 312 entries. Entries report at once only for rates of 20 a second and more, control VMs only organisations whose level is low, and answers are tuples.

--- a/src/quotas/entryQuotas.ts
+++ b/src/quotas/entryQuotas.ts
@@ -12,7 +12,11 @@
 const msPerSecond = 1000;
 /** Time over which the own demand is averaged for the fraction that applies without contact. */
 const demandTimeConstantMs = 20_000;
-/** Minimum time between two reports that are sent at once. */
+/**
+ * Organisations with this rate can exceed the bound before the next watch calls report a rise in demand, so their
+ * requests are reported at once, with a minimum time between two reports.
+ */
+const minUrgentRatePerSecond = 20;
 const minUrgentIntervalMs = 100;
 /** Part of the fraction without contact that follows the demand; the rest is equal for all entries. */
 const demandPart = 0.5;
@@ -119,7 +123,8 @@
         state.credit--;
         state.unreported.admitted++;
         this.options.onDecision(QuotaOutcome.admitted);
-        if (state.admittedShare === shareScale && nowMs - this.urgentAtMs >= minUrgentIntervalMs) {
+        const isUrgent = state.quota.ratePerSecond >= minUrgentRatePerSecond && state.admittedShare === shareScale;
+        if (isUrgent && nowMs - this.urgentAtMs >= minUrgentIntervalMs) {
             this.urgentAtMs = nowMs;
             this.options.onUrgent();
         }
@@ -157,7 +162,7 @@
     }
 
     /** Applies an answer of the control VM; `sentAt` is when the call was sent. */
-    apply({ version, validMs, rows }: Grants, sentAt: Instant): void {
+    apply([version, validMs, rows]: Grants, sentAt: Instant): void {
         if (validMs <= 0) {
             // The control VM has no valid grant itself; grants of the previous one stay valid.
             return;
--- a/src/quotas/memberQuotas.ts
+++ b/src/quotas/memberQuotas.ts
@@ -6,21 +6,32 @@
 const msPerSecond = 1000;
 /** Time over which demand is averaged to compute the admitted share; short, as it delays the reaction to a rise. */
 const demandTimeConstantMs = 500;
+/** Longer average that keeps the share low between the requests of a small organisation. */
+const slowDemandTimeConstantMs = 3000;
+/**
+ * Smallest part of a bucket that is not in debt which a control VM may spend before it reports. Without it, a control VM
+ * with little demand for an organisation would refuse the second of two requests.
+ */
+const minLevelShare = 0.3;
 /** Time in which the requests that the bucket holds may be spent. */
 const spendingMs = 500;
 /** A report to the leader is due at once when less than this part of the share that was granted is left. */
 const lowLevelShare = 0.5;
 /** Smaller changes of the admitted share, in thousandths, are not sent unless it becomes 0 or 1000. */
 const minShareChange = 20;
-/** Entries are told at once of a decrease by this much; other changes go with the next answer to a watch call. */
+/** Entries are told at once of the first decrease by this much; other changes go with the next watch answer. */
 const urgentDecrease = 200;
+
+/** How soon the leader should get a report. */
+export type Urgency = "none" | "limited" | "free";
 /** The demand of all entries is sent again after a change by this factor. */
-const demandChangeFactor = 1.5;
+const demandChangeFactor = 2;
 
 interface MemberBucket {
     quota: Quota;
     size: number;
     readonly demand: RateEstimate;
+    readonly slowDemand: RateEstimate;
     /** Share of this control VM, and rate to divide. */
     share: number;
     ratePerSecond: number;
@@ -65,6 +76,7 @@
                 quota,
                 size: bucketSize(quota, this.bounds),
                 demand: new RateEstimate(demandTimeConstantMs, nowMs),
+                slowDemand: new RateEstimate(slowDemandTimeConstantMs, nowMs),
                 share: 0,
                 ratePerSecond: 0,
                 level: 0,
@@ -81,26 +93,33 @@
         }
     }
 
-    /** Charges what an entry reports; returns whether the leader should learn of it at once. */
-    record(uses: readonly QuotaUse[], nowMs: number): boolean {
-        let isLow = false;
+    /** Charges what an entry reports; returns how soon the leader should learn of it. */
+    record(uses: readonly QuotaUse[], nowMs: number): Urgency {
+        let urgency: Urgency = "none";
         for (const [organisation, demanded, admitted] of uses) {
             const bucket = this.buckets.get(organisation);
             if (bucket !== undefined) {
                 this.accrue(bucket, nowMs);
                 bucket.level -= admitted;
                 bucket.demand.add(demanded, nowMs);
+                bucket.slowDemand.add(demanded, nowMs);
                 bucket.unreported.demanded += demanded;
                 bucket.unreported.admitted += admitted;
-                isLow ||= bucket.level < Math.max(1, lowLevelShare * bucket.grantedLevel);
+                if (isLow(bucket) && urgency !== "free") {
+                    urgency = bucket.admittedShare === shareScale ? "free" : "limited";
+                }
             }
         }
-        return isLow;
+        return urgency;
     }
 
-    /** Returns the requests that were not reported to the leader. */
-    takeUses(): readonly QuotaUse[] {
-        return [...this.buckets.values()].flatMap(({ quota: { organisation }, unreported }) => {
+    /** Returns the requests that were not reported to the leader; `onlyLow` if those of organisations with a low level. */
+    takeUses(onlyLow: boolean): readonly QuotaUse[] {
+        return [...this.buckets.values()].flatMap(bucket => {
+            const { quota: { organisation }, unreported } = bucket;
+            if (onlyLow && !isLow(bucket)) {
+                return [];
+            }
             const { demanded, admitted } = unreported;
             unreported.demanded = 0;
             unreported.admitted = 0;
@@ -128,7 +147,7 @@
                 bucket.ratePerSecond = rate / rateScale;
                 bucket.leaderLevel = level / levelScale;
                 bucket.leaderLevelAtMs = nowMs;
-                bucket.grantedLevel = bucket.share * bucket.leaderLevel;
+                bucket.grantedLevel = levelShare(bucket) * bucket.leaderLevel;
                 bucket.level = bucket.grantedLevel - bucket.unreported.admitted;
                 bucket.accruedAtMs = nowMs;
                 bucket.totalDemand = demand / demandScale;
@@ -145,12 +164,9 @@
         });
     }
 
-    /**
-     * Computes the shares that entries admit; returns whether one changed that they must learn at once. `firstVersion`
-     * exceeds the versions of a previous run of this VM.
-     */
-    update(nowMs: number, firstVersion: number): boolean {
-        const nextVersion = Math.max(this.version + 1, firstVersion);
+    /** Computes the shares that entries admit; returns whether one changed that they must learn at once. */
+    update(nowMs: number): boolean {
+        const nextVersion = this.version + 1;
         let isUrgent = false;
         for (const bucket of this.buckets.values()) {
             this.accrue(bucket, nowMs);
@@ -164,7 +180,7 @@
                 bucket.sentDemand = bucket.totalDemand;
                 bucket.changedInVersion = nextVersion;
                 this.version = nextVersion;
-                isUrgent ||= isShareNews && previous - next >= urgentDecrease;
+                isUrgent ||= previous === shareScale && next <= shareScale - urgentDecrease;
             }
         }
         if (isUrgent) {
@@ -175,7 +191,7 @@
 
     /** Returns whether an entry must learn of changes at once. */
     hasNews(heldVersion: number): boolean {
-        return this.wakeVersion > heldVersion || heldVersion === 0;
+        return this.wakeVersion > heldVersion || (heldVersion === 0 && this.version > 0);
     }
 
     /** Returns the rows that changed since the version that an entry holds. */
@@ -192,24 +208,33 @@
 
     /** Returns the share of requests that keeps the spending within the rate and the level, in thousandths. */
     private computeShare(bucket: MemberBucket, nowMs: number): number {
-        const { share, ratePerSecond, level, leaderLevel, demand } = bucket;
+        const { share, ratePerSecond, level, leaderLevel, demand, slowDemand } = bucket;
         if (leaderLevel === -Infinity) {
             // A new organisation; the leader answers within a second.
             return shareScale;
         }
         const supply = Math.max(0, share * ratePerSecond + level * msPerSecond / spendingMs);
-        const demandPerSecond = demand.get(nowMs);
+        const demandPerSecond = Math.max(demand.get(nowMs), slowDemand.get(nowMs));
         return level <= 0 ? 0 : demandPerSecond <= supply ? shareScale : Math.floor(shareScale * supply / demandPerSecond);
     }
 
     private accrue(bucket: MemberBucket, nowMs: number): void {
         const { share, ratePerSecond, size } = bucket;
         const elapsedMs = Math.max(0, nowMs - bucket.accruedAtMs);
-        bucket.level = Math.min(share * size, bucket.level + elapsedMs * share * ratePerSecond / msPerSecond);
+        bucket.level = Math.min(levelShare(bucket) * size, bucket.level + elapsedMs * share * ratePerSecond / msPerSecond);
         bucket.accruedAtMs = Math.max(bucket.accruedAtMs, nowMs);
     }
 }
 
+/** Returns the part of the leader's bucket that a control VM may spend until its next report. */
+function levelShare({ share, leaderLevel }: MemberBucket): number {
+    return leaderLevel > 0 ? Math.max(share, minLevelShare) : share;
+}
+
+function isLow({ level, grantedLevel }: MemberBucket): boolean {
+    return level < Math.max(1, lowLevelShare * grantedLevel);
+}
+
 function isDifferent(demand: number, sent: number): boolean {
     const [low, high] = demand < sent ? [demand, sent] : [sent, demand];
     return high > 0 && high > low * demandChangeFactor + 1 / demandScale;
--- a/src/quotas/quotaCoordinator.ts
+++ b/src/quotas/quotaCoordinator.ts
@@ -11,8 +11,12 @@
 
 /** Time for which a grant may be used without renewal; longer than an election usually takes. */
 const grantTtlMs = 4000;
-/** Minimum time between two reports to the leader that are sent at once, and between two computations of shares. */
-const minUrgentIntervalMs = 100;
+/**
+ * Minimum time between two reports to the leader: shorter while entries admit everything and the level falls, as they
+ * may spend more than is left.
+ */
+const urgentIntervalsMs = { none: Infinity, limited: 500, free: 100 } as const;
+/** Minimum time between two computations of shares. */
 const minUpdateIntervalMs = 50;
 
 /** Dependencies of a quota coordinator. */
@@ -45,6 +49,8 @@
     private readonly confirmation: GrantValidity;
     private routes: RouteTable | undefined;
     private mustReportLevels = false;
+    /** Whether the report that is being built is sent at once, for organisations with a low level. */
+    private isReportingLow = false;
     private urgentAtMs = -Infinity;
     private updatedAtMs = -Infinity;
 
@@ -68,7 +74,8 @@
             return;
         }
         const nowMs = this.nowMs();
-        if (this.member.record(uses, nowMs) && nowMs - this.urgentAtMs >= minUrgentIntervalMs) {
+        const urgency = this.member.record(uses, nowMs);
+        if (nowMs - this.urgentAtMs >= urgentIntervalsMs[urgency]) {
             this.urgentAtMs = nowMs;
             this.exchange();
         }
@@ -87,7 +94,8 @@
         if (heldVersion === undefined || !this.configure()) {
             return {};
         }
-        return { quotas: { ...this.member.describe(heldVersion), validMs: Math.round(this.validity.remainingMs) } };
+        const { version, rows } = this.member.describe(heldVersion);
+        return { quotas: [version, Math.round(this.validity.remainingMs), rows] };
     }
 
     /** Returns what this VM reports to the leader; undefined without quotas. */
@@ -96,7 +104,7 @@
             return undefined;
         }
         const levels = this.mustReportLevels ? this.member.listLevels(this.nowMs()) : undefined;
-        const uses = this.member.takeUses();
+        const uses = this.member.takeUses(this.isReportingLow);
         return levels === undefined ? { uses } : { uses, levels };
     }
 
@@ -148,19 +156,20 @@
 
     private exchange(): void {
         if (!this.options.log.isLeader) {
+            this.isReportingLow = true;
             this.options.onUrgent();
+            this.isReportingLow = false;
         }
         else if (this.canGrant()) {
             const nowMs = this.nowMs();
             this.validity.renew(readInstant(this.options.clock), this.confirmation.remainingMs);
-            this.member.apply(this.ledger.exchange(this.options.log.selfId, this.member.takeUses(), nowMs), nowMs);
+            this.member.apply(this.ledger.exchange(this.options.log.selfId, this.member.takeUses(false), nowMs), nowMs);
         }
     }
 
     private update(nowMs: number): void {
         this.updatedAtMs = nowMs;
-        // Wall-clock time, so that a restarted VM does not repeat a version with other content.
-        if (this.member.update(nowMs, this.options.clock.now().getTime())) {
+        if (this.member.update(nowMs)) {
             this.options.onChanged();
         }
     }
--- a/src/quotas/quotaFleet.ts
+++ b/src/quotas/quotaFleet.ts
@@ -156,20 +156,25 @@
 
     private sendRequests(): void {
         for (const [organisation, { perSecond, weigh }] of this.demands) {
-            const weights = this.entries.map((entry, index) => entry.isStopped ? 0 : weigh(index));
-            const sum = weights.reduce((total, weight) => total + weight, 0);
-            for (let mean = perSecond * stepMs / msPerSecond; this.random.nextUnit() < 1 - Math.exp(-mean);) {
-                const target = this.random.nextUnit() * sum;
-                let passed = 0;
-                const entry = this.entries[Math.max(0, weights.findIndex(weight => (passed += weight) > target))];
-                const { isAdmitted } = entry.quotas.take(organisation);
+            // Arrivals within a step are Poisson-distributed.
+            const limit = Math.exp(-perSecond * stepMs / msPerSecond);
+            for (let product = this.random.nextUnit(); product > limit; product *= this.random.nextUnit()) {
+                const { isAdmitted } = this.pickEntry(weigh).quotas.take(organisation);
                 const times = isAdmitted ? this.admittedAtMs : this.refusedAtMs;
-                times.set(organisation, [...times.get(organisation) ?? [], this.nowMs]);
-                mean = mean;
+                const list = times.get(organisation) ?? [];
+                list.push(this.nowMs);
+                times.set(organisation, list);
             }
         }
     }
 
+    private pickEntry(weigh: Demand["weigh"]): FleetEntry {
+        const weights = this.entries.map((entry, index) => entry.isStopped ? 0 : weigh(index));
+        const target = this.random.nextUnit() * weights.reduce((total, weight) => total + weight, 0);
+        let passed = 0;
+        return this.entries[Math.max(0, weights.findIndex(weight => (passed += weight) > target))];
+    }
+
     private watch(entry: FleetEntry): void {
         if (entry.isStopped || entry.isCutOff || this.nowMs < entry.attachedAtMs) {
             return;
@@ -181,22 +186,20 @@
             entry.quotas.resetVersion();
             return;
         }
-        const report = this.sendEntryReport(entry);
-        this.answer(entry, report);
+        this.answer(entry, this.sendEntryReport(entry));
     }
 
     private sendEntryReport(entry: FleetEntry): object {
-        const { quotas } = entry.quotas.takeReport();
-        const report = { ...entryFields, quotas };
-        this.controls[entry.control].coordinator.recordEntryReport(quotas);
-        return report;
+        const field = entry.quotas.takeReport();
+        this.controls[entry.control].coordinator.recordEntryReport(field.quotas);
+        return field;
     }
 
     private answer(entry: FleetEntry, entryReport: object): void {
         const control = this.controls[entry.control];
-        const params = { entry: entryReport, version: 100, limitsVersion: 0, quotasVersion: entry.quotas.version };
-        const answer = { isLed: true, delta: undefined, ...control.coordinator.describe(entry.quotas.version) };
-        this.count(entry, control, params);
+        const answer = control.coordinator.describe(entry.quotas.version);
+        // Watch calls are sent without quotas too, so only the added fields count.
+        this.count(entry, control, { ...entryReport, quotasVersion: entry.quotas.version });
         this.count(entry, control, answer);
         if (answer.quotas !== undefined) {
             entry.quotas.apply(answer.quotas, readInstant(this.clock));
@@ -214,8 +217,8 @@
         const sentAt = readInstant(this.clock);
         const answer = leaderIndex < 0 ? undefined : leader?.coordinator.handleReport(report, sender.log.selfId);
         if (leader !== undefined && leaderIndex >= 0) {
-            this.count(sender, leader, { ids: [], entryCount: 62, quotas: report });
-            this.count(sender, leader, { entryTotal: 312, quotas: answer });
+            this.count(sender, leader, { quotas: report });
+            this.count(sender, leader, { quotas: answer });
         }
         sender.coordinator.applyAnswer(report, answer, sentAt);
     }
@@ -256,7 +259,7 @@
             countEntries: () => this.scale.entryCount,
             onUrgent: () => {
                 if (!entry.isCutOff && !this.controls[entry.control].isDown) {
-                    this.count(entry, this.controls[entry.control], this.sendEntryReport(entry));
+                    this.count(entry, this.controls[entry.control], { ...entryFields, ...this.sendEntryReport(entry) });
                 }
             },
             onDecision: () => undefined,
--- a/src/quotas/quotaLedger.ts
+++ b/src/quotas/quotaLedger.ts
@@ -25,6 +25,9 @@
 /** Time for which the bucket of a removed organisation is kept, so that adding it again does not fill it. */
 const removedRetentionMs = 60_000;
 
+/** Time over which the demand of all control VMs is averaged that entries use without contact. */
+const totalDemandTimeConstantMs = 20_000;
+
 interface MemberShare {
     readonly demand: RateEstimate;
     reportedAtMs: number;
@@ -41,6 +44,7 @@
     accruedAtMs: number;
     listedAtMs: number;
     isLimited: boolean;
+    readonly totalDemand: RateEstimate;
     readonly members: Map<string, MemberShare>;
 }
 
@@ -90,6 +94,7 @@
                     accruedAtMs: nowMs,
                     listedAtMs: nowMs,
                     isLimited: false,
+                    totalDemand: new RateEstimate(totalDemandTimeConstantMs, nowMs),
                     members: new Map(),
                 });
             }
@@ -148,6 +153,7 @@
             if (use !== undefined) {
                 bucket.level -= use[2];
                 member.demand.add(use[1], nowMs);
+                bucket.totalDemand.add(use[1], nowMs);
             }
             member.share = this.divide(bucket, member, nowMs);
             const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
@@ -162,7 +168,7 @@
                     Math.round(member.share * shareScale),
                     Math.round(bucket.level * levelScale),
                     Math.round(rate * rateScale),
-                    Math.round(this.sumDemand(bucket, nowMs) * demandScale),
+                    Math.round(bucket.totalDemand.get(nowMs) * demandScale),
                 ]);
             }
         }
--- a/src/quotas/quotaMessages.ts
+++ b/src/quotas/quotaMessages.ts
@@ -1,15 +1,12 @@
 /** Requests of an organisation that were demanded and admitted since the sender's last report. */
 export type QuotaUse = readonly [organisation: string, demanded: number, admitted: number];
 
-/** Quotas for one entry, as its control VM knows them. */
-export interface EntryQuotas {
-    /** Increases with each change of a row. */
-    readonly version: number;
-    /** Time for which the rows may be used, in milliseconds from the call. */
-    readonly validMs: number;
-    /** Rows that changed since the version that the entry holds. */
-    readonly rows: readonly EntryQuotaRow[];
-}
+/**
+ * Quotas for one entry, as its control VM knows them: the version increases with each change of a row, the rows may be
+ * used for `validMs` from the call, and those that changed since the version that the entry holds are sent. A tuple, as
+ * the names of the fields would be most of the message.
+ */
+export type EntryQuotas = readonly [version: number, validMs: number, rows: readonly EntryQuotaRow[]];
 
 /**
  * Share of an organisation's requests that entries admit, in thousandths, and the requests that callers send to all
