--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -8,6 +8,7 @@
 import { ControlError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import type { QuotaBounds } from "../quotas/quotaBounds.js";
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
@@ -64,6 +65,8 @@
     /** Control VMs that may be lost at the same time. */
     readonly toleratedLosses: number;
     readonly heartbeatIntervalMs: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
     readonly logger: ControlLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -117,13 +120,14 @@
             options.onFailed(error);
         };
         this.host = new ReplicaHost({ selfId, machine, limits, store, links, clock, random, logger, onFailed });
-        const { heartbeatIntervalMs } = options;
+        const { heartbeatIntervalMs, quotaBounds } = options;
         this.service = new DirectoryService({
             log: this.host,
             links,
             clock,
             logger,
             heartbeatIntervalMs,
+            quotaBounds,
             self: { peerAddress, availabilityZone: options.availabilityZone },
         });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -5,6 +5,8 @@
 import type { Clock } from "../core/clock.js";
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
+import { defaultQuotaBounds, type QuotaBounds } from "../quotas/quotaBounds.js";
+import { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type {
     DirectoryChange,
@@ -60,6 +62,8 @@
     readonly heartbeatIntervalMs: number;
     /** Address and availability zone of this control VM; without them, it does not ask others for their entries. */
     readonly self?: Pick<ControlNode, "peerAddress" | "availabilityZone">;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
 }
 
 /** Handles requests to one control VM from operators, instances, entries and other control VMs. */
@@ -71,6 +75,7 @@
     /** Called when an attached entry reports another state. */
     private readonly entryListeners = new Set<() => void>();
     private readonly limits: LimitCoordinator;
+    private readonly quotas: QuotaCoordinator;
     private readonly leaderReports: LeaderReports;
     private readonly leavingInstances: LeavingInstances;
     private readonly changeListeners = new Set<() => void>();
@@ -96,12 +101,23 @@
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
         });
+        this.quotas = new QuotaCoordinator({
+            log,
+            clock: options.clock,
+            logger: options.logger,
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            getRoutes: () => this.state.routes,
+            getEntryTotal: () => this.entryCounts.getTotal(this.nowMs()),
+            onChanged: () => this.notifyChange(),
+            onUrgent: () => this.leaderReports.sendNews(),
+        });
         this.leaderReports = new LeaderReports({
             log,
             links: options.links,
             clock: options.clock,
             logger: options.logger,
             limits: this.limits,
+            quotas: this.quotas,
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
@@ -124,6 +140,7 @@
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
             evacuatedZones: () => this.state.evacuatedZones.length,
+            limitedOrganisations: () => this.quotas.limitedCount,
         });
         this.entryListHistory = new EntryListHistory(options.clock.now().getTime());
         const { self, links, clock, logger } = options;
@@ -225,9 +242,13 @@
     }
 
     /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
-    async watch({ entry, version, canUpdate, limitsVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch(
+        { entry, version, canUpdate, limitsVersion, quotasVersion, waitMs }: WatchParams,
+    ): Promise<WatchAnswer> {
         this.recordEntry(entry);
-        if (version === this.state.revision && !this.limits.hasNews(limitsVersion ?? undefined)) {
+        const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
+            this.quotas.hasNews(quotasVersion ?? undefined);
+        if (version === this.state.revision && !hasNews) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
@@ -239,6 +260,7 @@
             entryCount: this.attachedEntries.count(nowMs),
             entryTotal: this.entryCounts.getTotal(nowMs),
             limits: this.limits.describe(entry.id, limitsVersion ?? undefined),
+            ...this.quotas.describe(quotasVersion ?? undefined),
         };
     }
 
@@ -269,6 +291,7 @@
         }
         this.limits.recordEntryReport(entry);
         this.leavingInstances.recordReport(entry);
+        this.quotas.recordEntryReport(entry.quotas);
     }
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
@@ -288,7 +311,9 @@
         report.ids.forEach(id => this.lastHeartbeatAtMs.set(id, nowMs));
         this.entryCounts.recordCount(memberId, report.entryCount, nowMs);
         const limits = await this.limits.handleReport(report, memberId);
-        return { entryTotal: this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined, limits };
+        const entryTotal = this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined;
+        const quotas = this.quotas.handleReport(report.quotas, memberId);
+        return quotas === undefined ? { entryTotal, limits } : { entryTotal, limits, quotas };
     }
 
     /**
@@ -299,6 +324,7 @@
         const { log } = this.options;
         this.limits.runMaintenance();
         this.entryListExchange?.refresh();
+        this.quotas.runMaintenance();
         if (log.isLeader) {
             this.leaderSinceMs ??= this.nowMs();
             this.expireInstances(this.leaderSinceMs);
--- a/src/directory/limitCoordinator.ts
+++ b/src/directory/limitCoordinator.ts
@@ -1,7 +1,9 @@
 import type { ControlLogger } from "../control/options.js";
-import { ageMs, type Clock, type Instant, readInstant } from "../core/clock.js";
+import { type Clock, type Instant, readInstant } from "../core/clock.js";
 import type { EntryId, UpstreamId } from "../core/ids.js";
 import { ColdLimits } from "./coldLimits.js";
+import { GrantValidity } from "./grantValidity.js";
+import { LeaderTerm } from "./leaderTerm.js";
 import { type AllocationInput, LimitShares, type SharedLimit, shareTtlMs } from "./limitShares.js";
 import type { EntryReport, HeartbeatReport, MemberLimits } from "./messages.js";
 import type { Registration, RoutedService } from "./model.js";
@@ -9,8 +11,6 @@
 
 /** Maximum age of the entries that another control VM reported; they are reported every second. */
 const maxReportAgeMs = 3000;
-/** Time without maintenance after which this VM may have been suspended while another one led. */
-const maxMaintenancePauseMs = 2500;
 
 /** Dependencies of a limit coordinator. */
 export interface LimitCoordinatorOptions {
@@ -37,8 +37,7 @@
  */
 export class LimitCoordinator {
     private readonly shares = new LimitShares();
-    private isLeading = false;
-    private maintainedAt: Instant | undefined;
+    private readonly term: LeaderTerm;
     /** The allocation that is under way. */
     private allocation: Promise<void> | undefined;
     private mustAllocateAgain = false;
@@ -54,14 +53,15 @@
     /** Changes with `limits`; 0 before the first change. */
     private version = 0;
     private content = "[[],[]]";
-    /** Until when the shares may be used: for `validMs` from `at`. */
-    private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
-
+    /** Until when the shares may be used. */
+    private readonly validity: GrantValidity;
     /** Limits of cold instances; they share messages, versions and validity with the named ones. */
     readonly cold: ColdLimits;
 
     constructor(private readonly options: LimitCoordinatorOptions) {
         this.cold = new ColdLimits(options);
+        this.term = new LeaderTerm(options.log, options.clock);
+        this.validity = new GrantValidity(options.clock);
     }
 
     /** Number of instances that name a limit. */
@@ -128,7 +128,7 @@
             share: limit.shares.get(entryId) ?? 0,
         }));
         const cold = rows === undefined ? undefined : this.cold.describe(entryId);
-        return { version, validMs: this.validMs(), rows, ...(cold === undefined ? {} : { cold }) };
+        return { version, validMs: this.validity.remainingMs, rows, ...(cold === undefined ? {} : { cold }) };
     }
 
     /** Returns what this VM reports to the leader; nothing while it knows of no limit and none is configured. */
@@ -158,7 +158,7 @@
             return;
         }
         const nowMs = this.nowMs();
-        this.validity = { at: sentAt, validMs: answer.validMs };
+        this.validity.renew(sentAt, answer.validMs);
         this.cold.applyRows(answer.cold ?? undefined, entries, sentAt.monotonicMs);
         this.setLimits(answer.rows.map(row => ({
             id: row.id,
@@ -199,7 +199,7 @@
         const coldRows = this.cold.describeForMember(positions);
         return {
             ...(coldRows === undefined ? {} : { cold: coldRows }),
-            validMs: this.validMs(),
+            validMs: this.validity.remainingMs,
             rows: this.limits.map(limit => ({
                 id: limit.id,
                 bornAtMs: limit.bornAtMs,
@@ -215,13 +215,8 @@
 
     /** Renews the shares at the leader; called every second. */
     runMaintenance(): void {
-        const { log, clock } = this.options;
-        const wasSuspended = this.maintainedAt !== undefined && ageMs(this.maintainedAt, clock) > maxMaintenancePauseMs;
-        this.maintainedAt = readInstant(clock);
-        if (!log.isLeader || wasSuspended) {
-            this.isLeading = false;
-        }
-        if (!log.isLeader) {
+        this.term.maintain();
+        if (!this.options.log.isLeader) {
             this.memberEntries.clear();
             return;
         }
@@ -232,8 +227,7 @@
     }
 
     private startLeading(): void {
-        if (!this.isLeading) {
-            this.isLeading = true;
+        if (this.term.begin()) {
             this.hasAllocated = false;
             this.cold.startLeading();
             const nowMs = this.nowMs();
@@ -278,7 +272,7 @@
         do {
             this.mustAllocateAgain = false;
             const at = readInstant(clock);
-            if (!await log.confirmLeadership() || !log.isLeader || !this.isLeading) {
+            if (!await log.confirmLeadership() || !log.isLeader || !this.term.isLeading) {
                 break;
             }
             const nowMs = this.nowMs();
@@ -300,7 +294,7 @@
             this.cold.allocate({ ...input, otherLimitedIds: new Set([...limitedIds, ...this.cold.listIds()]) });
             this.hasAllocated = true;
             this.logChanges(limits);
-            this.validity = { at, validMs: shareTtlMs };
+            this.validity.renew(at, shareTtlMs);
             this.setLimits(limits);
         }
         while (this.mustAllocateAgain);
@@ -355,11 +349,6 @@
         }
     }
 
-    private validMs(): number {
-        const { validity } = this;
-        return validity === undefined ? 0 : Math.max(0, validity.validMs - ageMs(validity.at, this.options.clock));
-    }
-
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -138,6 +138,10 @@
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
 const coldReports = optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber, warmupMs: isNumber })));
+const isQuotaUse: Check = value =>
+    Array.isArray(value) && value.length === 3 && isString(value[0]) && isNumber(value[1]) && isNumber(value[2]);
+const isQuotaLevel: Check = value =>
+    Array.isArray(value) && value.length === 2 && isString(value[0]) && isNumber(value[1]);
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -147,6 +151,7 @@
     limits: limitReports,
     leaving: optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber }))),
     cold: coldReports,
+    quotas: optional(arrayOf(isQuotaUse)),
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
@@ -156,6 +161,7 @@
         version: isNumber,
         canUpdate: optional(isBoolean),
         limitsVersion: optional(isNumber),
+        quotasVersion: optional(isNumber),
         waitMs: isNumber,
     }),
     [DirectoryMethod.reportEntry]: objectWith(entryReportFields),
@@ -169,6 +175,7 @@
         ),
         limits: limitReports,
         cold: coldReports,
+        quotas: optional(objectWith({ uses: arrayOf(isQuotaUse), levels: optional(arrayOf(isQuotaLevel)) })),
     }),
     [DirectoryMethod.entryList]: objectWith({ version: isNumber, waitMs: isNumber }),
     [DirectoryMethod.join]: objectWith(memberFields),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,6 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
+import type { EntryQuotas, MemberQuotas, QuotaReport, QuotaUse } from "../quotas/quotaMessages.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
 import type { ColdReport, EntryDemand, EntryLimits, LimitReport, MemberColdRow } from "./rateLimits.js";
 
@@ -45,6 +46,8 @@
     readonly leaving?: readonly LeavingInstance[];
     /** Warmups that the entry saw and that the control VM does not show yet. */
     readonly cold?: readonly ColdReport[];
+    /** Requests of organisations with quotas since the last report; undefined if there were none. */
+    readonly quotas?: readonly QuotaUse[];
 }
 
 /** Parameters of `directory.watch`. */
@@ -56,6 +59,8 @@
     readonly canUpdate?: boolean;
     /** Version of the rate limits that the entry has; undefined from versions without them. */
     readonly limitsVersion?: number;
+    /** Version of the quotas that the entry has; undefined if no organisation has one. */
+    readonly quotasVersion?: number;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
@@ -72,6 +77,8 @@
     readonly entryTotal?: number;
     /** Undefined while no instance has named a rate limit. */
     readonly limits?: EntryLimits;
+    /** Undefined unless the entry named a version and organisations have quotas. */
+    readonly quotas?: EntryQuotas;
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
@@ -100,6 +107,8 @@
     readonly limits?: readonly LimitReport[];
     /** Warmups that entries saw and registrations do not show. */
     readonly cold?: readonly ColdReport[];
+    /** Undefined unless organisations have quotas. */
+    readonly quotas?: QuotaReport;
 }
 
 /** Answer of `directory.heard`. */
@@ -108,6 +117,8 @@
     readonly entryTotal: number | undefined;
     /** Undefined unless the answering VM leads. */
     readonly limits?: MemberLimits;
+    /** Undefined unless the answering VM leads and organisations have quotas. */
+    readonly quotas?: MemberQuotas;
 }
 
 /** Rate limits with the shares of the entries that a control VM reported. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,7 +6,8 @@
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
-import { UnlimitedQuotaGate } from "../organisations/quotaGate.js";
+import { EntryQuotas } from "../quotas/entryQuotas.js";
+import { defaultQuotaBounds } from "../quotas/quotaBounds.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -54,6 +55,7 @@
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
     private readonly upstreamStatements: UpstreamStatements;
+    private readonly quotas: EntryQuotas;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -82,6 +84,14 @@
             metrics,
             onObserved: () => this.watch.report(),
         });
+        this.quotas = new EntryQuotas({
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            clock,
+            random,
+            countEntries: () => countEntries(),
+            onUrgent: () => this.watch.report(),
+            onDecision: outcome => metrics.quotaDecisions.inc({ outcome }),
+        });
         const { upstreamLimits } = this;
         this.upstreamStatements = new UpstreamStatements({
             upstreamTable: this.upstreamTable,
@@ -113,6 +123,7 @@
             describeEntry: () => this.buildReport(),
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
+            quotas: this.quotas,
         });
         const { watch } = this;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
@@ -129,7 +140,7 @@
             }),
             upstreamTable: this.upstreamTable,
             upstreamLimits,
-            quotaGate: new UnlimitedQuotaGate(),
+            quotaGate: this.quotas,
             upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: options.retries,
@@ -219,6 +230,7 @@
             limits: this.upstreamLimits.listUnreported(),
             ...(leaving.length > 0 ? { leaving } : {}),
             ...this.upstreamLimits.cold.describeUnreported(),
+            ...this.quotas.takeReport(),
         };
     }
 
@@ -233,6 +245,7 @@
         registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
         this.applyEvacuatedZones(evacuatedZones ?? (isFull ? [] : undefined));
         if (table !== undefined) {
+            this.quotas.configure(table.organisations);
             this.requestHandler.setRoutes(table);
             this.upstreamLimits.cold.setServices(table.services);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -1,5 +1,6 @@
-import { ageMs, type Clock, type Instant } from "../core/clock.js";
+import type { Clock, Instant } from "../core/clock.js";
 import type { ServiceName, UpstreamId } from "../core/ids.js";
+import { GrantValidity } from "../directory/grantValidity.js";
 import {
     type EntryLimits,
     type LimitReport,
@@ -49,14 +50,15 @@
  */
 export class UpstreamLimits {
     private rows: ReadonlyMap<UpstreamId, HeldRow> = new Map();
-    /** Until when the shares may be used: for `validMs` from `at`. */
-    private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
+    /** Until when the shares may be used. */
+    private readonly validity: GrantValidity;
     private readonly requestedAtMs = new Map<ServiceName, number>();
     private heldVersion = 0;
     readonly cold: ColdUpstreams;
 
     constructor(private readonly options: UpstreamLimitsOptions) {
         this.cold = new ColdUpstreams(options);
+        this.validity = new GrantValidity(options.clock);
     }
 
     /** Version of the limits received from the control VM in use; 0 if none. */
@@ -171,7 +173,7 @@
         this.cold.apply(limits, sentAt);
         // Permits of the past accrue by the shares of the past.
         this.options.upstreamTable.list().forEach(upstreamState => this.settle(upstreamState));
-        this.validity = { at: sentAt, validMs };
+        this.validity.renew(sentAt, validMs);
         if (rows !== undefined && rows !== null) {
             this.heldVersion = version;
             this.rows = new Map(rows.map(row => [row.id, {
@@ -276,9 +278,7 @@
     }
 
     private findShare(upstreamState: UpstreamState): number {
-        const { validity } = this;
-        const isValid = validity !== undefined && ageMs(validity.at, this.options.clock) < validity.validMs;
-        return isValid ? this.findRow(upstreamState)?.share ?? 0 : 0;
+        return this.validity.remainingMs > 0 ? this.findRow(upstreamState)?.share ?? 0 : 0;
     }
 
     private findRow({ registration }: UpstreamState): HeldRow | undefined {
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -14,6 +14,7 @@
     readonly totalEntries: () => number;
     readonly limitedInstances: () => number;
     readonly evacuatedZones?: () => number;
+    readonly limitedOrganisations: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -66,6 +67,11 @@
             "Availability zones that are evacuated",
             gauges.evacuatedZones ?? (() => 0),
         );
+        this.addGauge(
+            "figwharf_quota_limited_organisations",
+            "Organisations that are at their quota; 0 at control VMs that do not lead",
+            gauges.limitedOrganisations,
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -66,6 +66,11 @@
         "Pauses that upstreams asked for when they rejected a message",
         ["service"],
     );
+    readonly quotaDecisions = this.addCounter(
+        "figwharf_quota_decisions_total",
+        "Requests of organisations with a rate, by the decision of the quota",
+        ["outcome"],
+    );
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
