--- a/src/directory/coldLimits.test.ts
+++ b/src/directory/coldLimits.test.ts
@@ -39,7 +39,9 @@
         }
         const rows = this.limits.describeForMember(new Map(entries.map(({ id }, position) => [id, position]))) ?? [];
         return new Map(
-            rows.map(({ id, shares }) => [id, Math.round(100 * shares.reduce((sum, [, share]) => sum + share, 0)) / 100]),
+            rows.map((
+                { id, shares },
+            ) => [id, Math.round(100 * shares.reduce((sum, [, share]) => sum + share, 0)) / 100]),
         );
     }
 }
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -102,6 +102,7 @@
             attachedEntries: () => this.attachedEntries.count(this.nowMs()),
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
+            coldInstances: () => this.limits.cold.coldCount,
         });
         options.log.state.onChange = () => {
             this.limits.onDirectoryChanged();
--- a/src/directory/limitShares.ts
+++ b/src/directory/limitShares.ts
@@ -1,6 +1,7 @@
-import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
+import type { EntryId, UpstreamId } from "../core/ids.js";
+import { LimitDemand, type ZoneDemand } from "./limitDemand.js";
 import { type LimitKind, namedLimitKind } from "./limitKinds.js";
-import { type Registration, RegistrationState } from "./model.js";
+import type { Registration } from "./model.js";
 import type { EntryDemand, LimitReport } from "./rateLimits.js";
 
 /**
@@ -142,7 +143,7 @@
         this.removeEnded(registrations, nowMs);
         const active = [...this.limits.values()].filter(limit => limit.perSecond !== undefined);
         const registrationsById = new Map(registrations.map(registered => [registered.id, registered]));
-        const demand = new Demand(
+        const demand = new LimitDemand(
             input,
             new Set([...active.map(limit => limit.id), ...input.otherLimitedIds ?? noIds]),
         );
@@ -255,48 +256,6 @@
     }
 }
 
-/** The entries that need limited instances of one service and zone. */
-interface ZoneDemand {
-    readonly wanting: readonly EntryId[];
-    /** Whether some of them have no other instance, so that shares must move. */
-    readonly isRotating: boolean;
-}
-
-/** The entries that need limited instances, by zone and service. */
-class Demand {
-    /** Keys of zones and services that have an instance without a limit. */
-    private readonly unlimitedKeys: ReadonlySet<string>;
-    private readonly demandsByKey = new Map<string, ZoneDemand>();
-
-    constructor(private readonly input: AllocationInput, limitedIds: ReadonlySet<UpstreamId>) {
-        this.unlimitedKeys = new Set(
-            input.registrations.filter(({ id, state }) => state === RegistrationState.ready && !limitedIds.has(id))
-                .map(({ availabilityZone, service }) => toZoneKey(availabilityZone, service)),
-        );
-    }
-
-    find({ availabilityZone, service }: Registration): ZoneDemand {
-        const key = toZoneKey(availabilityZone, service);
-        const demand = this.demandsByKey.get(key) ?? this.compute(availabilityZone, service);
-        this.demandsByKey.set(key, demand);
-        return demand;
-    }
-
-    /** Entries use limited instances of other zones only if their own zone has no unlimited one of the service. */
-    private compute(availabilityZone: string, service: ServiceName): ZoneDemand {
-        const isWithoutOther = (entry: EntryDemand) =>
-            !this.unlimitedKeys.has(toZoneKey(entry.availabilityZone, service));
-        const wanting = this.input.entries.filter(entry =>
-            entry.services.includes(service) && (entry.availabilityZone === availabilityZone || isWithoutOther(entry))
-        );
-        return { wanting: wanting.map(({ id }) => id).sort(), isRotating: wanting.some(isWithoutOther) };
-    }
-}
-
-function toZoneKey(availabilityZone: string, service: ServiceName): string {
-    return `${availabilityZone} ${service}`;
-}
-
 function countHoldings(limits: readonly LimitState[], nowMs: number): Map<EntryId, number> {
     const counts = new Map<EntryId, number>();
     for (const { holdings } of limits) {
--- a/src/gateway/coldUpstreams.test.ts
+++ b/src/gateway/coldUpstreams.test.ts
@@ -39,6 +39,8 @@
             const excess = Math.max(...cold.map(instance => fleet.findColdExcess(instance)));
             t.log(`largest number in a second: ${(excess + 1.5 * perSecond + 8).toFixed(0)}`);
             t.true(excess <= 0, `${excess} above`);
+            const during = cold.flatMap(({ arrivals }) => arrivals.filter(({ atMs }) => atMs < fromMs + warmupMs));
+            t.true(during.every(({ kind }) => kind === "request"), "no probes of cold instances");
         });
     }
 }
--- a/src/gateway/coldUpstreams.ts
+++ b/src/gateway/coldUpstreams.ts
@@ -57,6 +57,10 @@
         return this.getLimit(upstreamState) !== undefined;
     }
 
+    count(): number {
+        return this.options.upstreamTable.list().filter(upstreamState => this.isCold(upstreamState)).length;
+    }
+
     /** Returns when a request may be sent: in the past, in the future, or Infinity without a share. */
     findPermitAtMs(upstreamState: UpstreamState): number {
         if (!this.isCold(upstreamState)) {
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -71,6 +71,7 @@
             upstreams: () => this.upstreamTable.list().length,
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
             limitedUpstreams: () => this.upstreamLimits.countLimited(),
+            coldUpstreams: () => this.upstreamLimits.cold.count(),
         });
         const { metrics } = this;
         this.upstreamLimits = new UpstreamLimits({
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -128,6 +128,7 @@
             upstreams: () => 0,
             ejectedUpstreams: () => 0,
             limitedUpstreams: () => 0,
+            coldUpstreams: () => 0,
         }),
         describeEntry: () => ({ id: "entry", address: "127.0.0.1:1", availabilityZone: "az-1", isServing: true }),
         onDelta,
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -69,6 +69,7 @@
             upstreams: zero,
             ejectedUpstreams: zero,
             limitedUpstreams: zero,
+            coldUpstreams: zero,
         });
         const { upstreamTable } = this;
         const onObserved = () => fleet.report(this);
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -185,6 +185,7 @@
         upstreams: () => this.upstreamTable.list().length,
         ejectedUpstreams: () => this.upstreamTable.countEjected(this.clock.monotonicMs()),
         limitedUpstreams: () => 0,
+        coldUpstreams: () => 0,
     });
     private readonly server = new CallerServer(defaultEntryLimits, (incoming, outgoing) => {
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -13,6 +13,7 @@
     readonly attachedEntries: () => number;
     readonly totalEntries: () => number;
     readonly limitedInstances: () => number;
+    readonly coldInstances: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -60,6 +61,11 @@
             "Instances that name a rate limit, as this VM knows them",
             gauges.limitedInstances,
         );
+        this.addGauge(
+            "figwharf_cold_instances",
+            "Instances whose rate is limited by a warmup, as this VM knows them",
+            gauges.coldInstances,
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -15,6 +15,7 @@
     readonly upstreams: () => number;
     readonly ejectedUpstreams: () => number;
     readonly limitedUpstreams: () => number;
+    readonly coldUpstreams: () => number;
 }
 
 /** Metrics of an entry that watches a directory. */
@@ -46,7 +47,7 @@
     ]);
     readonly limitedUpstreamMessages = this.addCounter(
         "figwharf_limited_upstream_messages_total",
-        "Requests and load probes sent to upstreams that name a rate limit",
+        "Requests and load probes sent to upstreams with a rate limit",
         ["kind"],
     );
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
@@ -66,7 +67,8 @@
             "Upstreams that are left out at the moment",
             gauges.ejectedUpstreams,
         );
-        this.addGauge("figwharf_upstreams_limited", "Upstreams that name a rate limit", gauges.limitedUpstreams);
+        this.addGauge("figwharf_upstreams_limited", "Upstreams with a rate limit", gauges.limitedUpstreams);
+        this.addGauge("figwharf_upstreams_cold", "Upstreams whose rate is limited by a warmup", gauges.coldUpstreams);
     }
 
     private addCounter<Label extends string>(name: string, help: string, labelNames: readonly Label[]): Counter<Label> {
--- a/test/metricsPage.test.ts
+++ b/test/metricsPage.test.ts
@@ -16,6 +16,7 @@
         upstreams: zero,
         ejectedUpstreams: zero,
         limitedUpstreams: zero,
+        coldUpstreams: zero,
     });
     const directory = new DirectoryMetrics({
         isLeader: () => false,
@@ -28,6 +29,7 @@
         attachedEntries: zero,
         totalEntries: zero,
         limitedInstances: zero,
+        coldInstances: zero,
     });
     const texts = await Promise.all([gateway.registry.metrics(), directory.registry.metrics()]);
     const served = new Set([...texts.join("\n").matchAll(/^# TYPE (\w+) /gm)].map(match => match[1]));
