--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -159,8 +159,15 @@
             return true;
         }
         this.limits.recordWarmup(registration);
-        const { id, state, service, address } = registration;
-        return this.submitAndLog({ kind: "register", registration }, { id, state, service, address });
+        const { id, state, service, address, warmupMs } = registration;
+        const isOnlyWarmup = !this.state.registrations.wouldChange(registration);
+        const change: DirectoryChange = { kind: "register", registration };
+        if (isOnlyWarmup) {
+            // Acknowledged as before without a leader: the next heartbeat proposes the change again.
+            void this.submitAndLog(change, { id, state, service, address, warmupMs });
+            return true;
+        }
+        return this.submitAndLog(change, { id, state, service, address });
     }
 
     /** Deregisters an instance, any incarnation if `bornAtMs` is undefined; returns whether that was committed. */
--- a/src/gateway/coldUpstreams.ts
+++ b/src/gateway/coldUpstreams.ts
@@ -155,9 +155,7 @@
     /** Brings the permits of an upstream up to date; without a valid share, there are none. */
     private settle(upstreamState: UpstreamState): void {
         const { cold } = upstreamState;
-        const allowance = this.isCold(upstreamState)
-            ? this.findAllowance(upstreamState)
-            : { ratePerSecond: 0, burst: 0 };
+        const allowance = this.findAllowance(upstreamState);
         settlePermits(cold.permits, allowance, this.nowMs());
         this.addStart(upstreamState, allowance);
     }
@@ -177,7 +175,10 @@
     }
 
     private findAllowance(upstreamState: UpstreamState): Allowance {
-        const limit = this.getLimit(upstreamState) ?? 0;
+        const limit = this.getLimit(upstreamState);
+        if (limit === undefined) {
+            return { ratePerSecond: 0, burst: 0 };
+        }
         const share = this.findShare(upstreamState);
         return {
             ratePerSecond: share * coldLimitKind.usableRatePerSecond(limit),
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -108,12 +108,17 @@
     /** Whether it answers load probes. */
     isAnsweringProbes = true;
     load = "0,3,1";
+    /** Rest of the warmup that it states in answers to load probes. */
+    warmupMs: number | undefined;
+    probeCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
+            this.probeCount++;
             if (this.isAnsweringProbes) {
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
+                const warmup = this.warmupMs === undefined ? {} : { "Warmup-Ms": this.warmupMs };
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...warmup });
                 response.end();
             }
             return;
@@ -173,6 +178,7 @@
 export class TestEntry {
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
     readonly upstreamTable = new UpstreamStateTable();
+    readonly upstreamLimits: UpstreamLimits;
     readonly requestHandler: GatewayRequestHandler;
     readonly clock = new SystemClock();
     /** Called when a request waits for the directory. */
@@ -202,6 +208,7 @@
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
+        this.upstreamLimits = upstreamLimits;
         const connections = new UpstreamConnections(limits);
         const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
         const probesPerSecond = () => highProbeRate;
