--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -75,6 +75,7 @@
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
             limitedUpstreams: () => this.upstreamLimits.countLimited(),
             evacuatedZones: () => this.upstreamTable.evacuatedZones.size,
+            coldUpstreams: () => this.upstreamLimits.cold.count(),
         });
         const { metrics } = this;
         this.upstreamLimits = new UpstreamLimits({
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -132,6 +132,8 @@
     /** Header fields that it adds to answers to load probes. */
     probeFields: Record<string, string> = {};
     /** Number of load probes that it received. */
+    /** Rest of the warmup that it states in answers to load probes. */
+    warmupMs: number | undefined;
     probeCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
@@ -139,7 +141,8 @@
         if (request.url === "/healthz") {
             this.probeCount++;
             if (this.isAnsweringProbes) {
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...this.probeFields });
+                const warmup = this.warmupMs === undefined ? {} : { "Warmup-Ms": this.warmupMs };
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...warmup, ...this.probeFields });
                 response.end();
             }
             return;
@@ -199,6 +202,7 @@
 export class TestEntry {
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
     readonly upstreamTable = new UpstreamStateTable();
+    readonly upstreamLimits: UpstreamLimits;
     readonly requestHandler: GatewayRequestHandler;
     readonly clock = new SystemClock();
     readonly upstreamStatements: UpstreamStatements;
@@ -216,6 +220,7 @@
         upstreams: () => this.upstreamTable.list().length,
         ejectedUpstreams: () => this.upstreamTable.countEjected(this.clock.monotonicMs()),
         limitedUpstreams: () => 0,
+        coldUpstreams: () => 0,
     });
     private readonly server = new CallerServer(defaultEntryLimits, (incoming, outgoing) => {
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
@@ -241,6 +246,7 @@
             onLeaving: () => this.leavingReportCount++,
         });
         this.upstreamStatements = upstreamStatements;
+        this.upstreamLimits = upstreamLimits;
         const connections = new UpstreamConnections(limits);
         const prober = new LoadProber({
             upstreamTable,
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -15,6 +15,7 @@
     readonly limitedInstances: () => number;
     readonly evacuatedZones?: () => number;
     readonly limitedOrganisations: () => number;
+    readonly coldInstances: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -72,6 +73,11 @@
             "Organisations that are at their quota; 0 at control VMs that do not lead",
             gauges.limitedOrganisations,
         );
+        this.addGauge(
+            "figwharf_cold_instances",
+            "Instances whose rate is limited by a warmup, as this VM knows them",
+            gauges.coldInstances,
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
