--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -175,6 +175,7 @@
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
     readonly upstreamTable = new UpstreamStateTable();
     readonly requestHandler: GatewayRequestHandler;
+    readonly dependencies: RequestDependencies;
     readonly clock = new SystemClock();
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
@@ -207,7 +208,7 @@
         const connections = new UpstreamConnections(limits);
         const prober = new LoadProber({ upstreamTable, upstreamLimits, connections, dialect, clock, metrics });
         const probesPerSecond = () => highProbeRate;
-        const dependencies: RequestDependencies = {
+        this.dependencies = {
             placer: new Placer({
                 upstreamTable,
                 upstreamLimits,
@@ -250,7 +251,7 @@
             metrics,
             random,
             region: "west",
-            dependencies,
+            dependencies: this.dependencies,
             watch,
         });
     }
--- a/src/organisations/keyFuzz.test.ts
+++ b/src/organisations/keyFuzz.test.ts
@@ -59,6 +59,10 @@
     t.timeout(240_000);
     const entry = new TestEntry();
     const upstream = new TestUpstream("i-1");
+    t.teardown(() => {
+        entry.close();
+        upstream.close();
+    });
     const table = makeTable(1, [makeRoute({ targetLatencyMs: 100_000, timeoutMs: 100_000 })]);
     await entry.start({ ...table, organisations: [{ name: "acme", keys: [key] }] });
     await entry.addUpstream(upstream);
@@ -85,6 +89,4 @@
     t.is((await entry.send("/stock/1", "valid", "GET", { Key: key })).status, 200, "the entry still serves");
     const written = JSON.stringify(entry.lines) + await entry.metrics.registry.metrics();
     t.false(written.includes(key), "no log line and no metric contains the key");
-    entry.close();
-    upstream.close();
 });
