--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -204,6 +204,7 @@
     readonly upstreamTable = new UpstreamStateTable();
     readonly upstreamLimits: UpstreamLimits;
     readonly requestHandler: GatewayRequestHandler;
+    readonly dependencies: RequestDependencies;
     readonly clock = new SystemClock();
     readonly upstreamStatements: UpstreamStatements;
     /** How often an upstream announced that it leaves. */
@@ -258,7 +259,7 @@
             metrics,
         });
         const probesPerSecond = () => highProbeRate;
-        const dependencies: RequestDependencies = {
+        this.dependencies = {
             placer: new Placer({
                 affinity: new UpstreamAffinity("entry-1"),
                 upstreamTable,
@@ -303,7 +304,7 @@
             metrics,
             random,
             region: "west",
-            dependencies,
+            dependencies: this.dependencies,
             watch,
         });
     }
