--- a/src/quotas/entryQuotas.ts
+++ b/src/quotas/entryQuotas.ts
@@ -21,6 +21,11 @@
 /** Part of the fraction without contact that follows the demand; the rest is equal for all entries. */
 const demandPart = 0.5;
 
+/** A grant is renewed every 400 ms; after this time, contact may be lost. */
+const maxContactAgeMs = 1000;
+/** Time without contact after which the leader has noticed that the entry is missing. */
+const missingAfterMs = 4000;
+
 const admitted: QuotaDecision = { isAdmitted: true, retryAfterMs: 0 };
 
 /** Dependencies of EntryQuotas. */
@@ -69,6 +74,7 @@
     private readonly validity: GrantValidity;
     private heldVersion = 0;
     private urgentAtMs = -Infinity;
+    private contactAtMs = -Infinity;
 
     constructor(private readonly options: EntryQuotasOptions) {
         super();
@@ -116,7 +122,7 @@
         }
         state.ownDemand.add(1, nowMs);
         state.fallback = undefined;
-        state.credit += state.admittedShare / shareScale;
+        state.credit += this.findAdmittedShare(state, nowMs);
         if (state.admittedShare < shareScale && state.credit < 1) {
             return this.refuse(state, QuotaOutcome.refused);
         }
@@ -169,6 +175,7 @@
         }
         this.heldVersion = version;
         this.validity.renew(sentAt, validMs);
+        this.contactAtMs = sentAt.monotonicMs;
         for (const [organisation, admittedShare, demand] of rows) {
             const state = this.states.get(organisation);
             if (state !== undefined) {
@@ -183,9 +190,18 @@
         this.heldVersion = 0;
     }
 
+    /** Without renewal, the level of the bucket is spent, so only the rate's share of the demand is admitted. */
+    private findAdmittedShare({ admittedShare, quota, totalDemand }: OrganisationState, nowMs: number): number {
+        const share = admittedShare / shareScale;
+        const isStale = nowMs - this.contactAtMs > maxContactAgeMs;
+        return isStale && share < 1 && totalDemand > 0
+            ? Math.min(share, quota.ratePerSecond / totalDemand)
+            : share;
+    }
+
     /**
      * Admits the entry's last known fraction of the rate. These requests are not reported, as the leader keeps that
-     * part of the rate back while the entry is missing.
+     * part of the rate back while the entry is missing, unless the grant ended early because the VM was suspended.
      */
     private takeFallback(state: OrganisationState, nowMs: number): QuotaDecision {
         const { quota, totalDemand, ownDemand } = state;
@@ -200,6 +216,9 @@
         if (!state.fallback.take(nowMs)) {
             return this.refuse(state, QuotaOutcome.fallbackRefused);
         }
+        if (nowMs - this.contactAtMs < missingAfterMs) {
+            state.unreported.admitted++;
+        }
         onDecision(QuotaOutcome.fallbackAdmitted);
         return admitted;
     }
--- a/src/quotas/memberQuotas.ts
+++ b/src/quotas/memberQuotas.ts
@@ -1,5 +1,5 @@
 import { bucketSize, type Quota, type QuotaBounds } from "./quotaBounds.js";
-import { demandScale, levelScale, rateScale, shareScale } from "./quotaLedger.js";
+import { demandScale, levelScale, minLevelShare, rateScale, shareScale } from "./quotaLedger.js";
 import type { EntryQuotaRow, MemberQuotaRow, QuotaLevel, QuotaUse } from "./quotaMessages.js";
 import { RateEstimate } from "./rateEstimate.js";
 
@@ -8,23 +8,22 @@
 const demandTimeConstantMs = 500;
 /** Longer average that keeps the share low between the requests of a small organisation. */
 const slowDemandTimeConstantMs = 3000;
-/**
- * Smallest part of a bucket that is not in debt which a control VM may spend before it reports. Without it, a control VM
- * with little demand for an organisation would refuse the second of two requests.
- */
-const minLevelShare = 0.3;
 /** Time in which the requests that the bucket holds may be spent. */
 const spendingMs = 500;
 /** A report to the leader is due at once when less than this part of the share that was granted is left. */
 const lowLevelShare = 0.5;
-/** Smaller changes of the admitted share, in thousandths, are not sent unless it becomes 0 or 1000. */
+/** An organisation is far from its limit while the leader's bucket is fuller than this. */
+const freeLevelShare = 0.3;
+/** Smaller changes of the admitted share, in thousandths and relative, are not sent unless it becomes 0 or 1000. */
 const minShareChange = 20;
+const minRelativeShareChange = 0.2;
 /** Entries are told at once of the first decrease by this much; other changes go with the next watch answer. */
 const urgentDecrease = 200;
 
 /** How soon the leader should get a report. */
 export type Urgency = "none" | "limited" | "free";
-/** The demand of all entries is sent again after a change by this factor. */
+/** The demand of all entries is sent again after a change by this factor, above and below the rate. */
+const limitedDemandChangeFactor = 1.3;
 const demandChangeFactor = 2;
 
 interface MemberBucket {
@@ -54,6 +53,7 @@
     private readonly buckets = new Map<string, MemberBucket>();
     /** Changes with the rows for entries; `wakeVersion` only with those that entries must learn at once. */
     private version = 0;
+    private answeredAtMs = -Infinity;
     private wakeVersion = 0;
 
     constructor(private readonly bounds: QuotaBounds) {}
@@ -106,7 +106,7 @@
                 bucket.unreported.demanded += demanded;
                 bucket.unreported.admitted += admitted;
                 if (isLow(bucket) && urgency !== "free") {
-                    urgency = bucket.admittedShare === shareScale ? "free" : "limited";
+                    urgency = isFree(bucket) ? "free" : "limited";
                 }
             }
         }
@@ -140,6 +140,7 @@
 
     /** Applies the leader's answer. */
     apply(rows: readonly MemberQuotaRow[], nowMs: number): void {
+        this.answeredAtMs = nowMs;
         for (const [organisation, share, level, rate, demand] of rows) {
             const bucket = this.buckets.get(organisation);
             if (bucket !== undefined) {
@@ -155,11 +156,16 @@
         }
     }
 
-    /** Lists the levels of the leader's buckets as far as this control VM knows them. */
-    listLevels(nowMs: number): readonly QuotaLevel[] {
+    /** When the leader last answered. */
+    get lastAnswerAtMs(): number {
+        return this.answeredAtMs;
+    }
+
+    /** Lists the levels of the leader's buckets at its last answer, as far as this control VM knows them. */
+    listLevels(): readonly QuotaLevel[] {
         return [...this.buckets.values()].filter(({ leaderLevel }) => leaderLevel > -Infinity).map(bucket => {
             const { quota, size, leaderLevel, leaderLevelAtMs, ratePerSecond } = bucket;
-            const level = leaderLevel + (nowMs - leaderLevelAtMs) * ratePerSecond / msPerSecond;
+            const level = leaderLevel + (this.answeredAtMs - leaderLevelAtMs) * ratePerSecond / msPerSecond;
             return [quota.organisation, Math.round(Math.min(size, level) * levelScale)];
         });
     }
@@ -173,8 +179,9 @@
             const previous = bucket.admittedShare;
             const next = this.computeShare(bucket, nowMs);
             const isShareNews = next !== previous &&
-                (next === 0 || next === shareScale || Math.abs(next - previous) >= minShareChange);
-            const isDemandNews = isDifferent(bucket.totalDemand, bucket.sentDemand);
+                (next === 0 || next === shareScale || Math.abs(next - previous) >= Math.max(minShareChange, minRelativeShareChange * previous));
+            const isAbove = bucket.totalDemand > bucket.quota.ratePerSecond;
+            const isDemandNews = isDifferent(bucket.totalDemand, bucket.sentDemand, isAbove ? limitedDemandChangeFactor : demandChangeFactor);
             if (isShareNews || isDemandNews) {
                 bucket.admittedShare = next;
                 bucket.sentDemand = bucket.totalDemand;
@@ -235,7 +242,11 @@
     return level < Math.max(1, lowLevelShare * grantedLevel);
 }
 
-function isDifferent(demand: number, sent: number): boolean {
+function isFree({ admittedShare, leaderLevel, size }: MemberBucket): boolean {
+    return admittedShare === shareScale || leaderLevel > freeLevelShare * size;
+}
+
+function isDifferent(demand: number, sent: number, factor: number): boolean {
     const [low, high] = demand < sent ? [demand, sent] : [sent, demand];
-    return high > 0 && high > low * demandChangeFactor + 1 / demandScale;
+    return high > 0 && high > low * factor + 1 / demandScale;
 }
--- a/src/quotas/quotaBounds.ts
+++ b/src/quotas/quotaBounds.ts
@@ -20,10 +20,11 @@
 
 const msPerSecond = 1000;
 /**
- * Requests that the bucket holds beyond the burst, and the share of the tolerated excess that they may use. Random
- * arrivals at 0.9 times the rate need a bucket of about 15 requests for fewer than 1 refusal in 200; the rest of the
- * excess is for what entries admit before a rise in demand is known.
+ * Random arrivals at 0.9 times the rate need a bucket of about 15 requests for fewer than 1 refusal in 200, and more when
+ * it is divided, so that of a smaller burst is enlarged, by up to this share of the tolerated excess. The rest of the excess is for what entries
+ * admit before a rise in demand is known.
  */
+const minBucketSize = 40;
 const maxExtraBurst = 16;
 const extraBurstShare = 0.7;
 
@@ -44,5 +45,5 @@
 export function bucketSize(quota: Quota, bounds: QuotaBounds): number {
     const { ratePerSecond, burst } = quota;
     const excess = maxRequestsPerWindow(quota, bounds) - ratePerSecond * bounds.windowMs / msPerSecond - burst;
-    return burst + Math.min(maxExtraBurst, extraBurstShare * excess);
+    return burst + Math.max(0, Math.min(maxExtraBurst, minBucketSize - burst, extraBurstShare * excess));
 }
--- a/src/quotas/quotaCoordinator.ts
+++ b/src/quotas/quotaCoordinator.ts
@@ -103,7 +103,7 @@
         if (!this.configure()) {
             return undefined;
         }
-        const levels = this.mustReportLevels ? this.member.listLevels(this.nowMs()) : undefined;
+        const levels = this.mustReportLevels ? this.member.listLevels() : undefined;
         const uses = this.member.takeUses(this.isReportingLow);
         return levels === undefined ? { uses } : { uses, levels };
     }
@@ -182,7 +182,7 @@
         if (this.term.begin()) {
             const nowMs = this.nowMs();
             this.confirmation.end();
-            this.ledger.startLeading(this.member.listLevels(nowMs), nowMs);
+            this.ledger.startLeading(this.member.listLevels(), nowMs - this.member.lastAnswerAtMs, nowMs);
             this.ledger.configure(listQuotas(this.routes?.organisations), nowMs);
             void this.confirm();
         }
--- a/src/quotas/quotaLedger.ts
+++ b/src/quotas/quotaLedger.ts
@@ -7,6 +7,11 @@
 export const shareScale = 1000;
 export const rateScale = 1000;
 export const demandScale = 10;
+/**
+ * Smallest part of a bucket that is not in debt which a control VM may spend before it reports. Without it, a control VM
+ * with little demand for an organisation would refuse the second of two requests.
+ */
+export const minLevelShare = 0.3;
 /** Time over which the demand of a control VM is averaged to divide a quota. */
 const demandTimeConstantMs = 3000;
 /** A control VM that has not reported for this time gets no share; it reports every second. */
@@ -22,6 +27,14 @@
 const reportedChange = 0.1;
 /** For this time, a new leader takes lower levels of other control VMs, and starts unknown buckets empty. */
 const takeoverMs = 5000;
+/**
+ * For this time, a new leader gets reports of what entries admitted while there was no leader. The rate of that time, at
+ * most `maxGapMs`, is credited against them, and no level above the one before the change is granted.
+ */
+const settlingMs = 3000;
+const maxGapMs = 4000;
+/** Seconds of the rate that are granted at least while a leader settles, so that organisations at their limit continue. */
+const settlingLevelSeconds = 0.05;
 /** Time for which the bucket of a removed organisation is kept, so that adding it again does not fill it. */
 const removedRetentionMs = 60_000;
 
@@ -41,6 +54,8 @@
     quota: Quota;
     size: number;
     level: number;
+    /** Highest level that is granted while a leader settles. */
+    ceiling: number;
     accruedAtMs: number;
     listedAtMs: number;
     isLimited: boolean;
@@ -63,22 +78,26 @@
 export class QuotaLedger {
     private readonly buckets = new Map<string, Bucket>();
     private readonly reportedAtMs = new Map<string, number>();
+    private knownLevels: ReadonlyMap<string, number> = new Map();
     private ledSinceMs = -Infinity;
+    private gapMs = 0;
     /** Part of the rates that entries without contact may be using. */
     private reservedShare = 0;
 
     constructor(private readonly bounds: QuotaBounds) {}
 
-    /** Starts with the levels that this VM knows when it becomes the leader; buckets that it does not know are empty. */
-    startLeading(known: readonly QuotaLevel[], nowMs: number): void {
+    /**
+     * Starts with the levels that this VM knows when it becomes the leader, `gapMs` after the previous leader's answer;
+     * buckets that it does not know are empty.
+     */
+    startLeading(known: readonly QuotaLevel[], gapMs: number, nowMs: number): void {
+        this.gapMs = Math.min(gapMs, maxGapMs);
         this.buckets.clear();
         this.reportedAtMs.clear();
         this.ledSinceMs = nowMs;
         this.knownLevels = new Map(known.map(([organisation, level]) => [organisation, level / levelScale]));
     }
 
-    private knownLevels: ReadonlyMap<string, number> = new Map();
-
     /** Applies the quotas of the configuration; a lower rate or burst takes effect at once. */
     configure(quotas: readonly Quota[], nowMs: number): void {
         for (const quota of quotas) {
@@ -86,11 +105,13 @@
             const bucket = this.buckets.get(quota.organisation);
             if (bucket === undefined) {
                 const isNew = nowMs - this.ledSinceMs >= takeoverMs;
-                const level = Math.min(size, this.knownLevels.get(quota.organisation) ?? (isNew ? size : 0));
+                const start = Math.min(size, this.knownLevels.get(quota.organisation) ?? (isNew ? size : 0));
+                const level = start + (isNew ? 0 : quota.ratePerSecond * this.gapMs / msPerSecond);
                 this.buckets.set(quota.organisation, {
                     quota,
                     size,
                     level,
+                    ceiling: isNew ? Infinity : start,
                     accruedAtMs: nowMs,
                     listedAtMs: nowMs,
                     isLimited: false,
@@ -102,7 +123,6 @@
                 this.accrue(bucket, nowMs);
                 bucket.quota = quota;
                 bucket.size = size;
-                bucket.level = Math.min(size, bucket.level);
                 bucket.listedAtMs = nowMs;
             }
         }
@@ -133,8 +153,12 @@
             if (bucket !== undefined) {
                 this.accrue(bucket, nowMs);
                 const isFirst = !this.knownLevels.has(organisation);
-                bucket.level = isFirst ? level / levelScale : Math.min(bucket.level, level / levelScale);
-                this.knownLevels = new Map([...this.knownLevels, [organisation, bucket.level]]);
+                const change = level / levelScale - bucket.ceiling;
+                if (isFirst || change < 0) {
+                    bucket.level += change;
+                    bucket.ceiling += change;
+                    this.knownLevels = new Map([...this.knownLevels, [organisation, bucket.ceiling]]);
+                }
             }
         }
     }
@@ -157,7 +181,8 @@
             }
             member.share = this.divide(bucket, member, nowMs);
             const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
-            const level = member.share * bucket.level;
+            const grantable = this.findGrantable(bucket, nowMs);
+            const level = Math.max(member.share, minLevelShare) * grantable;
             const change = Math.abs(level - member.sentLevel) / Math.max(1, bucket.size);
             const rateChange = Math.abs(member.share * rate - member.sentRate) / bucket.quota.ratePerSecond;
             if (isFirst || use !== undefined || change > reportedChange || rateChange > reportedChange) {
@@ -166,7 +191,7 @@
                 rows.push([
                     bucket.quota.organisation,
                     Math.round(member.share * shareScale),
-                    Math.round(bucket.level * levelScale),
+                    Math.round(grantable * levelScale),
                     Math.round(rate * rateScale),
                     Math.round(bucket.totalDemand.get(nowMs) * demandScale),
                 ]);
@@ -197,10 +222,20 @@
     private accrue(bucket: Bucket, nowMs: number): void {
         const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
         const elapsedMs = Math.max(0, nowMs - bucket.accruedAtMs);
-        bucket.level = Math.min(bucket.size, bucket.level + elapsedMs * rate / msPerSecond);
+        const size = this.isSettling(nowMs) ? Infinity : bucket.size;
+        bucket.level = Math.min(size, bucket.level + elapsedMs * rate / msPerSecond);
         bucket.accruedAtMs = Math.max(bucket.accruedAtMs, nowMs);
     }
 
+    private isSettling(nowMs: number): boolean {
+        return nowMs - this.ledSinceMs < settlingMs;
+    }
+
+    private findGrantable({ quota, size, level, ceiling }: Bucket, nowMs: number): number {
+        const floor = settlingLevelSeconds * quota.ratePerSecond;
+        return Math.min(size, level, this.isSettling(nowMs) ? Math.max(floor, ceiling) : Infinity);
+    }
+
     private findMember({ members }: Bucket, memberId: string, nowMs: number): MemberShare {
         const member = members.get(memberId) ?? {
             demand: new RateEstimate(demandTimeConstantMs, nowMs),
