--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -239,7 +239,8 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer({ isLed, delta, entryCount, entryTotal, limits, quotas }: WatchAnswer, sentAt: Instant): boolean {
+    private applyAnswer(answer: WatchAnswer, sentAt: Instant): boolean {
+        const { isLed, delta, entryCount, entryTotal, limits, quotas } = answer;
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
--- a/src/quotas/entryQuotas.ts
+++ b/src/quotas/entryQuotas.ts
@@ -16,11 +16,18 @@
  * Organisations with this rate can exceed the bound before the next watch calls report a rise in demand, so their
  * requests are reported at once, with a minimum time between two reports.
  */
-const minUrgentRatePerSecond = 20;
+const minUrgentRatePerSecond = 2;
 const minUrgentIntervalMs = 100;
+/** Requests that are reported at once also after a shorter time. */
+const urgentCount = 4;
+/**
+ * Watch calls follow each other within 400 ms. Later than this after the last answer, the next call is soon enough, except
+ * at low rates, whose bound leaves few requests for a late reaction.
+ */
+const maxUrgentDelayMs = 200;
+const alwaysUrgentRatePerSecond = 5;
 /** Part of the fraction without contact that follows the demand; the rest is equal for all entries. */
 const demandPart = 0.5;
-
 /** A grant is renewed every 400 ms; after this time, contact may be lost. */
 const maxContactAgeMs = 1000;
 /** Time without contact after which the leader has noticed that the entry is missing. */
@@ -68,13 +75,16 @@
     fallback: FallbackTokens | undefined;
 }
 
-/** Quotas at an entry: admits the granted share of the requests, or the entry's fraction of the rate without a grant. */
+/** Quotas at an entry: admits the granted share of requests, or the entry's fraction of the rate without a grant. */
 export class EntryQuotas extends QuotaGate {
     private readonly states = new Map<string, OrganisationState>();
+    /** States of organisations that once had a rate, for when they get one again. */
+    private removedStates: ReadonlyMap<string, OrganisationState> = new Map();
     private readonly validity: GrantValidity;
     private heldVersion = 0;
     private urgentAtMs = -Infinity;
     private contactAtMs = -Infinity;
+    private appliedAtMs = -Infinity;
 
     constructor(private readonly options: EntryQuotasOptions) {
         super();
@@ -88,14 +98,13 @@
 
     /** Applies the organisations of a configuration. */
     configure(organisations: readonly Organisation[] | undefined): void {
-        const quotas = listQuotas(organisations);
-        const names = new Set(quotas.map(({ organisation }) => organisation));
-        [...this.states.keys()].filter(name => !names.has(name)).forEach(name => this.states.delete(name));
-        for (const quota of quotas) {
-            const state = this.states.get(quota.organisation);
+        const previous = new Map([...this.removedStates, ...this.states]);
+        this.states.clear();
+        for (const quota of listQuotas(organisations)) {
+            const state = previous.get(quota.organisation);
             if (state !== undefined) {
-                state.quota = quota;
-                state.fallback = undefined;
+                previous.delete(quota.organisation);
+                this.states.set(quota.organisation, Object.assign(state, { quota, fallback: undefined }));
                 continue;
             }
             this.states.set(quota.organisation, {
@@ -108,6 +117,7 @@
                 fallback: undefined,
             });
         }
+        this.removedStates = previous;
     }
 
     take(organisation: string): QuotaDecision {
@@ -129,8 +139,7 @@
         state.credit--;
         state.unreported.admitted++;
         this.options.onDecision(QuotaOutcome.admitted);
-        const isUrgent = state.quota.ratePerSecond >= minUrgentRatePerSecond && state.admittedShare === shareScale;
-        if (isUrgent && nowMs - this.urgentAtMs >= minUrgentIntervalMs) {
+        if (this.isUrgent(state, nowMs)) {
             this.urgentAtMs = nowMs;
             this.options.onUrgent();
         }
@@ -140,6 +149,7 @@
     giveBack(organisation: string): void {
         const state = this.states.get(organisation);
         if (state !== undefined) {
+            state.unreported.demanded--;
             state.unreported.admitted--;
             this.options.onDecision(QuotaOutcome.returned);
         }
@@ -176,6 +186,7 @@
         this.heldVersion = version;
         this.validity.renew(sentAt, validMs);
         this.contactAtMs = sentAt.monotonicMs;
+        this.appliedAtMs = this.nowMs();
         for (const [organisation, admittedShare, demand] of rows) {
             const state = this.states.get(organisation);
             if (state !== undefined) {
@@ -190,6 +201,16 @@
         this.heldVersion = 0;
     }
 
+    private isUrgent({ quota, admittedShare, unreported }: OrganisationState, nowMs: number): boolean {
+        if (quota.ratePerSecond < minUrgentRatePerSecond || admittedShare < shareScale) {
+            return false;
+        }
+        const isNextCallLate = nowMs - this.appliedAtMs < maxUrgentDelayMs ||
+            quota.ratePerSecond < alwaysUrgentRatePerSecond;
+        return unreported.admitted >= urgentCount ||
+            (isNextCallLate && nowMs - this.urgentAtMs >= minUrgentIntervalMs);
+    }
+
     /** Without renewal, the level of the bucket is spent, so only the rate's share of the demand is admitted. */
     private findAdmittedShare({ admittedShare, quota, totalDemand }: OrganisationState, nowMs: number): number {
         const share = admittedShare / shareScale;
@@ -227,7 +248,8 @@
     private refuse({ quota, admittedShare }: OrganisationState, outcome: QuotaOutcome): QuotaDecision {
         const { random, bounds, onDecision } = this.options;
         onDecision(outcome);
-        const meanMs = Math.min(bounds.windowMs, msPerSecond * Math.max(1 / quota.ratePerSecond, shareScale / (admittedShare + 1)));
+        const meanSeconds = Math.max(1 / quota.ratePerSecond, shareScale / (admittedShare + 1));
+        const meanMs = Math.min(bounds.windowMs, meanSeconds * msPerSecond);
         return { isAdmitted: false, retryAfterMs: Math.round(meanMs * (0.5 + random.nextUnit())) };
     }
 
--- a/src/quotas/entryReserve.ts
+++ b/src/quotas/entryReserve.ts
@@ -1,6 +1,6 @@
 /**
- * Time for which the part of an entry that is no longer attached is kept. It may have lost its contact and continue with
- * its fraction of the rates; most partitions are shorter.
+ * Time for which the part of an entry that is no longer attached is kept. It may have lost contact and continue with its
+ * fraction of the rates.
  */
 export const reserveMs = 30_000;
 
--- a/src/quotas/memberQuotas.ts
+++ b/src/quotas/memberQuotas.ts
@@ -1,5 +1,5 @@
 import { bucketSize, type Quota, type QuotaBounds } from "./quotaBounds.js";
-import { demandScale, levelScale, minLevelShare, rateScale, shareScale } from "./quotaLedger.js";
+import { demandScale, levelScale, minLevelShare, shareScale } from "./quotaLedger.js";
 import type { EntryQuotaRow, MemberQuotaRow, QuotaLevel, QuotaUse } from "./quotaMessages.js";
 import { RateEstimate } from "./rateEstimate.js";
 
@@ -8,8 +8,13 @@
 const demandTimeConstantMs = 500;
 /** Longer average that keeps the share low between the requests of a small organisation. */
 const slowDemandTimeConstantMs = 3000;
-/** Time in which the requests that the bucket holds may be spent. */
-const spendingMs = 500;
+/**
+ * Time in which the requests that the bucket holds may be spent; shorter for small buckets, of which a few requests at
+ * once are a large part.
+ */
+const spendingMs = 1000;
+const smallBucketSpendingMs = 500;
+const smallBucketSize = 40;
 /** A report to the leader is due at once when less than this part of the share that was granted is left. */
 const lowLevelShare = 0.5;
 /** An organisation is far from its limit while the leader's bucket is fuller than this. */
@@ -20,20 +25,20 @@
 /** Entries are told at once of the first decrease by this much; other changes go with the next watch answer. */
 const urgentDecrease = 200;
 
-/** How soon the leader should get a report. */
-export type Urgency = "none" | "limited" | "free";
 /** The demand of all entries is sent again after a change by this factor, above and below the rate. */
 const limitedDemandChangeFactor = 1.3;
 const demandChangeFactor = 2;
 
+/** How soon the leader should get a report. */
+export type Urgency = "none" | "limited" | "free";
+
 interface MemberBucket {
     quota: Quota;
     size: number;
     readonly demand: RateEstimate;
     readonly slowDemand: RateEstimate;
-    /** Share of this control VM, and rate to divide. */
+    /** Share of this control VM. */
     share: number;
-    ratePerSecond: number;
     /** What this control VM may still spend. */
     level: number;
     accruedAtMs: number;
@@ -51,9 +56,12 @@
 /** Spends one control VM's part of the quotas: computes the share of requests that its entries admit. */
 export class MemberQuotas {
     private readonly buckets = new Map<string, MemberBucket>();
+    /** Buckets of organisations that once had a rate, for when they get one again. */
+    private removedBuckets: ReadonlyMap<string, MemberBucket> = new Map();
+    private usableShare = 1;
+    private answeredAtMs = -Infinity;
     /** Changes with the rows for entries; `wakeVersion` only with those that entries must learn at once. */
     private version = 0;
-    private answeredAtMs = -Infinity;
     private wakeVersion = 0;
 
     constructor(private readonly bounds: QuotaBounds) {}
@@ -63,22 +71,22 @@
     }
 
     configure(quotas: readonly Quota[], nowMs: number): void {
-        const names = new Set(quotas.map(({ organisation }) => organisation));
-        [...this.buckets.keys()].filter(name => !names.has(name)).forEach(name => this.buckets.delete(name));
+        const previous = new Map([...this.removedBuckets, ...this.buckets]);
+        this.buckets.clear();
         for (const quota of quotas) {
-            const bucket = this.buckets.get(quota.organisation);
+            const bucket = previous.get(quota.organisation);
+            const size = bucketSize(quota, this.bounds);
             if (bucket !== undefined) {
-                bucket.quota = quota;
-                bucket.size = bucketSize(quota, this.bounds);
+                previous.delete(quota.organisation);
+                this.buckets.set(quota.organisation, Object.assign(bucket, { quota, size }));
                 continue;
             }
             this.buckets.set(quota.organisation, {
                 quota,
-                size: bucketSize(quota, this.bounds),
+                size,
                 demand: new RateEstimate(demandTimeConstantMs, nowMs),
                 slowDemand: new RateEstimate(slowDemandTimeConstantMs, nowMs),
                 share: 0,
-                ratePerSecond: 0,
                 level: 0,
                 accruedAtMs: nowMs,
                 grantedLevel: 0,
@@ -91,6 +99,7 @@
                 changedInVersion: 0,
             });
         }
+        this.removedBuckets = previous;
     }
 
     /** Charges what an entry reports; returns how soon the leader should learn of it. */
@@ -113,7 +122,7 @@
         return urgency;
     }
 
-    /** Returns the requests that were not reported to the leader; `onlyLow` if those of organisations with a low level. */
+    /** Returns the requests not yet reported to the leader; `onlyLow`: only those of organisations with a low level. */
     takeUses(onlyLow: boolean): readonly QuotaUse[] {
         return [...this.buckets.values()].flatMap(bucket => {
             const { quota: { organisation }, unreported } = bucket;
@@ -139,13 +148,13 @@
     }
 
     /** Applies the leader's answer. */
-    apply(rows: readonly MemberQuotaRow[], nowMs: number): void {
+    apply(rows: readonly MemberQuotaRow[], usableShare: number, nowMs: number): void {
+        this.usableShare = usableShare / shareScale;
         this.answeredAtMs = nowMs;
-        for (const [organisation, share, level, rate, demand] of rows) {
+        for (const [organisation, share, level, demand] of rows) {
             const bucket = this.buckets.get(organisation);
             if (bucket !== undefined) {
                 bucket.share = share / shareScale;
-                bucket.ratePerSecond = rate / rateScale;
                 bucket.leaderLevel = level / levelScale;
                 bucket.leaderLevelAtMs = nowMs;
                 bucket.grantedLevel = levelShare(bucket) * bucket.leaderLevel;
@@ -164,8 +173,8 @@
     /** Lists the levels of the leader's buckets at its last answer, as far as this control VM knows them. */
     listLevels(): readonly QuotaLevel[] {
         return [...this.buckets.values()].filter(({ leaderLevel }) => leaderLevel > -Infinity).map(bucket => {
-            const { quota, size, leaderLevel, leaderLevelAtMs, ratePerSecond } = bucket;
-            const level = leaderLevel + (this.answeredAtMs - leaderLevelAtMs) * ratePerSecond / msPerSecond;
+            const { quota, size, leaderLevel, leaderLevelAtMs } = bucket;
+            const level = leaderLevel + (this.answeredAtMs - leaderLevelAtMs) * this.findRate(bucket) / msPerSecond;
             return [quota.organisation, Math.round(Math.min(size, level) * levelScale)];
         });
     }
@@ -178,10 +187,12 @@
             this.accrue(bucket, nowMs);
             const previous = bucket.admittedShare;
             const next = this.computeShare(bucket, nowMs);
+            const minChange = Math.max(minShareChange, minRelativeShareChange * previous);
             const isShareNews = next !== previous &&
-                (next === 0 || next === shareScale || Math.abs(next - previous) >= Math.max(minShareChange, minRelativeShareChange * previous));
+                (next === 0 || next === shareScale || Math.abs(next - previous) >= minChange);
             const isAbove = bucket.totalDemand > bucket.quota.ratePerSecond;
-            const isDemandNews = isDifferent(bucket.totalDemand, bucket.sentDemand, isAbove ? limitedDemandChangeFactor : demandChangeFactor);
+            const factor = isAbove ? limitedDemandChangeFactor : demandChangeFactor;
+            const isDemandNews = isDifferent(bucket.totalDemand, bucket.sentDemand, factor);
             if (isShareNews || isDemandNews) {
                 bucket.admittedShare = next;
                 bucket.sentDemand = bucket.totalDemand;
@@ -215,24 +226,37 @@
 
     /** Returns the share of requests that keeps the spending within the rate and the level, in thousandths. */
     private computeShare(bucket: MemberBucket, nowMs: number): number {
-        const { share, ratePerSecond, level, leaderLevel, demand, slowDemand } = bucket;
+        const { share, level, leaderLevel, demand, slowDemand } = bucket;
         if (leaderLevel === -Infinity) {
             // A new organisation; the leader answers within a second.
             return shareScale;
         }
-        const supply = Math.max(0, share * ratePerSecond + level * msPerSecond / spendingMs);
+        const supply = Math.max(0, share * this.findRate(bucket) + level * msPerSecond / findSpendingMs(bucket));
         const demandPerSecond = Math.max(demand.get(nowMs), slowDemand.get(nowMs));
-        return level <= 0 ? 0 : demandPerSecond <= supply ? shareScale : Math.floor(shareScale * supply / demandPerSecond);
+        if (level <= 0) {
+            return 0;
+        }
+        return demandPerSecond <= supply ? shareScale : Math.floor(shareScale * supply / demandPerSecond);
+    }
+
+    /** Returns the rate that is divided among the control VMs. */
+    private findRate({ quota }: MemberBucket): number {
+        return quota.ratePerSecond * this.usableShare;
     }
 
     private accrue(bucket: MemberBucket, nowMs: number): void {
-        const { share, ratePerSecond, size } = bucket;
+        const { share, size } = bucket;
         const elapsedMs = Math.max(0, nowMs - bucket.accruedAtMs);
-        bucket.level = Math.min(levelShare(bucket) * size, bucket.level + elapsedMs * share * ratePerSecond / msPerSecond);
+        const accrued = elapsedMs * share * this.findRate(bucket) / msPerSecond;
+        bucket.level = Math.min(levelShare(bucket) * size, bucket.level + accrued);
         bucket.accruedAtMs = Math.max(bucket.accruedAtMs, nowMs);
     }
 }
 
+function findSpendingMs({ size }: MemberBucket): number {
+    return size < smallBucketSize ? smallBucketSpendingMs : spendingMs;
+}
+
 /** Returns the part of the leader's bucket that a control VM may spend until its next report. */
 function levelShare({ share, leaderLevel }: MemberBucket): number {
     return leaderLevel > 0 ? Math.max(share, minLevelShare) : share;
--- a/src/quotas/quotaBounds.ts
+++ b/src/quotas/quotaBounds.ts
@@ -24,7 +24,7 @@
  * it is divided, so that of a smaller burst is enlarged, by up to this share of the tolerated excess. The rest of the excess is for what entries
  * admit before a rise in demand is known.
  */
-const minBucketSize = 40;
+const minBucketSize = 34;
 const maxExtraBurst = 16;
 const extraBurstShare = 0.7;
 
--- a/src/quotas/quotaCoordinator.ts
+++ b/src/quotas/quotaCoordinator.ts
@@ -15,7 +15,7 @@
  * Minimum time between two reports to the leader: shorter while entries admit everything and the level falls, as they
  * may spend more than is left.
  */
-const urgentIntervalsMs = { none: Infinity, limited: 500, free: 100 } as const;
+const urgentIntervalsMs = { none: Infinity, limited: Infinity, free: 150 } as const;
 /** Minimum time between two computations of shares. */
 const minUpdateIntervalMs = 50;
 
@@ -120,7 +120,7 @@
         this.mustReportLevels = answer.wantsLevels;
         if (!this.options.log.isLeader) {
             this.validity.renew(sentAt, answer.validMs);
-            this.member.apply(answer.rows, this.nowMs());
+            this.member.apply(answer.rows, answer.usableShare, this.nowMs());
             this.update(this.nowMs());
         }
     }
@@ -134,7 +134,7 @@
         const wantsLevels = this.ledger.wantsLevels(memberId, nowMs) && (report.levels ?? undefined) === undefined;
         this.ledger.recordLevels(report.levels ?? [], nowMs);
         const rows = this.ledger.exchange(memberId, report.uses, nowMs);
-        return { validMs: Math.round(this.confirmation.remainingMs), wantsLevels, rows };
+        return { validMs: Math.round(this.confirmation.remainingMs), wantsLevels, usableShare: this.ledger.usableShare, rows };
     }
 
     /** Confirms the leader, and charges its own entries; called every second. */
@@ -163,7 +163,8 @@
         else if (this.canGrant()) {
             const nowMs = this.nowMs();
             this.validity.renew(readInstant(this.options.clock), this.confirmation.remainingMs);
-            this.member.apply(this.ledger.exchange(this.options.log.selfId, this.member.takeUses(false), nowMs), nowMs);
+            const rows = this.ledger.exchange(this.options.log.selfId, this.member.takeUses(false), nowMs);
+            this.member.apply(rows, this.ledger.usableShare, nowMs);
         }
     }
 
--- a/src/quotas/quotaFleet.ts
+++ b/src/quotas/quotaFleet.ts
@@ -17,7 +17,7 @@
 /** Fields of the messages that do not depend on quotas. */
 const entryFields = { id: "gw-312", address: "10.20.30.40:8080", availabilityZone: "az-1", isServing: true };
 
-/** Demand of an organisation in requests a second, in total, and the weights of the entries that get it. */
+/** Demand of an organisation in requests a second, in total, and the weights in [0, 1] of the entries that get it. */
 export interface Demand {
     readonly perSecond: number;
     readonly weigh: (entryIndex: number) => number;
@@ -168,11 +168,14 @@
         }
     }
 
+    /** Draws an entry; weights are in [0, 1]. */
     private pickEntry(weigh: Demand["weigh"]): FleetEntry {
-        const weights = this.entries.map((entry, index) => entry.isStopped ? 0 : weigh(index));
-        const target = this.random.nextUnit() * weights.reduce((total, weight) => total + weight, 0);
-        let passed = 0;
-        return this.entries[Math.max(0, weights.findIndex(weight => (passed += weight) > target))];
+        for (;;) {
+            const index = this.random.nextInt(this.entries.length);
+            if (!this.entries[index].isStopped && this.random.nextUnit() < weigh(index)) {
+                return this.entries[index];
+            }
+        }
     }
 
     private watch(entry: FleetEntry): void {
--- a/src/quotas/quotaLedger.ts
+++ b/src/quotas/quotaLedger.ts
@@ -3,9 +3,9 @@
 import { RateEstimate } from "./rateEstimate.js";
 
 const msPerSecond = 1000;
+/** Factors by which levels, shares and demands are multiplied in messages. */
 export const levelScale = 100;
 export const shareScale = 1000;
-export const rateScale = 1000;
 export const demandScale = 10;
 /**
  * Smallest part of a bucket that is not in debt which a control VM may spend before it reports. Without it, a control VM
@@ -23,7 +23,7 @@
  * reports; at most this part of a bucket can be spent twice.
  */
 const maxShareSum = 1.2;
-/** A row is sent to a control VM that did not ask for it if its share of the bucket changed by this part of the bucket. */
+/** A row of an organisation that was not reported is sent if its part of the bucket or rate changed by this share. */
 const reportedChange = 0.1;
 /** For this time, a new leader takes lower levels of other control VMs, and starts unknown buckets empty. */
 const takeoverMs = 5000;
@@ -37,7 +37,6 @@
 const settlingLevelSeconds = 0.05;
 /** Time for which the bucket of a removed organisation is kept, so that adding it again does not fill it. */
 const removedRetentionMs = 60_000;
-
 /** Time over which the demand of all control VMs is averaged that entries use without contact. */
 const totalDemandTimeConstantMs = 20_000;
 
@@ -138,6 +137,11 @@
         this.reservedShare = share;
     }
 
+    /** Part of the rates that is divided, in thousandths. */
+    get usableShare(): number {
+        return Math.round((1 - this.reservedShare) * shareScale);
+    }
+
     /** Returns whether a control VM should report the levels that it knows. */
     wantsLevels(memberId: string, nowMs: number): boolean {
         return nowMs - this.ledSinceMs < takeoverMs && !this.reportedAtMs.has(memberId);
@@ -192,8 +196,7 @@
                     bucket.quota.organisation,
                     Math.round(member.share * shareScale),
                     Math.round(grantable * levelScale),
-                    Math.round(rate * rateScale),
-                    Math.round(bucket.totalDemand.get(nowMs) * demandScale),
+                    Math.round(this.estimateDemand(bucket, nowMs) * demandScale),
                 ]);
             }
         }
@@ -263,6 +266,13 @@
         return Math.min(target, Math.max(base / quota.ratePerSecond, maxShareSum - others));
     }
 
+    /** Returns a steady estimate, but the recent demand where it exceeds the rate. */
+    private estimateDemand(bucket: Bucket, nowMs: number): number {
+        const steady = bucket.totalDemand.get(nowMs);
+        const recent = this.sumDemand(bucket, nowMs);
+        return recent > bucket.quota.ratePerSecond ? Math.max(steady, recent) : steady;
+    }
+
     private sumDemand({ members }: Bucket, nowMs: number): number {
         return [...members.values()].reduce((sum, { demand }) => sum + demand.get(nowMs), 0);
     }
--- a/src/quotas/quotaMessages.ts
+++ b/src/quotas/quotaMessages.ts
@@ -31,17 +31,12 @@
     readonly validMs: number;
     /** Whether the leader needs the levels that the receiver knows. */
     readonly wantsLevels: boolean;
+    /** Part of the rates that is divided, in thousandths; the rest is kept for entries that may be without contact. */
+    readonly usableShare: number;
     readonly rows: readonly MemberQuotaRow[];
 }
 
 /**
- * Share of the receiver in thousandths; level of the whole bucket in hundredths of a request; rate to divide in
- * thousandths a second; demand in tenths a second.
+ * Share of the receiver in thousandths; level of the whole bucket in hundredths of a request; demand in tenths a second.
  */
-export type MemberQuotaRow = readonly [
-    organisation: string,
-    share: number,
-    level: number,
-    rate: number,
-    demand: number,
-];
+export type MemberQuotaRow = readonly [organisation: string, share: number, level: number, demand: number];
--- a/test/metricsPage.test.ts
+++ b/test/metricsPage.test.ts
@@ -27,7 +27,8 @@
         registrations: zero,
         attachedEntries: zero,
         totalEntries: zero,
-        limitedOrganisations: zero, limitedInstances: zero,
+        limitedInstances: zero,
+        limitedOrganisations: zero,
     });
     const texts = await Promise.all([gateway.registry.metrics(), directory.registry.metrics()]);
     const served = new Set([...texts.join("\n").matchAll(/^# TYPE (\w+) /gm)].map(match => match[1]));
