--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -189,7 +189,9 @@
     }
 
     /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
-    async watch({ entry, version, canUpdate, limitsVersion, quotasVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch(
+        { entry, version, canUpdate, limitsVersion, quotasVersion, waitMs }: WatchParams,
+    ): Promise<WatchAnswer> {
         this.recordEntry(entry);
         const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
             this.quotas.hasNews(quotasVersion ?? undefined);
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,7 +1,7 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
-import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
 import type { EntryQuotas, MemberQuotas, QuotaReport, QuotaUse } from "../quotas/quotaMessages.js";
+import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
 import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
 
 /** Methods of the calls between the processes of a directory. */
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -6,9 +6,9 @@
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
-import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
 import type { GatewayLogger } from "./options.js";
 
--- a/src/quotas/entryQuotas.ts
+++ b/src/quotas/entryQuotas.ts
@@ -3,7 +3,7 @@
 import { GrantValidity } from "../directory/grantValidity.js";
 import type { Organisation } from "../directory/model.js";
 import { type QuotaDecision, QuotaGate } from "../organisations/quotaGate.js";
-import { FallbackTokens, fallbackLifetimeMs } from "./fallbackTokens.js";
+import { fallbackLifetimeMs, FallbackTokens } from "./fallbackTokens.js";
 import { listQuotas, type Quota, type QuotaBounds } from "./quotaBounds.js";
 import { demandScale, shareScale } from "./quotaLedger.js";
 import type { EntryQuotas as Grants, QuotaUse } from "./quotaMessages.js";
@@ -24,7 +24,7 @@
  * Watch calls follow each other within 400 ms. Later than this after the last answer, the next call is soon enough, except
  * at low rates, whose bound leaves few requests for a late reaction.
  */
-const maxUrgentDelayMs = 200;
+const maxUrgentDelayMs = 180;
 const alwaysUrgentRatePerSecond = 5;
 /** Part of the fraction without contact that follows the demand; the rest is equal for all entries. */
 const demandPart = 0.5;
--- a/src/quotas/memberQuotas.ts
+++ b/src/quotas/memberQuotas.ts
@@ -1,5 +1,5 @@
 import { bucketSize, type Quota, type QuotaBounds } from "./quotaBounds.js";
-import { demandScale, levelScale, minLevelShare, shareScale } from "./quotaLedger.js";
+import { demandScale, findMinLevelShare, levelScale, shareScale } from "./quotaLedger.js";
 import type { EntryQuotaRow, MemberQuotaRow, QuotaLevel, QuotaUse } from "./quotaMessages.js";
 import { RateEstimate } from "./rateEstimate.js";
 
@@ -13,7 +13,7 @@
  * once are a large part.
  */
 const spendingMs = 1000;
-const smallBucketSpendingMs = 500;
+const smallBucketSpendingMs = 400;
 const smallBucketSize = 40;
 /** A report to the leader is due at once when less than this part of the share that was granted is left. */
 const lowLevelShare = 0.5;
@@ -258,8 +258,8 @@
 }
 
 /** Returns the part of the leader's bucket that a control VM may spend until its next report. */
-function levelShare({ share, leaderLevel }: MemberBucket): number {
-    return leaderLevel > 0 ? Math.max(share, minLevelShare) : share;
+function levelShare({ share, leaderLevel, size }: MemberBucket): number {
+    return leaderLevel > 0 ? Math.max(share, findMinLevelShare(size)) : share;
 }
 
 function isLow({ level, grantedLevel }: MemberBucket): boolean {
--- a/src/quotas/quotaCoordinator.ts
+++ b/src/quotas/quotaCoordinator.ts
@@ -15,7 +15,7 @@
  * Minimum time between two reports to the leader: shorter while entries admit everything and the level falls, as they
  * may spend more than is left.
  */
-const urgentIntervalsMs = { none: Infinity, limited: Infinity, free: 150 } as const;
+const urgentIntervalsMs = { none: Infinity, limited: Infinity, free: 200 } as const;
 /** Minimum time between two computations of shares. */
 const minUpdateIntervalMs = 50;
 
@@ -134,7 +134,12 @@
         const wantsLevels = this.ledger.wantsLevels(memberId, nowMs) && (report.levels ?? undefined) === undefined;
         this.ledger.recordLevels(report.levels ?? [], nowMs);
         const rows = this.ledger.exchange(memberId, report.uses, nowMs);
-        return { validMs: Math.round(this.confirmation.remainingMs), wantsLevels, usableShare: this.ledger.usableShare, rows };
+        return {
+            validMs: Math.round(this.confirmation.remainingMs),
+            wantsLevels,
+            usableShare: this.ledger.usableShare,
+            rows,
+        };
     }
 
     /** Confirms the leader, and charges its own entries; called every second. */
--- a/src/quotas/quotaFleet.ts
+++ b/src/quotas/quotaFleet.ts
@@ -83,7 +83,10 @@
         const leader = this.controls.findIndex(({ log }) => log.isLeader);
         this.controls.forEach(({ log }) => log.isLeader = false);
         this.schedule(electionMs, () => {
-            const next = Array.from({ length: this.controls.length }, (_, step) => (leader + 1 + step) % this.controls.length);
+            const next = Array.from(
+                { length: this.controls.length },
+                (_, step) => (leader + 1 + step) % this.controls.length,
+            );
             const index = next.find(candidate => !this.controls[candidate].isDown) ?? 0;
             this.controls[index].log.isLeader = true;
         });
@@ -249,9 +252,12 @@
 
     /** Answers the watch calls of a control VM's entries. */
     private wake(index: number): void {
-        this.schedule(0, () =>
-            this.entries.filter(entry => entry.control === index && !entry.isStopped && !entry.isCutOff)
-                .forEach(entry => this.watch(entry)));
+        this.schedule(
+            0,
+            () =>
+                this.entries.filter(entry => entry.control === index && !entry.isStopped && !entry.isCutOff)
+                    .forEach(entry => this.watch(entry)),
+        );
     }
 
     private makeEntry(index: number): FleetEntry {
--- a/src/quotas/quotaLedger.ts
+++ b/src/quotas/quotaLedger.ts
@@ -9,9 +9,13 @@
 export const demandScale = 10;
 /**
  * Smallest part of a bucket that is not in debt which a control VM may spend before it reports. Without it, a control VM
- * with little demand for an organisation would refuse the second of two requests.
+ * with little demand for an organisation would refuse the second of two requests. Lower for large buckets, of which
+ * several control VMs would otherwise spend too much at once.
  */
-export const minLevelShare = 0.3;
+export function findMinLevelShare(size: number): number {
+    return size < 40 ? 0.3 : 0.22;
+}
+
 /** Time over which the demand of a control VM is averaged to divide a quota. */
 const demandTimeConstantMs = 3000;
 /** A control VM that has not reported for this time gets no share; it reports every second. */
@@ -186,7 +190,7 @@
             member.share = this.divide(bucket, member, nowMs);
             const rate = bucket.quota.ratePerSecond * (1 - this.reservedShare);
             const grantable = this.findGrantable(bucket, nowMs);
-            const level = Math.max(member.share, minLevelShare) * grantable;
+            const level = Math.max(member.share, findMinLevelShare(bucket.size)) * grantable;
             const change = Math.abs(level - member.sentLevel) / Math.max(1, bucket.size);
             const rateChange = Math.abs(member.share * rate - member.sentRate) / bucket.quota.ratePerSecond;
             if (isFirst || use !== undefined || change > reportedChange || rateChange > reportedChange) {
