--- a/src/organisations/admission.test.ts
+++ b/src/organisations/admission.test.ts
@@ -15,6 +15,7 @@
         isConfirmed: () => true,
         upstreams: zero,
         ejectedUpstreams: zero,
+        coldUpstreams: () => 0,
         limitedUpstreams: zero,
     });
 }
