Relay requests of entries that reach no instance through other entries

Cause: an entry partitioned from all instances refused every request while callers and other entries still reached it. If none answers, the entry relays requests through peers that the control VM names while it is asked for them, with a token signed with the cluster secret, and reports that callers should get other entries. A peer that is cut off declines with 421; a request is never relayed again. Checks twice a second end the relaying.

--- a/src/directory/attachedEntries.ts
+++ b/src/directory/attachedEntries.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { EntryId } from "../core/ids.js";
-import type { EntryReport } from "./messages.js";
+import type { EntryReport, RelayPeer } from "./messages.js";
 
 /** Maximum age of the last report of an entry that is offered to callers; entries report at least every 400 ms. */
 const maxOfferedAgeMs = 1000;
@@ -39,7 +39,10 @@
         maxAddresses: number,
         callerIp: string,
     ): readonly string[] {
-        const serving = this.listRecent(nowMs, maxOfferedAgeMs).filter(report => report.isServing);
+        const offered = this.listRecent(nowMs, maxOfferedAgeMs).filter(report => report.isServing);
+        const connected = offered.filter(report => report.isCutOff !== true);
+        // An entry that is cut off still relays, which is better than no address.
+        const serving = connected.length > 0 ? connected : offered;
         const inZone = serving.filter(report => report.availabilityZone === availabilityZone);
         const addresses = (inZone.length > 0 ? inZone : serving).map(report => report.address).sort();
         if (addresses.length <= maxAddresses) {
@@ -49,6 +52,13 @@
         return Array.from({ length: maxAddresses }, (_, index) => addresses[(firstIndex + index) % addresses.length]);
     }
 
+    /** Lists the entries that can take relayed requests. */
+    listPeers(nowMs: number): readonly RelayPeer[] {
+        return this.listRecent(nowMs, maxOfferedAgeMs)
+            .filter(report => report.isServing && report.isCutOff !== true)
+            .map(({ address, availabilityZone }) => ({ address, availabilityZone }));
+    }
+
     private listRecent(nowMs: number, maxAgeMs: number): readonly EntryReport[] {
         for (const [id, attached] of this.entriesById) {
             if (nowMs - attached.reportedAtMs > maxCountedAgeMs) {
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -176,6 +176,8 @@
                 return service.recordEntry(params as EntryReport);
             case DirectoryMethod.propose:
                 return service.handleProposal(params as ProposeParams);
+            case DirectoryMethod.listPeers:
+                return service.listRelayPeers();
             case DirectoryMethod.readVersion:
                 return service.confirmReadRevision();
             case DirectoryMethod.reportHeartbeats:
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -18,10 +18,12 @@
     type HeartbeatReport,
     type HeartbeatReportAnswer,
     type ProposeParams,
+    type RelayPeer,
     type WatchAnswer,
     type WatchParams,
 } from "./messages.js";
 import type { ControlNode, Registration, RouteTable } from "./model.js";
+import { RelayPeers } from "./relayPeers.js";
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
@@ -55,6 +57,7 @@
     private readonly entryCounts = new EntryCounts();
     private readonly limits: LimitCoordinator;
     private readonly leaderReports: LeaderReports;
+    private readonly relayPeers: RelayPeers;
     private readonly leavingInstances: LeavingInstances;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
@@ -86,6 +89,12 @@
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
+        this.relayPeers = new RelayPeers({
+            listAttached: () => this.attachedEntries.listPeers(this.nowMs()),
+            listControlVms: () => this.listOtherControlVms(),
+            links: options.links,
+            clock: options.clock,
+        });
         this.leavingInstances = new LeavingInstances({
             find: id => this.state.registrations.get(id),
             submit: registration => {
@@ -181,12 +190,14 @@
     }
 
     /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
-    async watch({ entry, version, canUpdate, limitsVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch(params: WatchParams): Promise<WatchAnswer> {
+        const { entry, version, canUpdate, limitsVersion, wantsPeers, waitMs } = params;
         this.recordEntry(entry);
         if (version === this.state.revision && !this.limits.hasNews(limitsVersion ?? undefined)) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
+        const peers = wantsPeers === true ? await this.relayPeers.find(entry) : undefined;
         const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
         const nowMs = this.nowMs();
         return {
@@ -195,6 +206,7 @@
             entryCount: this.attachedEntries.count(nowMs),
             entryTotal: this.entryCounts.getTotal(nowMs),
             limits: this.limits.describe(entry.id, limitsVersion ?? undefined),
+            ...(peers === undefined ? {} : { peers }),
         };
     }
 
@@ -214,6 +226,16 @@
         this.leavingInstances.recordReport(entry);
     }
 
+    /** Lists attached entries that can take relayed requests, for another control VM. */
+    listRelayPeers(): readonly RelayPeer[] {
+        return this.relayPeers.listOwn();
+    }
+
+    private listOtherControlVms(): readonly string[] {
+        const { members: { voters, learners }, selfId } = this.options.log;
+        return [...voters, ...learners].filter(({ id }) => id !== selfId).map(member => member.peerAddress);
+    }
+
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
     async handleProposal({ change }: ProposeParams): Promise<ForwardedOutcome> {
         return this.options.log.isLeader ? this.options.log.propose(change) : { kind: "refused" };
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -131,6 +131,7 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    isCutOff: optional(isBoolean),
     leaving: optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber }))),
 };
 
@@ -142,10 +143,12 @@
         canUpdate: optional(isBoolean),
         limitsVersion: optional(isNumber),
         waitMs: isNumber,
+        wantsPeers: optional(isBoolean),
     }),
     [DirectoryMethod.reportEntry]: objectWith(entryReportFields),
     [DirectoryMethod.propose]: objectWith({ change: isDirectoryChange }),
     [DirectoryMethod.readVersion]: isAny,
+    [DirectoryMethod.listPeers]: isAny,
     [DirectoryMethod.reportHeartbeats]: objectWith({
         ids: arrayOf(isString),
         entryCount: optional(isNumber),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -15,6 +15,8 @@
     readVersion: "directory.read-version",
     /** Control VM to leader: reports received heartbeats and the number of attached entries. */
     reportHeartbeats: "directory.heard",
+    /** Control VM to control VM: asks for the serving entries attached to the receiver. */
+    listPeers: "directory.peers",
     /** Control VM to control VM: the sender asks to join the group. */
     join: "directory.join",
     /** Control VM to control VM: the sender is about to stop. */
@@ -41,6 +43,15 @@
     readonly limits?: readonly LimitReport[];
     /** Instances that told the entry that they leave and that the directory shows as ready; undefined if none. */
     readonly leaving?: readonly LeavingInstance[];
+    /** Whether the entry cannot reach instances; callers should get other entries. Undefined if it can. */
+    readonly isCutOff?: boolean;
+}
+
+/** A serving entry through which another one can relay requests. */
+export interface RelayPeer {
+    /** For callers, `host:port`. */
+    readonly address: string;
+    readonly availabilityZone: string;
 }
 
 /** Parameters of `directory.watch`. */
@@ -52,6 +63,8 @@
     readonly canUpdate?: boolean;
     /** Version of the rate limits that the entry has; undefined from versions without them. */
     readonly limitsVersion?: number;
+    /** Whether the entry asks for peers through which it can relay requests; undefined if not. */
+    readonly wantsPeers?: boolean;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
@@ -68,6 +81,8 @@
     readonly entryTotal?: number;
     /** Undefined while no instance has named a rate limit. */
     readonly limits?: EntryLimits;
+    /** A few serving entries of each availability zone; undefined unless the entry asked for them. */
+    readonly peers?: readonly RelayPeer[];
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,6 +6,7 @@
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import { EntryRelay } from "../relay/entryRelay.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -17,7 +18,7 @@
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
-import { UpstreamLimits } from "./upstreamLimits.js";
+import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
@@ -55,6 +56,8 @@
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
     private readonly upstreamStatements: UpstreamStatements;
+    private readonly relay: EntryRelay | undefined;
+    private readonly peerConnections: UpstreamConnections;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -65,6 +68,7 @@
     constructor(private readonly options: GatewayOptions) {
         const { id, clock, random, dialect, logger, limits, availabilityZone, seeds, clusterSecret } = options;
         this.connections = new UpstreamConnections(limits);
+        this.peerConnections = new UpstreamConnections(limits);
         this.metrics = new GatewayMetrics({
             inFlight: () => this.exchanges.size,
             directoryVersion: () => this.watch.version,
@@ -92,6 +96,8 @@
             onLeaving: () => this.watch.report(),
         });
         const { upstreamStatements } = this;
+        this.relay = options.canRelay === true ? this.createRelay() : undefined;
+        const { relay } = this;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
@@ -100,6 +106,7 @@
             dialect,
             clock,
             metrics,
+            relay,
         });
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
@@ -113,6 +120,7 @@
             describeEntry: () => this.buildReport(),
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
+            peers: relay,
         });
         const { watch } = this;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
@@ -142,6 +150,7 @@
             logger,
             clock,
             random,
+            relay,
         };
         this.requestHandler = new GatewayRequestHandler({
             limits,
@@ -162,7 +171,10 @@
         }
         void this.watch.run();
         this.connectionCleanupTimer = setInterval(
-            () => this.connections.closeUnusedPools(this.nowMs()),
+            () => {
+                this.connections.closeUnusedPools(this.nowMs());
+                this.peerConnections.closeUnusedPools(this.nowMs());
+            },
             connectionCleanupIntervalMs,
         );
         this.options.logger.info("entry started", { id: this.options.id, incarnation: this.idPrefix });
@@ -190,6 +202,7 @@
         logger.info("entry drained", { inFlight: this.exchanges.size, afterMs: Math.round(this.nowMs() - startMs) });
         clearInterval(this.connectionCleanupTimer);
         this.watch.close();
+        this.relay?.close();
         this.server.closeAllConnections();
     }
 
@@ -204,6 +217,30 @@
         return this.options.clock.monotonicMs();
     }
 
+    private createRelay(): EntryRelay {
+        const { clock, random, logger, clusterSecret } = this.options;
+        return new EntryRelay({
+            secret: clusterSecret,
+            clock,
+            random,
+            logger,
+            metrics: this.metrics,
+            connections: this.peerConnections,
+            listCheckable: () =>
+                this.upstreamTable.listProbeable(this.nowMs())
+                    .filter(upstreamState => !this.upstreamLimits.isLimited(upstreamState))
+                    .map(upstreamState => upstreamState.registration),
+            findHealthPath: service => this.requestHandler.findService(service)?.healthPath,
+            onCheckHead: (id, head) => {
+                const upstreamState = this.upstreamTable.get(id);
+                if (upstreamState !== undefined) {
+                    this.upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
+                }
+            },
+            onChanged: () => this.watch.report(),
+        });
+    }
+
     private buildReport(): EntryReport {
         const { id, listen, availabilityZone } = this.options;
         const leaving = this.upstreamStatements.listUnreported();
@@ -215,6 +252,7 @@
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
             ...(leaving.length > 0 ? { leaving } : {}),
+            ...(this.relay?.isRelaying === true ? { isCutOff: true } : {}),
         };
     }
 
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -28,9 +28,13 @@
     abstract readRequestId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns the headers that the entry adds to an attempt, as a flat list of names and values. */
     abstract listAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): readonly string[];
+    /** Returns the token with which an entry relayed the request; undefined when it is absent. */
+    abstract readRelayToken(headers: IncomingHttpHeaders): string | undefined;
+    /** Returns the headers that replace the caller's own when the entry relays its request to another entry. */
+    abstract listRelayHeaders(remainingMs: number, token: string): readonly string[];
     /** Returns the id of the request that a response answers; undefined when it states none. */
     abstract readAnsweredRequestId(head: ResponseHead): string | undefined;
-    /** Returns whether the upstream states that it did not run the request. */
+    /** Returns whether the upstream states that it did not run the request; true for status 421. */
     abstract isNotRun(head: ResponseHead): boolean;
     /** Returns whether the response can be the upstream's own, unaltered response. */
     abstract isAuthentic(head: ResponseHead): boolean;
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -3,7 +3,13 @@
 import type { RandomSource } from "../core/random.js";
 import { maxCountedAgeMs } from "../directory/attachedEntries.js";
 import type { DirectoryDelta } from "../directory/directoryState.js";
-import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
+import {
+    DirectoryMethod,
+    type EntryReport,
+    type RelayPeer,
+    type WatchAnswer,
+    type WatchParams,
+} from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
@@ -13,6 +19,8 @@
 
 /** Time for which a control VM may hold a watch call while the directory does not change. */
 const waitMs = 400;
+/** The same while the entry waits for peers; not 0, since there may be none for some time. */
+const urgentWaitMs = 20;
 const watchTimeoutMs = waitMs + 500;
 const connectTimeoutMs = 400;
 /** Pause before the next control VM is tried after a failure. */
@@ -34,6 +42,13 @@
     resetVersion(): void;
 }
 
+/** Receives entries through which requests can be relayed. */
+export interface PeersReceiver {
+    readonly wantsPeers: boolean;
+    readonly hasPeers: boolean;
+    setPeers(peers: readonly RelayPeer[]): void;
+}
+
 /** Options of a directory watch. */
 export interface DirectoryWatchOptions {
     readonly channel: ChannelOptions;
@@ -49,6 +64,8 @@
     readonly onDelta: (delta: DirectoryDelta, table: RouteTable | undefined) => void;
     /** Receives the rate limits with this entry's shares. */
     readonly limits: LimitsReceiver;
+    /** Receives peers while it asks for them; undefined if the entry does not relay. */
+    readonly peers?: PeersReceiver | undefined;
 }
 
 /** Watches the directory through one control VM at a time, preferably of the local availability zone. */
@@ -188,7 +205,18 @@
             const entry = this.options.describeEntry();
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
-            const params: WatchParams = { entry, version, canUpdate, limitsVersion, waitMs };
+            const { peers } = this.options;
+            const peersQuery = peers?.wantsPeers === true ? { wantsPeers: true } : {};
+            // An entry without peers serves nothing until it gets some.
+            const isUrgent = peers?.wantsPeers === true && !peers.hasPeers;
+            const params: WatchParams = {
+                entry,
+                version,
+                canUpdate,
+                limitsVersion,
+                waitMs: isUrgent ? urgentWaitMs : waitMs,
+                ...peersQuery,
+            };
             const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
             return this.applyAnswer(answer, sentAt);
@@ -218,7 +246,10 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer({ isLed, delta, entryCount, entryTotal, limits }: WatchAnswer, sentAt: Instant): boolean {
+    private applyAnswer(
+        { isLed, delta, entryCount, entryTotal, limits, peers }: WatchAnswer,
+        sentAt: Instant,
+    ): boolean {
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
@@ -239,6 +270,9 @@
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
         }
+        if (peers !== undefined && peers !== null) {
+            this.options.peers?.setPeers(peers);
+        }
         this.confirmedAt = sentAt;
         this.pendingWaits.forEach(settle => settle());
         return true;
--- a/src/gateway/gatewayExchange.ts
+++ b/src/gateway/gatewayExchange.ts
@@ -10,6 +10,10 @@
     dialect!: Dialect;
     /** Origin of the response, for metrics. */
     source: "upstream" | "entry" = "entry";
+    /** Whether another entry relayed the request, which then has counted it and charged the quota of its caller. */
+    isRelayed = false;
+    /** Whether this entry may relay the request; false for one that was relayed or claims to be. */
+    isRelayAllowed = true;
 
     /** Sends `100 Continue` when the caller expects it (RFC 9110, 10.1.1). */
     sendContinueIfExpected(): void {
@@ -21,11 +25,24 @@
 
     /** Returns the headers of a request to an upstream as a flat list of names and values. */
     buildAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): string[] {
-        const { replacedHeaders } = this.dialect;
+        return this.buildHeaders(
+            this.dialect.replacedHeaders,
+            this.dialect.listAttemptHeaders(upstreamId, remainingMs),
+        );
+    }
+
+    /** Returns the headers of a request to another entry: the caller's headers as they came, with the relay's own. */
+    buildRelayHeaders(remainingMs: number, token: string): string[] {
+        const added = this.dialect.listRelayHeaders(remainingMs, token);
+        const addedNames = added.filter((_text, index) => index % 2 === 0).map(name => name.toLowerCase());
+        return this.buildHeaders(new Set(addedNames), added);
+    }
+
+    private buildHeaders(replacedNames: ReadonlySet<string>, added: readonly string[]): string[] {
         const headers = selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
-            .filter(([name]) => !replacedHeaders.has(name.toLowerCase()) && !framingHeaders.has(name.toLowerCase()))
+            .filter(([name]) => !replacedNames.has(name.toLowerCase()) && !framingHeaders.has(name.toLowerCase()))
             .flat() as string[];
-        headers.push(...this.dialect.listAttemptHeaders(upstreamId, remainingMs));
+        headers.push(...added);
         if (this.body.buffer === undefined && this.body.lengthBytes !== undefined && this.body.content !== null) {
             headers.push("Content-Length", String(this.body.lengthBytes));
         }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -5,6 +5,8 @@
 import type { Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { EntryRelay } from "../relay/entryRelay.js";
+import { RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
 import type { GeneratedAnswer, ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
@@ -24,6 +26,8 @@
 const upstreamGraceMs = 80;
 /** The entry answers this long after the request's timeout: longer, so that the upstream can answer first. */
 const answerGraceMs = 180;
+/** Maximum wait for a placement on an existing connection while no new ones can be opened: two rounds of load probes. */
+const maxWaitBeforeRelayMs = 100;
 /** A retry starts only if more than this time remains until the timeout. */
 const minRetryRemainingMs = 10;
 
@@ -44,6 +48,8 @@
     readonly logger: GatewayLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Undefined if the entry does not relay. */
+    readonly relay?: EntryRelay | undefined;
 }
 
 /** Immutable inputs of a request. */
@@ -80,8 +86,13 @@
     /** Runs the request; resolves when it has ended. */
     async run(): Promise<void> {
         const timer = setTimeout(() => this.onTimeout(), this.times.timeoutAtMs + answerGraceMs - this.nowMs());
-        this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
-        this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        if (!this.context.exchange.isRelayed) {
+            this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
+        }
+        // An entry that is cut off cannot use a share of the limits.
+        if (this.dependencies.relay?.isCutOff !== true) {
+            this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        }
         try {
             let shouldContinue = true;
             while (shouldContinue && !this.context.exchange.isEnded) {
@@ -122,6 +133,13 @@
 
     /** Places and sends the request once; returns whether another attempt follows. */
     private async runAttempt(): Promise<boolean> {
+        const { relay } = this.dependencies;
+        if (relay?.isCutOff === true && relay.hasPeers) {
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue !== undefined) {
+                return shouldContinue;
+            }
+        }
         const placement = await this.findPlacement();
         if (this.context.exchange.isEnded) {
             if (placement !== undefined) {
@@ -131,13 +149,48 @@
             return false;
         }
         if (placement === undefined) {
-            this.answerUnplaced();
-            return false;
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue === undefined) {
+                this.answerUnplaced();
+            }
+            return shouldContinue ?? false;
         }
         const attemptResult = await this.sendAttempt(placement);
         return this.handleAttemptResult(placement, attemptResult);
     }
 
+    /** Relays the request while the entry is cut off; returns whether an attempt follows, undefined if none took it. */
+    private async relayIfPossible(): Promise<boolean | undefined> {
+        const { exchange, requestId, deadlineAtMs } = this.context;
+        const { relay, dialect, bufferBudget, metrics } = this.dependencies;
+        const isSafe = this.context.route.isIdempotent || !this.mayHaveRun;
+        const isFirst = this.attemptCount === 0;
+        if (relay?.isRelaying !== true || !exchange.isRelayAllowed || !isSafe || !(isFirst || this.canReplayBody())) {
+            return undefined;
+        }
+        const outcome = await relayRequest({
+            exchange,
+            requestId,
+            relay,
+            dialect,
+            bufferBudget,
+            metrics,
+            computeRemainingMs: () => Math.min(deadlineAtMs, this.times.timeoutAtMs) - this.nowMs(),
+            canReplayBody: () => this.canReplayBody(),
+            onAttempt: attempt => this.attempt = attempt,
+            log: (text, fields) => this.log(text, fields),
+        });
+        if (outcome === RelayOutcome.lost) {
+            this.mayHaveRun = true;
+            this.attemptCount++;
+            if (this.takeRetry()) {
+                return true;
+            }
+            this.answerFailure("attempt-failed", "The entry to which the request was relayed failed.");
+        }
+        return outcome === RelayOutcome.unavailable ? undefined : false;
+    }
+
     private answerUnplaced(): void {
         this.backOffDelayMs = this.dependencies.placer.findBackOffDelayMs(this.context.service.name);
         if (this.backOffDelayMs !== undefined) {
@@ -157,11 +210,16 @@
         const { route, service, exchange } = this.context;
         const baselineMs = this.dependencies.durationEstimates.get(route.name, this.times.targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
+        const waitLimits = this.times.computeWaitLimits(startMs, baselineMs);
+        const canRelay = this.dependencies.relay?.isRelaying === true && this.dependencies.relay.hasPeers &&
+            exchange.isRelayAllowed;
+        const maxWaitUntilMs = canRelay ? this.nowMs() + maxWaitBeforeRelayMs : Infinity;
         return this.dependencies.placer.place({
             service,
             excluded: this.excluded,
             priority: route.priority,
-            ...this.times.computeWaitLimits(startMs, baselineMs),
+            ...waitLimits,
+            waitUntilMs: Math.min(waitLimits.waitUntilMs, maxWaitUntilMs),
             isExchangeEnded: () => exchange.isEnded,
         });
     }
@@ -174,6 +232,7 @@
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
         const onHead = (head: ResponseHead, isNotRun: boolean) => {
+            this.dependencies.relay?.recordResponse(false);
             upstreamStatements.recordHead(upstreamState, head, MessageKind.request);
             upstreamLimits.recordStatement(
                 upstreamState,
@@ -254,6 +313,9 @@
                 failuresInRow: upstreamState.failuresInRow,
             });
         }
+        if ("failure" in attemptResult && !isIgnoredForHealth && this.attempt?.responseHead === undefined) {
+            this.dependencies.relay?.recordFailure(upstreamState.registration.id, attemptResult.kind === "not-sent");
+        }
         if (attemptResult.kind === "delivered" || exchange.isEnded) {
             return false;
         }
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -11,6 +11,7 @@
 import type { EntryLimits } from "../entry/options.js";
 import { parseBodyLength, readBody } from "../entry/requestBody.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { declinedStatus } from "../relay/relayedRequest.js";
 import { CallerAgeEstimator } from "./callerAge.js";
 import type { Dialect } from "./dialect.js";
 import type { DirectoryWatch } from "./directoryWatch.js";
@@ -65,6 +66,11 @@
         return this.routeLookup.table.version;
     }
 
+    /** Returns a service of the routes in force. */
+    findService(name: string): RoutedService | undefined {
+        return this.services.get(name);
+    }
+
     /** Replaces the routes in force. */
     setRoutes(table: RouteTable): void {
         this.routeLookup = new RouteLookup(table);
@@ -74,6 +80,7 @@
     /** Handles a request whose head has arrived; resolves when it has ended. */
     async handleRequest(exchange: GatewayExchange): Promise<void> {
         const { dialect, limits } = this.options;
+        this.readRelayToken(exchange);
         let request: GatewayRequest | undefined;
         exchange.outgoing.on("close", () => {
             if (!exchange.isEnded) {
@@ -81,6 +88,10 @@
                 request?.onCallerDisconnect();
             }
         });
+        if (exchange.isRelayed && this.options.dependencies.relay?.isCutOff === true) {
+            this.refuse(exchange, declinedStatus, "cut-off", "This entry reaches no instance either.");
+            return;
+        }
         const deadlineMs = dialect.readDeadlineMs(exchange.incoming.headers) ?? limits.maxDeadlineMs;
         if (Number.isNaN(deadlineMs)) {
             this.refuse(exchange, 400, "invalid-deadline", "The deadline is not a number of milliseconds.");
@@ -97,6 +108,25 @@
         }
     }
 
+    /** A request with an invalid token is handled as the caller's own, but is not relayed, so that no loop can arise. */
+    private readRelayToken(exchange: GatewayExchange): void {
+        const { dialect, metrics, logger, dependencies: { relay } } = this.options;
+        const { incoming, path } = exchange;
+        const token = dialect.readRelayToken(incoming.headers);
+        if (token === undefined || relay === undefined) {
+            return;
+        }
+        const requestId = dialect.readRequestId(incoming.headers);
+        exchange.isRelayAllowed = false;
+        exchange.isRelayed = relay.isTokenValid({ requestId, method: incoming.method ?? "GET", path }, token);
+        if (exchange.isRelayed) {
+            metrics.acceptedRelayedRequests.inc();
+        }
+        else {
+            logger.info("ignored an invalid relay token", { requestId });
+        }
+    }
+
     private findRoute({ incoming, path }: GatewayExchange): Route | undefined {
         return this.routeLookup.find(incoming.headers.host ?? "", path);
     }
@@ -158,7 +188,8 @@
         // The routes may have changed while the body arrived.
         const route = this.findRoute(exchange);
         if (this.isRefusingAll) {
-            this.refuse(exchange, 503, "draining", "The entry stops.", stoppingRetryAfterMs);
+            const status = exchange.isRelayed ? declinedStatus : 503;
+            this.refuse(exchange, status, "draining", "The entry stops.", stoppingRetryAfterMs);
             return undefined;
         }
         if (route === undefined) {
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../core/clock.js";
 import { toHeaderFields } from "../entry/headers.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { EntryRelay } from "../relay/entryRelay.js";
 import type { ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
@@ -33,6 +34,8 @@
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
     readonly upstreamStatements: UpstreamStatements;
+    /** Learns which upstreams answer; undefined if the entry does not relay. */
+    readonly relay?: Pick<EntryRelay, "recordResponse" | "recordFailure"> | undefined;
     readonly connections: UpstreamConnections;
     readonly dialect: Dialect;
     readonly clock: Clock;
@@ -75,12 +78,19 @@
             this.options;
         const probedAtMs = clock.monotonicMs();
         const { address, id } = upstreamState.registration;
+        const isNewConnection = !connections.hasIdle(address);
         const connection = connections.lease(address, probedAtMs);
         if (connection === undefined) {
             return undefined;
         }
         upstreamLimits.recordSent(upstreamState, MessageKind.probe);
-        const head = await fetchHead(connection.dispatcher, healthPath);
+        const { head, isConnectionError } = await fetchHead(connection.dispatcher, healthPath);
+        if (head === undefined) {
+            this.options.relay?.recordFailure(id, isNewConnection && isConnectionError);
+        }
+        else {
+            this.options.relay?.recordResponse(isNewConnection);
+        }
         // A duplicate of an earlier response on the connection states the id of its request.
         const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
             (dialect.readUpstreamId(head) ?? id) === id;
@@ -105,19 +115,25 @@
     }
 }
 
-/** Returns the head of the response; undefined when the request fails or times out. */
-function fetchHead(dispatcher: Dispatcher, path: string): Promise<ResponseHead | undefined> {
+interface FetchResult {
+    /** Undefined when the request failed or timed out. */
+    readonly head: ResponseHead | undefined;
+    /** Whether the connection was not established in time, or failed before the response. */
+    readonly isConnectionError: boolean;
+}
+
+function fetchHead(dispatcher: Dispatcher, path: string): Promise<FetchResult> {
     return new Promise(resolve => {
         let controller: Dispatcher.DispatchController | undefined;
         let head: ResponseHead | undefined;
         let isFinished = false;
-        const finish = (result: ResponseHead | undefined) => {
+        const finish = (result: ResponseHead | undefined, isConnectionError: boolean) => {
             isFinished = true;
             clearTimeout(timer);
-            resolve(result);
+            resolve({ head: result, isConnectionError });
         };
         const onProbeTimeout = () => {
-            finish(undefined);
+            finish(undefined, controller === undefined);
             controller?.abort(new Error("load probe timed out"));
         };
         let timer = setTimeout(onProbeTimeout, connectTimeoutMs);
@@ -135,16 +151,16 @@
                 head = { status, headers: toHeaderFields((requestController.rawHeaders ?? []) as (string | Buffer)[]) };
             },
             onResponseData: () => undefined,
-            onResponseEnd: () => finish(head),
+            onResponseEnd: () => finish(head, false),
             // Treated like a missing response.
-            onResponseError: () => finish(undefined),
+            onResponseError: () => finish(undefined, true),
         };
         try {
             dispatcher.dispatch({ method: "GET", path }, handler);
         }
         catch {
             // undici throws for an invalid path; treated like a missing response.
-            finish(undefined);
+            finish(undefined, false);
         }
     });
 }
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -39,6 +39,8 @@
     /** Limit on load probes per second and upstream, over all entries; a service's upstreams share the sum. */
     readonly probesPerUpstreamSecond: number;
     readonly stop: ShutdownTimes;
+    /** Whether requests are relayed through other entries while no instance can be reached; false if undefined. */
+    readonly canRelay?: boolean;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
     readonly clock: Clock;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -47,7 +47,7 @@
 
 /** Headers of tests: deadline, request id, not-run statement, load and upstream id. */
 export class TestDialect extends Dialect {
-    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms"]);
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "relay"]);
 
     readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
         return headers["deadline-ms"] === undefined ? undefined : Number(headers["deadline-ms"]);
@@ -61,12 +61,20 @@
         return ["Deadline-Ms", String(remainingMs)];
     }
 
+    readRelayToken(headers: IncomingHttpHeaders): string | undefined {
+        return headers["relay"] === undefined ? undefined : String(headers["relay"]);
+    }
+
+    listRelayHeaders(remainingMs: number, token: string): readonly string[] {
+        return ["Deadline-Ms", String(remainingMs), "Relay", token];
+    }
+
     readAnsweredRequestId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "request-id");
     }
 
-    isNotRun({ headers }: ResponseHead): boolean {
-        return findHeader(headers, "not-run") !== undefined;
+    isNotRun({ status, headers }: ResponseHead): boolean {
+        return findHeader(headers, "not-run") !== undefined || status === 421;
     }
 
     isAuthentic(): boolean {
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -99,6 +99,15 @@
         this.statesById.delete(id);
     }
 
+    get(id: UpstreamId): UpstreamState | undefined {
+        return this.statesById.get(id);
+    }
+
+    /** Returns the upstreams that may get probes, of all services. */
+    listProbeable(nowMs: number): readonly UpstreamState[] {
+        return this.list().filter(upstreamState => isUsable(upstreamState, nowMs));
+    }
+
     /** Removes all upstreams whose id is not in `ids`. */
     keepOnly(ids: ReadonlySet<UpstreamId>): void {
         [...this.statesById.keys()].filter(id => !ids.has(id)).forEach(id => this.statesById.delete(id));
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { registerGauge } from "./gauges.js";
 
 /** Bucket bounds of the latency histogram in seconds, from a fast response to the longest usual deadline. */
@@ -59,6 +59,21 @@
         "Pauses that upstreams asked for when they rejected a message",
         ["service"],
     );
+    readonly relayedRequests = this.addCounter(
+        "figwharf_relayed_requests_total",
+        "Requests sent to other entries while instances could not be reached",
+        ["end"],
+    );
+    readonly acceptedRelayedRequests = this.addCounter(
+        "figwharf_relayed_requests_accepted_total",
+        "Requests accepted from entries that cannot reach instances",
+        [],
+    );
+    readonly cutOff = new Gauge({
+        name: "figwharf_cut_off",
+        help: "1 while instances cannot be reached or no new connections to them can be opened",
+        registers: [this.registry],
+    });
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
--- a/src/transport/relay.ts
+++ b/src/transport/relay.ts
@@ -50,6 +50,11 @@
         this.destroyAll();
     }
 
+    /** Refuses new connections until `restore`; existing ones keep working. */
+    refuseNew(): void {
+        this.isCut = true;
+    }
+
     /**
      * Discards bytes on existing connections without closing them. New connections work, unless `includesNew` is set.
      * Discarded bytes are lost: an affected connection never carries data in that direction again.
--- /dev/null
+++ b/test/relaying.test.ts
@@ -0,0 +1,307 @@
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import http from "node:http";
+import net, { type AddressInfo } from "node:net";
+import { SystemClock } from "../src/core/clock.js";
+import { SeededRandom } from "../src/core/random.js";
+import { AttachedEntries } from "../src/directory/attachedEntries.js";
+import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../src/directory/messages.js";
+import type { Registration } from "../src/directory/model.js";
+import { RelayPeers } from "../src/directory/relayPeers.js";
+import { makeRegistration, makeRoute, makeTable } from "../src/directory/testing.js";
+import { defaultEntryLimits } from "../src/entry/options.js";
+import { type RunningGateway, startGateway } from "../src/gateway/daemon.js";
+import { TestDialect, TestUpstream, waitFor } from "../src/gateway/testing.js";
+import { ChannelServer } from "../src/transport/channel.js";
+import { TcpRelay } from "../src/transport/relay.js";
+
+const secret = "secret";
+const deadlineMs = 3000;
+const clock = new SystemClock();
+
+/** Directory of all entries; each entry sees the instances behind proxies of its own, which can be partitioned. */
+class RelayingSystem {
+    readonly attached = new AttachedEntries();
+    readonly upstreams: TestUpstream[] = [];
+    readonly entries: RelayingEntry[] = [];
+    readonly relayPeers = new RelayPeers({
+        listAttached: () => this.attached.listPeers(clock.monotonicMs()),
+        listControlVms: () => [],
+        links: { call: () => Promise.reject(new Error("there are no other control VMs")) },
+        clock,
+    });
+    /** Tables of routes; a non-idempotent request must run at most once. */
+    readonly table = makeTable(1, [makeRoute({ isIdempotent: false, targetLatencyMs: 800, timeoutMs: 2500 })]);
+
+    static async start(zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
+        const system = new RelayingSystem();
+        for (let index = 0; index < 6; index++) {
+            const upstream = new TestUpstream(`i-${index}`);
+            system.upstreams.push(upstream);
+            const address = await upstream.start();
+            system.addresses.push(address);
+        }
+        for (const zone of zones) {
+            system.entries.push(await RelayingEntry.start(system, zone, canRelay));
+        }
+        await waitFor(() => system.entries.every(entry => entry.gateway.isReady()));
+        return system;
+    }
+
+    readonly addresses: string[] = [];
+
+    get runCount(): number {
+        return this.upstreams.reduce((sum, upstream) => sum + upstream.receivedIds.length, 0);
+    }
+
+    async close(): Promise<void> {
+        this.upstreams.forEach(upstream => upstream.close());
+        await Promise.all(this.entries.map(entry => entry.close()));
+    }
+}
+
+/** An entry with a control VM and proxies to the instances of its own. */
+class RelayingEntry {
+    readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
+    readonly proxies: TcpRelay[] = [];
+    gateway!: RunningGateway;
+    lastReport: EntryReport | undefined;
+    port = 0;
+    private requestNumber = 0;
+    private registrations: readonly Registration[] = [];
+    private readonly control: ChannelServer;
+
+    static async start(system: RelayingSystem, zone: string, canRelay: boolean): Promise<RelayingEntry> {
+        const entry = new RelayingEntry(system);
+        const proxied = await Promise.all(system.addresses.map(async (address, index) => {
+            const [host, port] = address.split(":");
+            const proxy = new TcpRelay(host, Number(port));
+            entry.proxies.push(proxy);
+            return makeRegistration({
+                id: system.upstreams[index].id,
+                address: `127.0.0.1:${await proxy.listen()}`,
+                availabilityZone: `az-${1 + index % 3}`,
+            });
+        }));
+        entry.registrations = proxied;
+        entry.port = await findFreePort();
+        const controlPort = await entry.control.listen("127.0.0.1", 0);
+        const write = (text: string, fields = {}) => entry.lines.push({ text, fields });
+        entry.gateway = await startGateway({
+            id: `edge-${entry.port}`,
+            availabilityZone: zone,
+            listen: { host: "127.0.0.1", port: entry.port },
+            metricsListen: undefined,
+            seeds: [`127.0.0.1:${controlPort}`],
+            availabilityZoneCount: 3,
+            clusterSecret: secret,
+            limits: { ...defaultEntryLimits, connectTimeoutMs: 400 },
+            retries: { ratio: 1, slack: 100, windowMs: 10_000 },
+            probesPerUpstreamSecond: 1000,
+            stop: { graceMs: 100, addressLifetimeMs: 50 },
+            canRelay,
+            dialect: new TestDialect(),
+            logger: { debug: write, info: write, warn: write, error: write },
+            clock,
+            random: new SeededRandom(entry.port),
+        });
+        return entry;
+    }
+
+    private constructor(private readonly system: RelayingSystem) {
+        this.control = new ChannelServer(
+            { selfId: "control", secret },
+            (method, params) => this.answer(method, params),
+        );
+    }
+
+    get isCutOff(): boolean {
+        return this.lastReport?.isCutOff === true;
+    }
+
+    /** Sends a request that must not run twice; resolves with its status, or 0 when the connection broke. */
+    async send(headers: Record<string, string> = {}): Promise<number> {
+        const id = `${this.port}-${this.requestNumber++}`;
+        const request = http.request({
+            host: "127.0.0.1",
+            port: this.port,
+            path: "/stock/1",
+            method: "POST",
+            headers: { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(deadlineMs), ...headers },
+            agent: false,
+        });
+        request.end("body");
+        try {
+            const [response] = await once(request, "response") as [http.IncomingMessage];
+            response.resume();
+            await once(response, "end");
+            return response.statusCode ?? 0;
+        }
+        catch {
+            return 0;
+        }
+    }
+
+    /** Sends requests until the entry has noticed its partition and one was served. */
+    async sendUntilServed(): Promise<void> {
+        let status = 0;
+        while (!this.isCutOff || status !== 200) {
+            status = await this.send();
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.gateway.drain();
+        await this.control.close();
+        await Promise.all(this.proxies.map(proxy => proxy.close()));
+    }
+
+    private async answer(method: string, params: unknown): Promise<WatchAnswer | undefined> {
+        this.lastReport = method === DirectoryMethod.watch ? (params as WatchParams).entry : params as EntryReport;
+        this.system.attached.recordReport(this.lastReport, clock.monotonicMs());
+        if (method !== DirectoryMethod.watch) {
+            return undefined;
+        }
+        const { entry, version, wantsPeers, waitMs } = params as WatchParams;
+        if (version === 1) {
+            await new Promise(resolve => setTimeout(resolve, waitMs));
+        }
+        const { table } = this.system;
+        return {
+            isLed: true,
+            delta: version === 1
+                ? undefined
+                : { version: 1, isFull: true, table, registrations: this.registrations, ended: [], nodes: [] },
+            entryCount: 1,
+            ...(wantsPeers === true ? { peers: await this.system.relayPeers.find(entry) } : {}),
+        };
+    }
+}
+
+async function findFreePort(): Promise<number> {
+    const server = net.createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
+
+async function startSystem(t: ExecutionContext, zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
+    const system = await RelayingSystem.start(zones, canRelay);
+    t.teardown(() => system.close());
+    // On a busy machine, load probes can time out at first.
+    for (const entry of system.entries) {
+        let status = 0;
+        while (status !== 200) {
+            status = await entry.send();
+        }
+    }
+    return system;
+}
+
+/** Checks that entries that are cut off serve their callers, that nothing runs twice, and that they recover. */
+async function checkRelaying(
+    t: ExecutionContext,
+    system: RelayingSystem,
+    cutCount: number,
+    partition: (proxy: TcpRelay) => void,
+): Promise<void> {
+    const cut = system.entries.slice(0, cutCount);
+    cut.forEach(entry => entry.proxies.forEach(partition));
+    await Promise.all(cut.map(entry => entry.sendUntilServed()));
+    const runsBefore = system.runCount;
+    const statuses = (await Promise.all(cut.map(async entry => {
+        const results: number[] = [];
+        for (let count = 0; count < 20; count++) {
+            results.push(await entry.send());
+        }
+        return results;
+    }))).flat();
+    const served = statuses.filter(status => status === 200).length;
+    t.log(`served ${served} of ${statuses.length}`);
+    t.true(served >= 0.9 * statuses.length, statuses.join());
+    t.true(system.runCount - runsBefore <= statuses.length, "at most one run for each request");
+    t.true(system.entries.slice(cutCount).every(entry => !entry.isCutOff), "the others are not cut off");
+    cut.forEach(entry => entry.proxies.forEach(proxy => proxy.restore()));
+    await waitFor(() => cut.every(entry => !entry.isCutOff));
+    const linesBefore = cut.map(entry => entry.lines.length);
+    for (const [index, entry] of cut.entries()) {
+        t.is(await entry.send(), 200);
+        t.false(entry.lines.slice(linesBefore[index]).some(line => line.text === "relayed"), "relaying has ended");
+    }
+    const ids = system.upstreams.flatMap(upstream => upstream.receivedIds);
+    t.is(new Set(ids).size, ids.length, "no request ran twice");
+}
+
+const partitions: readonly { readonly name: string; readonly partition: (proxy: TcpRelay) => void; }[] = [
+    { name: "connections hang", partition: proxy => proxy.blackhole("both", true) },
+    { name: "connections are reset and refused", partition: proxy => proxy.cut() },
+];
+
+for (const { name, partition } of partitions) {
+    test.serial(`guards against an entry that serves nothing while it is cut off: ${name}`, async t => {
+        await checkRelaying(t, await startSystem(t, ["az-1", "az-2", "az-3"]), 1, partition);
+    });
+
+    test.serial(`guards against entries that serve nothing while most of a zone is cut off: ${name}`, async t => {
+        await checkRelaying(t, await startSystem(t, ["az-1", "az-1", "az-1", "az-2"]), 2, partition);
+    });
+
+    test.serial(`guards against entries that serve nothing while a whole zone is cut off: ${name}`, async t => {
+        await checkRelaying(t, await startSystem(t, ["az-1", "az-1", "az-2"]), 2, partition);
+    });
+}
+
+test.serial("guards against refusals while only new connections are refused", async t => {
+    const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
+    const [entry] = system.entries;
+    entry.proxies.forEach(proxy => proxy.refuseNew());
+    const sendBurst = () => Promise.all(Array.from({ length: 8 }, () => entry.send()));
+    while (!entry.isCutOff) {
+        await sendBurst();
+    }
+    const statuses = [...await sendBurst(), ...await sendBurst(), ...await sendBurst()];
+    const served = statuses.filter(status => status === 200).length;
+    t.log(`served ${served} of ${statuses.length}`);
+    t.true(served >= 0.9 * statuses.length, statuses.join());
+    entry.proxies.forEach(proxy => proxy.restore());
+    await waitFor(() => !entry.isCutOff);
+});
+
+test.serial("guards against a false alarm when two thirds of the instances have crashed", async t => {
+    const system = await startSystem(t, ["az-1", "az-2"]);
+    system.upstreams.slice(0, 4).forEach(upstream => upstream.close());
+    const [entry] = system.entries;
+    for (let count = 0; count < 30; count++) {
+        await entry.send();
+    }
+    t.false(entry.lines.some(line => line.text === "reachability of the instances changed"));
+    t.false(entry.isCutOff);
+});
+
+test.serial("guards against endless relaying when all entries are cut off, and against forged tokens", async t => {
+    const system = await startSystem(t, ["az-1", "az-2"]);
+    system.entries.forEach(entry => entry.proxies.forEach(proxy => proxy.cut()));
+    for (const entry of system.entries) {
+        while (!entry.isCutOff) {
+            await entry.send();
+        }
+    }
+    const statuses = await Promise.all(system.entries.map(entry => entry.send()));
+    t.deepEqual(statuses, [503, 503]);
+    const [entry] = system.entries;
+    t.is(await entry.send({ Relay: "1.forged.token" }), 503, "handled like a caller's own request");
+    t.true(entry.lines.some(line => line.text === "ignored an invalid relay token"));
+});
+
+test.serial("guards against relaying by an entry that is not configured for it", async t => {
+    const system = await startSystem(t, ["az-1", "az-2"], false);
+    const [entry] = system.entries;
+    entry.proxies.forEach(proxy => proxy.cut());
+    for (let count = 0; count < 5; count++) {
+        t.is(await entry.send(), 503);
+    }
+    t.false(entry.lines.some(line => line.text === "relayed"));
+    t.false("isCutOff" in (entry.lastReport ?? {}));
+});
