--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -158,3 +158,22 @@
     runMaintenance(setup, 10);
     t.deepEqual(state.nodes.map(node => node.peerAddress), ["10.1.0.1:7000"], "VMs that are not members are removed");
 });
+
+test("guards against peers that are sent unasked, and against an entry that asks and gets none", async t => {
+    const { service } = makeService();
+    const report = { id: "e-1", address: "10.2.0.1:80", availabilityZone: "az-1", isServing: true };
+    service.recordEntry({ ...report, id: "e-2", address: "10.2.0.2:80" });
+    const params = { entry: report, version: 0, waitMs: 0 };
+    t.false("peers" in await service.watch(params));
+    const { peers } = await service.watch({ ...params, wantsPeers: true });
+    t.deepEqual(peers, [{ address: "10.2.0.2:80", availabilityZone: "az-1" }]);
+    t.deepEqual(service.listRelayPeers().length, 2);
+});
+
+test("guards against other entries that still use an instance which announced to one of them that it leaves", async t => {
+    const { service, state } = makeService();
+    await service.register(makeRegistration({ bornAtMs: 5 }));
+    const entry = { id: "e-1", address: "10.2.0.1:80", availabilityZone: "az-1", isServing: true };
+    await service.watch({ entry: { ...entry, leaving: [{ id: "i-1", bornAtMs: 5 }] }, version: 0, waitMs: 0 });
+    t.is(state.registrations.get("i-1")?.state, "draining");
+});
