Keep the verdict of a relayed request after an earlier attempt

Cause: found in review: a peer's refusal (not run) was passed on although an earlier attempt of the first entry may have run the request; an upload whose body a peer had begun to read could be placed locally without its body; a cancelled relayed request took a retry from the budget. Change: such a refusal becomes 502 with the verdict may-have-run, such an upload is refused, and a request whose caller has its answer or is gone takes no retry.

--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -168,6 +168,7 @@
         if (relay?.isRelaying !== true || !exchange.isRelayAllowed || !isSafe || !(isFirst || this.canReplayBody())) {
             return undefined;
         }
+        let hasTriedPeer = false;
         const outcome = await relayRequest({
             exchange,
             requestId,
@@ -177,7 +178,11 @@
             metrics,
             computeRemainingMs: () => Math.min(deadlineAtMs, this.times.timeoutAtMs) - this.nowMs(),
             canReplayBody: () => this.canReplayBody(),
-            onAttempt: attempt => this.attempt = attempt,
+            mayHaveRun: this.mayHaveRun,
+            onAttempt: attempt => {
+                this.attempt = attempt;
+                hasTriedPeer = true;
+            },
             log: (text, fields) => this.log(text, fields),
         });
         if (outcome === RelayOutcome.lost) {
@@ -186,7 +191,14 @@
             if (this.takeRetry()) {
                 return true;
             }
+        }
+        if (outcome === RelayOutcome.lost || outcome === RelayOutcome.failed) {
             this.answerFailure("attempt-failed", "The entry to which the request was relayed failed.");
+            return false;
+        }
+        if (outcome === RelayOutcome.unavailable && hasTriedPeer && !this.canReplayBody()) {
+            this.answerFailure("relay-failed", "No entry took the request, and its body cannot be sent again.");
+            return false;
         }
         return outcome === RelayOutcome.unavailable ? undefined : false;
     }
--- a/src/relay/relayedRequest.ts
+++ b/src/relay/relayedRequest.ts
@@ -21,6 +21,8 @@
     unavailable: "unavailable",
     /** A peer may have run the request, but no complete response arrived. */
     lost: "lost",
+    /** The last peer failed, and its answer does not cover an earlier attempt, which may have run the request. */
+    failed: "failed",
 } as const;
 
 export type RelayOutcome = typeof RelayOutcome[keyof typeof RelayOutcome];
@@ -37,6 +39,8 @@
     readonly computeRemainingMs: () => number;
     /** Returns whether the same body can be sent again. */
     readonly canReplayBody: () => boolean;
+    /** Whether an earlier attempt may have run the request; a peer does not know it and could state the opposite. */
+    readonly mayHaveRun: boolean;
     /** Called with each attempt before it is sent, so that it can be cancelled. */
     readonly onAttempt: (attempt: GatewayAttempt) => void;
     readonly log: (text: string, fields: object) => void;
@@ -65,7 +69,7 @@
         const end = isDeclined ? "declined" : result.kind;
         metrics.relayedRequests.inc({ end });
         log("relayed", { peer: peer.address, zone: peer.availabilityZone, ...result, end });
-        const outcome = settle(attempt, result, exchange, isDeclined);
+        const outcome = settle(attempt, result, context, isDeclined);
         if (outcome !== RelayOutcome.unavailable || !canReplayBody()) {
             return outcome;
         }
@@ -92,7 +96,7 @@
 function settle(
     attempt: GatewayAttempt,
     result: AttemptResult,
-    exchange: GatewayExchange,
+    { exchange, mayHaveRun }: RelayedRequestContext,
     isDeclined: boolean,
 ): RelayOutcome {
     switch (result.kind) {
@@ -103,6 +107,9 @@
             if (isDeclined) {
                 return RelayOutcome.unavailable;
             }
+            if (mayHaveRun) {
+                return RelayOutcome.failed;
+            }
             attempt.deliver();
             return RelayOutcome.ended;
         case "not-sent":
@@ -111,6 +118,6 @@
             exchange.destroyCaller();
             return RelayOutcome.ended;
         case "lost":
-            return RelayOutcome.lost;
+            return exchange.isEnded ? RelayOutcome.ended : RelayOutcome.lost;
     }
 }
