--- a/src/directory/attachedEntries.ts
+++ b/src/directory/attachedEntries.ts
@@ -1,6 +1,6 @@
 import type { EntryId } from "../core/ids.js";
 import type { EntryState } from "./entryLists.js";
-import type { EntryReport } from "./messages.js";
+import type { EntryReport, RelayPeer } from "./messages.js";
 
 /** Maximum age of the last report of an entry that is offered to callers; entries report at least every 400 ms. */
 const maxOfferedAgeMs = 1000;
@@ -22,7 +22,9 @@
     recordReport(report: EntryReport, nowMs: number): boolean {
         const previous = this.entriesById.get(report.id);
         const isSame = previous !== undefined && nowMs - previous.reportedAtMs <= maxOfferedAgeMs &&
-            previous.report.isServing === report.isServing && previous.report.address === report.address &&
+            previous.report.isServing === report.isServing &&
+            (previous.report.isCutOff ?? false) === (report.isCutOff ?? false) &&
+            previous.report.address === report.address &&
             previous.report.availabilityZone === report.availabilityZone;
         const sinceMs = isSame ? previous.sinceMs : nowMs;
         this.entriesById.set(report.id, { report, reportedAtMs: nowMs, sinceMs });
@@ -38,17 +40,28 @@
         return this.listRecent(nowMs, maxCountedAgeMs).map(attached => attached.report);
     }
 
-    /** Lists the states of the entries that reported recently enough to be offered, serving or not. */
+    /**
+     * Lists the states of the entries that reported recently enough to be offered, serving or not. One that cannot reach
+     * instances is not offered to new callers.
+     */
     listStates(nowMs: number): readonly EntryState[] {
         return this.listRecent(nowMs, maxOfferedAgeMs).map(({ report, sinceMs }) => ({
             id: report.id,
             address: report.address,
             availabilityZone: report.availabilityZone,
-            isServing: report.isServing,
+            isServing: report.isServing && report.isCutOff !== true,
+            isRelaying: report.isServing && report.isCutOff === true,
             sinceMs,
         }));
     }
 
+    /** Lists the entries that can take relayed requests. */
+    listPeers(nowMs: number): readonly RelayPeer[] {
+        return this.listRecent(nowMs, maxOfferedAgeMs).map(({ report }) => report)
+            .filter(report => report.isServing && report.isCutOff !== true)
+            .map(({ address, availabilityZone }) => ({ address, availabilityZone }));
+    }
+
     private listRecent(nowMs: number, maxAgeMs: number): readonly AttachedEntry[] {
         for (const [id, attached] of this.entriesById) {
             if (nowMs - attached.reportedAtMs > maxCountedAgeMs) {
--- a/src/directory/entryLists.ts
+++ b/src/directory/entryLists.ts
@@ -17,6 +17,8 @@
     readonly address: string;
     readonly availabilityZone: string;
     readonly isServing: boolean;
+    /** Whether the entry serves only by relaying; not known of entries attached to other control VMs. */
+    readonly isRelaying?: boolean;
     /** When the entry first reported this state to the control VM that it is attached to. */
     readonly sinceMs: number;
 }
@@ -137,7 +139,9 @@
     maxAddresses: number,
     callerIp: string,
 ): readonly string[] {
-    const serving = states.filter(state => state.isServing);
+    const connected = states.filter(state => state.isServing);
+    // An entry that cannot reach instances relays requests, which is better than no address.
+    const serving = connected.length > 0 ? connected : states.filter(state => state.isRelaying === true);
     const inZone = serving.filter(state => state.availabilityZone === availabilityZone);
     const addresses = (inZone.length > 0 ? inZone : serving).map(state => state.address).sort();
     if (addresses.length <= maxAddresses) {
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -18,6 +18,8 @@
     reportHeartbeats: "directory.heard",
     /** Control VM to control VM: asks for the entries attached to the other one, and waits for changes of them. */
     entryList: "directory.entries",
+    /** Control VM to control VM: asks for the serving entries attached to the receiver. */
+    listPeers: "directory.peers",
     /** Control VM to control VM: the sender asks to join the group. */
     join: "directory.join",
     /** Control VM to control VM: the sender is about to stop. */
@@ -48,6 +50,15 @@
     readonly cold?: readonly ColdReport[];
     /** Requests of organisations with quotas since the last report; undefined if there were none. */
     readonly quotas?: readonly QuotaUse[];
+    /** Whether the entry cannot reach instances; callers should get other entries. Undefined if it can. */
+    readonly isCutOff?: boolean;
+}
+
+/** A serving entry through which another one can relay requests. */
+export interface RelayPeer {
+    /** For callers, `host:port`. */
+    readonly address: string;
+    readonly availabilityZone: string;
 }
 
 /** Parameters of `directory.watch`. */
@@ -61,6 +72,8 @@
     readonly limitsVersion?: number;
     /** Version of the quotas that the entry has; undefined if no organisation has one. */
     readonly quotasVersion?: number;
+    /** Whether the entry asks for peers through which it can relay requests; undefined if not. */
+    readonly wantsPeers?: boolean;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
@@ -79,6 +92,8 @@
     readonly limits?: EntryLimits;
     /** Undefined unless the entry named a version and organisations have quotas. */
     readonly quotas?: EntryQuotas;
+    /** A few serving entries of each availability zone; undefined unless the entry asked for them. */
+    readonly peers?: readonly RelayPeer[];
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -8,6 +8,7 @@
 import { serveMetrics } from "../metrics/metricsServer.js";
 import { EntryQuotas } from "../quotas/entryQuotas.js";
 import { defaultQuotaBounds } from "../quotas/quotaBounds.js";
+import { EntryRelay } from "../relay/entryRelay.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -21,7 +22,7 @@
 import { computeShutdownPhases } from "./shutdownPhases.js";
 import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
-import { UpstreamLimits } from "./upstreamLimits.js";
+import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
 import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
@@ -56,6 +57,8 @@
     private readonly upstreamLimits: UpstreamLimits;
     private readonly upstreamStatements: UpstreamStatements;
     private readonly quotas: EntryQuotas;
+    private readonly relay: EntryRelay | undefined;
+    private readonly peerConnections: UpstreamConnections;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
     private readonly connections: UpstreamConnections;
@@ -66,6 +69,7 @@
     constructor(private readonly options: GatewayOptions) {
         const { id, clock, random, dialect, logger, limits, availabilityZone, seeds, clusterSecret } = options;
         this.connections = new UpstreamConnections(limits);
+        this.peerConnections = new UpstreamConnections(limits);
         this.metrics = new GatewayMetrics({
             inFlight: () => this.exchanges.size,
             directoryVersion: () => this.watch.version,
@@ -103,6 +107,8 @@
             onLeaving: () => this.watch.report(),
         });
         const { upstreamStatements } = this;
+        this.relay = options.canRelay === true ? this.createRelay() : undefined;
+        const { relay } = this;
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
@@ -111,6 +117,7 @@
             dialect,
             clock,
             metrics,
+            relay,
         });
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
         this.watch = new DirectoryWatch({
@@ -125,6 +132,7 @@
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
             quotas: this.quotas,
+            peers: relay,
         });
         const { watch } = this;
         const countEntries = () => watch.entryTotal ?? watch.entryCount * options.availabilityZoneCount;
@@ -156,6 +164,7 @@
             logger,
             clock,
             random,
+            relay,
         };
         this.requestHandler = new GatewayRequestHandler({
             limits,
@@ -177,7 +186,10 @@
         }
         void this.watch.run();
         this.connectionCleanupTimer = setInterval(
-            () => this.connections.closeUnusedPools(this.nowMs()),
+            () => {
+                this.connections.closeUnusedPools(this.nowMs());
+                this.peerConnections.closeUnusedPools(this.nowMs());
+            },
             connectionCleanupIntervalMs,
         );
         this.options.logger.info("entry started", { id: this.options.id, incarnation: this.idPrefix });
@@ -205,6 +217,7 @@
         logger.info("entry drained", { inFlight: this.exchanges.size, afterMs: Math.round(this.nowMs() - startMs) });
         clearInterval(this.connectionCleanupTimer);
         this.watch.close();
+        this.relay?.close();
         this.server.closeAllConnections();
     }
 
@@ -219,6 +232,30 @@
         return this.options.clock.monotonicMs();
     }
 
+    private createRelay(): EntryRelay {
+        const { clock, random, logger, clusterSecret } = this.options;
+        return new EntryRelay({
+            secret: clusterSecret,
+            clock,
+            random,
+            logger,
+            metrics: this.metrics,
+            connections: this.peerConnections,
+            listCheckable: () =>
+                this.upstreamTable.listProbeable(this.nowMs())
+                    .filter(upstreamState => !this.upstreamLimits.isLimited(upstreamState))
+                    .map(upstreamState => upstreamState.registration),
+            findHealthPath: service => this.requestHandler.findService(service)?.healthPath,
+            onCheckHead: (id, head) => {
+                const upstreamState = this.upstreamTable.get(id);
+                if (upstreamState !== undefined) {
+                    this.upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
+                }
+            },
+            onChanged: () => this.watch.report(),
+        });
+    }
+
     private buildReport(): EntryReport {
         const { id, listen, availabilityZone } = this.options;
         const leaving = this.upstreamStatements.listUnreported();
@@ -232,6 +269,7 @@
             ...(leaving.length > 0 ? { leaving } : {}),
             ...this.upstreamLimits.cold.describeUnreported(),
             ...this.quotas.takeReport(),
+            ...(this.relay?.isRelaying === true ? { isCutOff: true } : {}),
         };
     }
 
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -3,7 +3,13 @@
 import type { RandomSource } from "../core/random.js";
 import { maxCountedAgeMs } from "../directory/attachedEntries.js";
 import type { DirectoryDelta } from "../directory/directoryState.js";
-import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
+import {
+    DirectoryMethod,
+    type EntryReport,
+    type RelayPeer,
+    type WatchAnswer,
+    type WatchParams,
+} from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
@@ -15,6 +21,8 @@
 
 /** Time for which a control VM may hold a watch call while the directory does not change. */
 const waitMs = 400;
+/** The same while the entry waits for peers; not 0, since there may be none for some time. */
+const urgentWaitMs = 20;
 const watchTimeoutMs = waitMs + 500;
 const connectTimeoutMs = 400;
 /** Pause before the next control VM is tried after a failure. */
@@ -46,6 +54,13 @@
     returnUses(uses: readonly QuotaUse[] | undefined): void;
 }
 
+/** Receives entries through which requests can be relayed. */
+export interface PeersReceiver {
+    readonly wantsPeers: boolean;
+    readonly hasPeers: boolean;
+    setPeers(peers: readonly RelayPeer[]): void;
+}
+
 /** Options of a directory watch. */
 export interface DirectoryWatchOptions {
     readonly channel: ChannelOptions;
@@ -63,6 +78,8 @@
     readonly limits: LimitsReceiver;
     /** Receives the quotas of organisations; undefined if they are not supported. */
     readonly quotas?: QuotasReceiver;
+    /** Receives peers while it asks for them; undefined if the entry does not relay. */
+    readonly peers?: PeersReceiver | undefined;
 }
 
 /** Watches the directory through one control VM at a time, preferably of the local availability zone. */
@@ -230,9 +247,21 @@
         try {
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
-            const quotasVersion = this.options.quotas?.version;
+            const { peers, quotas } = this.options;
+            const quotasVersion = quotas?.version;
             const quotasField = quotasVersion === undefined ? {} : { quotasVersion };
-            const params: WatchParams = { entry, version, canUpdate, limitsVersion, waitMs, ...quotasField };
+            const peersQuery = peers?.wantsPeers === true ? { wantsPeers: true } : {};
+            // An entry without peers serves nothing until it gets some.
+            const isUrgent = peers?.wantsPeers === true && !peers.hasPeers;
+            const params: WatchParams = {
+                entry,
+                version,
+                canUpdate,
+                limitsVersion,
+                waitMs: isUrgent ? urgentWaitMs : waitMs,
+                ...quotasField,
+                ...peersQuery,
+            };
             const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
             isAnswered = true;
@@ -267,7 +296,7 @@
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
     private applyAnswer(answer: WatchAnswer, sentAt: Instant): boolean {
-        const { isLed, delta, entryCount, entryTotal, limits, quotas } = answer;
+        const { isLed, delta, entryCount, entryTotal, limits, quotas, peers } = answer;
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
@@ -291,6 +320,9 @@
         if (quotas !== undefined && quotas !== null) {
             this.options.quotas?.apply(quotas, sentAt);
         }
+        if (peers !== undefined && peers !== null) {
+            this.options.peers?.setPeers(peers);
+        }
         this.confirmedAt = sentAt;
         this.pendingWaits.forEach(settle => settle());
         return true;
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -6,6 +6,8 @@
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { QuotaGate } from "../organisations/quotaGate.js";
+import type { EntryRelay } from "../relay/entryRelay.js";
+import { RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
 import type { GeneratedAnswer, ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
@@ -25,6 +27,8 @@
 const upstreamGraceMs = 80;
 /** The entry answers this long after the request's timeout: longer, so that the upstream can answer first. */
 const answerGraceMs = 180;
+/** Maximum wait for a placement on an existing connection while no new ones can be opened: two rounds of load probes. */
+const maxWaitBeforeRelayMs = 100;
 /** A retry starts only if more than this time remains until the timeout. */
 const minRetryRemainingMs = 10;
 
@@ -46,6 +50,8 @@
     readonly logger: GatewayLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Undefined if the entry does not relay. */
+    readonly relay?: EntryRelay | undefined;
 }
 
 /** Immutable inputs of a request. */
@@ -86,8 +92,13 @@
     /** Runs the request; resolves when it has ended. */
     async run(): Promise<void> {
         const timer = setTimeout(() => this.onTimeout(), this.times.timeoutAtMs + answerGraceMs - this.nowMs());
-        this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
-        this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        if (!this.context.exchange.isRelayed) {
+            this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
+        }
+        // An entry that is cut off cannot use a share of the limits.
+        if (this.dependencies.relay?.isCutOff !== true) {
+            this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        }
         try {
             let shouldContinue = true;
             while (shouldContinue && !this.context.exchange.isEnded) {
@@ -101,8 +112,8 @@
     }
 
     private returnUnusedQuota(): void {
-        const { organisation } = this.context;
-        if (organisation !== undefined && !this.isQuotaUnitUsed) {
+        const { organisation, exchange } = this.context;
+        if (organisation !== undefined && !exchange.isRelayed && !this.isQuotaUnitUsed) {
             this.dependencies.quotaGate.giveBack(organisation.name);
         }
     }
@@ -136,6 +147,13 @@
 
     /** Places and sends the request once; returns whether another attempt follows. */
     private async runAttempt(): Promise<boolean> {
+        const { relay } = this.dependencies;
+        if (relay?.isCutOff === true && relay.hasPeers) {
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue !== undefined) {
+                return shouldContinue;
+            }
+        }
         const placement = await this.findPlacement();
         if (this.context.exchange.isEnded) {
             if (placement !== undefined) {
@@ -145,13 +163,61 @@
             return false;
         }
         if (placement === undefined) {
-            this.answerUnplaced();
-            return false;
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue === undefined) {
+                this.answerUnplaced();
+            }
+            return shouldContinue ?? false;
         }
         const attemptResult = await this.sendAttempt(placement);
         return this.handleAttemptResult(placement, attemptResult);
     }
 
+    /** Relays the request while the entry is cut off; returns whether an attempt follows, undefined if none took it. */
+    private async relayIfPossible(): Promise<boolean | undefined> {
+        const { exchange, requestId, deadlineAtMs } = this.context;
+        const { relay, dialect, bufferBudget, metrics } = this.dependencies;
+        const isSafe = this.context.route.isIdempotent || !this.mayHaveRun;
+        const isFirst = this.attemptCount === 0;
+        if (relay?.isRelaying !== true || !exchange.isRelayAllowed || !isSafe || !(isFirst || this.canReplayBody())) {
+            return undefined;
+        }
+        let hasTriedPeer = false;
+        const outcome = await relayRequest({
+            exchange,
+            requestId,
+            relay,
+            dialect,
+            bufferBudget,
+            metrics,
+            computeRemainingMs: () => Math.min(deadlineAtMs, this.times.timeoutAtMs) - this.nowMs(),
+            canReplayBody: () => this.canReplayBody(),
+            mayHaveRun: this.mayHaveRun,
+            onAttempt: attempt => {
+                this.attempt = attempt;
+                hasTriedPeer = true;
+            },
+            log: (text, fields) => this.log(text, fields),
+        });
+        this.isQuotaUnitUsed ||= hasTriedPeer && outcome !== RelayOutcome.unavailable;
+        if (outcome === RelayOutcome.lost) {
+            this.mayHaveRun = true;
+            this.attemptCount++;
+            if (this.takeRetry()) {
+                return true;
+            }
+        }
+        if (outcome === RelayOutcome.lost || outcome === RelayOutcome.failed) {
+            this.answerFailure("attempt-failed", "The entry to which the request was relayed failed.");
+            return false;
+        }
+        if (outcome === RelayOutcome.unavailable && hasTriedPeer && !this.canReplayBody()) {
+            this.answerFailure("relay-failed", "No entry took the request, and its body cannot be sent again.");
+            return false;
+        }
+        return outcome === RelayOutcome.unavailable ? undefined : false;
+    }
+
     private answerUnplaced(): void {
         this.backOffDelayMs = this.dependencies.placer.findBackOffDelayMs(this.context.service.name);
         if (this.backOffDelayMs !== undefined) {
@@ -174,11 +240,16 @@
         const { route, organisation, service, exchange } = this.context;
         const baselineMs = this.dependencies.durationEstimates.get(route.name, this.times.targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
+        const waitLimits = this.times.computeWaitLimits(startMs, baselineMs);
+        const canRelay = this.dependencies.relay?.isRelaying === true && this.dependencies.relay.hasPeers &&
+            exchange.isRelayAllowed;
+        const maxWaitUntilMs = canRelay ? this.nowMs() + maxWaitBeforeRelayMs : Infinity;
         return this.dependencies.placer.place({
             service,
             excluded: this.excluded,
             priority: organisation?.priority ?? route.priority,
-            ...this.times.computeWaitLimits(startMs, baselineMs),
+            ...waitLimits,
+            waitUntilMs: Math.min(waitLimits.waitUntilMs, maxWaitUntilMs),
             isExchangeEnded: () => exchange.isEnded,
         });
     }
@@ -191,6 +262,7 @@
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
         const onHead = (head: ResponseHead, isNotRun: boolean) => {
+            this.dependencies.relay?.recordResponse(false);
             upstreamStatements.recordHead(upstreamState, head, MessageKind.request);
             if (dialect.isMisdirected(head)) {
                 upstreamLimits.cold.returnPermit(upstreamState);
@@ -275,6 +347,9 @@
                 failuresInRow: upstreamState.failuresInRow,
             });
         }
+        if ("failure" in attemptResult && !isIgnoredForHealth && this.attempt?.responseHead === undefined) {
+            this.dependencies.relay?.recordFailure(upstreamState.registration.id, attemptResult.kind === "not-sent");
+        }
         if (attemptResult.kind === "delivered" || exchange.isEnded) {
             return false;
         }
@@ -319,8 +394,8 @@
 
     /** Takes another unit for a retry after an attempt that may have run, since both may run; returns whether it did. */
     private takeQuotaForRetry(): boolean {
-        const { organisation } = this.context;
-        if (organisation === undefined || !this.isQuotaUnitUsed) {
+        const { organisation, exchange } = this.context;
+        if (organisation === undefined || exchange.isRelayed || !this.isQuotaUnitUsed) {
             return true;
         }
         const { isAdmitted } = this.dependencies.quotaGate.take(organisation.name);
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -14,6 +14,7 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { Authentication } from "../organisations/authentication.js";
 import { OrganisationAdmission } from "../organisations/organisationAdmission.js";
+import { declinedStatus } from "../relay/relayedRequest.js";
 import { CallerAgeEstimator } from "./callerAge.js";
 import type { Dialect } from "./dialect.js";
 import type { DirectoryWatch } from "./directoryWatch.js";
@@ -74,6 +75,11 @@
         return this.routeLookup.table.version;
     }
 
+    /** Returns a service of the routes in force. */
+    findService(name: string): RoutedService | undefined {
+        return this.services.get(name);
+    }
+
     /** Replaces the routes in force. */
     setRoutes(table: RouteTable): void {
         this.routeLookup = new RouteLookup(table);
@@ -84,6 +90,7 @@
     /** Handles a request whose head has arrived; resolves when it has ended. */
     async handleRequest(exchange: GatewayExchange): Promise<void> {
         const { dialect, limits } = this.options;
+        this.readRelayToken(exchange);
         let request: GatewayRequest | undefined;
         exchange.outgoing.on("close", () => {
             if (!exchange.isEnded) {
@@ -91,6 +98,10 @@
                 request?.onCallerDisconnect();
             }
         });
+        if (exchange.isRelayed && this.options.dependencies.relay?.isCutOff === true) {
+            this.refuse(exchange, declinedStatus, "cut-off", "This entry reaches no instance either.");
+            return;
+        }
         const deadlineMs = dialect.readDeadlineMs(exchange.incoming.headers) ?? limits.maxDeadlineMs;
         if (Number.isNaN(deadlineMs)) {
             this.refuse(exchange, 400, "invalid-deadline", "The deadline is not a number of milliseconds.");
@@ -112,6 +123,25 @@
         }
     }
 
+    /** A request with an invalid token is handled as the caller's own, but is not relayed, so that no loop can arise. */
+    private readRelayToken(exchange: GatewayExchange): void {
+        const { dialect, metrics, logger, dependencies: { relay } } = this.options;
+        const { incoming, path } = exchange;
+        const token = dialect.readRelayToken(incoming.headers);
+        if (token === undefined || relay === undefined) {
+            return;
+        }
+        const requestId = dialect.readRequestId(incoming.headers);
+        exchange.isRelayAllowed = false;
+        exchange.isRelayed = relay.isTokenValid({ requestId, method: incoming.method ?? "GET", path }, token);
+        if (exchange.isRelayed) {
+            metrics.acceptedRelayedRequests.inc();
+        }
+        else {
+            logger.info("ignored an invalid relay token", { requestId });
+        }
+    }
+
     private findRoute({ incoming, path }: GatewayExchange): Route | undefined {
         return this.routeLookup.find(incoming.headers.host ?? "", path);
     }
@@ -173,7 +203,8 @@
         // The routes may have changed while the body arrived.
         const route = this.findRoute(exchange);
         if (this.isRefusingAll) {
-            this.refuse(exchange, 503, "draining", "The entry stops.", stoppingRetryAfterMs);
+            const status = exchange.isRelayed ? declinedStatus : 503;
+            this.refuse(exchange, status, "draining", "The entry stops.", stoppingRetryAfterMs);
             return undefined;
         }
         if (route === undefined) {
@@ -206,7 +237,8 @@
             );
             return undefined;
         }
-        if (organisation !== undefined && !this.takeQuota(exchange, organisation)) {
+        // The entry that relayed a request has charged the quota.
+        if (organisation !== undefined && !exchange.isRelayed && !this.takeQuota(exchange, organisation)) {
             return undefined;
         }
         exchange.hasOrganisations = this.admission.hasOrganisations;
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -44,6 +44,8 @@
     /** Bounds of the quotas of organisations. */
     readonly quotaBounds?: QuotaBounds;
     readonly stop: ShutdownTimes;
+    /** Whether requests are relayed through other entries while no instance can be reached; false if undefined. */
+    readonly canRelay?: boolean;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
     readonly clock: Clock;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -49,7 +49,7 @@
 
 /** Headers of tests: deadline, request id, not-run statement, load and upstream id. */
 export class TestDialect extends Dialect {
-    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key"]);
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key", "relay"]);
     readonly organisationHeaders: ReadonlySet<string> = new Set(["organisation"]);
 
     readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
@@ -72,12 +72,20 @@
         return ["Deadline-Ms", String(remainingMs)];
     }
 
+    readRelayToken(headers: IncomingHttpHeaders): string | undefined {
+        return headers["relay"] === undefined ? undefined : String(headers["relay"]);
+    }
+
+    listRelayHeaders(remainingMs: number, token: string): readonly string[] {
+        return ["Deadline-Ms", String(remainingMs), "Relay", token];
+    }
+
     readAnsweredRequestId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "request-id");
     }
 
-    isNotRun({ headers }: ResponseHead): boolean {
-        return findHeader(headers, "not-run") !== undefined;
+    isNotRun({ status, headers }: ResponseHead): boolean {
+        return findHeader(headers, "not-run") !== undefined || status === 421;
     }
 
     isAuthentic(): boolean {
