--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -8,6 +8,7 @@
 import { ControlError } from "../core/errors.js";
 import type { RandomSource } from "../core/random.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import type { QuotaBounds } from "../quotas/quotaBounds.js";
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
@@ -17,6 +18,7 @@
 import { areParametersValid } from "./messageChecks.js";
 import {
     DirectoryMethod,
+    type EntryListParams,
     type EntryReport,
     type HeartbeatReport,
     type ProposeParams,
@@ -63,6 +65,8 @@
     /** Control VMs that may be lost at the same time. */
     readonly toleratedLosses: number;
     readonly heartbeatIntervalMs: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
     readonly logger: ControlLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -116,8 +120,16 @@
             options.onFailed(error);
         };
         this.host = new ReplicaHost({ selfId, machine, limits, store, links, clock, random, logger, onFailed });
-        const { heartbeatIntervalMs } = options;
-        this.service = new DirectoryService({ log: this.host, links, clock, logger, heartbeatIntervalMs });
+        const { heartbeatIntervalMs, quotaBounds } = options;
+        this.service = new DirectoryService({
+            log: this.host,
+            links,
+            clock,
+            logger,
+            heartbeatIntervalMs,
+            quotaBounds,
+            self: { peerAddress, availabilityZone: options.availabilityZone },
+        });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
         this.peerServer = new ChannelServer(channel, (method, params, from) => this.handleCall(method, params, from));
     }
@@ -176,10 +188,14 @@
                 return service.recordEntry(params as EntryReport);
             case DirectoryMethod.propose:
                 return service.handleProposal(params as ProposeParams);
+            case DirectoryMethod.listPeers:
+                return service.listRelayPeers();
             case DirectoryMethod.readVersion:
                 return service.confirmReadRevision();
             case DirectoryMethod.reportHeartbeats:
                 return service.recordHeartbeatReport(params as HeartbeatReport, from);
+            case DirectoryMethod.entryList:
+                return service.listAttachedEntries(params as EntryListParams);
             case DirectoryMethod.join:
                 return this.formation.handleJoin({ ...params as Member, id: from });
             case DirectoryMethod.leaving:
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -6,22 +6,38 @@
 import type { UpstreamId } from "../core/ids.js";
 import { DirectoryMetrics } from "../metrics/directoryMetrics.js";
 import { DemandTable } from "../overload/demand.js";
+import { defaultQuotaBounds, type QuotaBounds } from "../quotas/quotaBounds.js";
+import { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
 import { AttachedEntries } from "./attachedEntries.js";
-import type { DirectoryChange, DirectoryResult, DirectoryState, RouteChange } from "./directoryState.js";
+import type {
+    DirectoryChange,
+    DirectoryDelta,
+    DirectoryResult,
+    DirectoryState,
+    RouteChange,
+} from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
+import { EntryListExchange } from "./entryListExchange.js";
+import { EntryListHistory, selectAddresses } from "./entryLists.js";
+import { markEvacuated } from "./evacuatedZones.js";
 import { LeaderReports } from "./leaderReports.js";
+import { LeavingInstances } from "./leavingInstances.js";
 import { LimitCoordinator } from "./limitCoordinator.js";
 import {
     DirectoryMethod,
+    type EntryListAnswer,
+    type EntryListParams,
     type EntryReport,
     type ForwardedOutcome,
     type HeartbeatReport,
     type HeartbeatReportAnswer,
     type ProposeParams,
+    type RelayPeer,
     type WatchAnswer,
     type WatchParams,
 } from "./messages.js";
 import type { ControlNode, Registration, RouteTable } from "./model.js";
+import { RelayPeers } from "./relayPeers.js";
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
@@ -47,15 +63,26 @@
     readonly logger: ControlLogger;
     /** Time between two heartbeats of an instance. */
     readonly heartbeatIntervalMs: number;
+    /** Address and availability zone of this control VM; without them, it does not ask others for their entries. */
+    readonly self?: Pick<ControlNode, "peerAddress" | "availabilityZone">;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
 }
 
 /** Handles requests to one control VM from operators, instances, entries and other control VMs. */
 export class DirectoryService {
     private readonly attachedEntries = new AttachedEntries();
     private readonly entryCounts = new EntryCounts();
+    private readonly entryListHistory: EntryListHistory;
+    private readonly entryListExchange: EntryListExchange | undefined;
+    /** Called when an attached entry reports another state. */
+    private readonly entryListeners = new Set<() => void>();
     private readonly demandTable = new DemandTable();
     private readonly limits: LimitCoordinator;
+    private readonly quotas: QuotaCoordinator;
     private readonly leaderReports: LeaderReports;
+    private readonly relayPeers: RelayPeers;
+    private readonly leavingInstances: LeavingInstances;
     private readonly changeListeners = new Set<() => void>();
     private readonly lastHeartbeatAtMs = new Map<UpstreamId, number>();
     /** Instances that sent heartbeats since the last report to the leader. */
@@ -64,6 +91,7 @@
     private leaderSinceMs: number | undefined;
     /** Time since which a control VM in the directory has not been a member of the group, by peer address. */
     private readonly nonMemberSinceMs = new Map<string, number>();
+    private loggedEvacuatedZones = "";
     readonly metrics: DirectoryMetrics;
 
     constructor(private readonly options: DirectoryServiceOptions) {
@@ -72,20 +100,45 @@
             log,
             clock: options.clock,
             logger: options.logger,
-            listRegistrations: () => this.state.registrations.list(),
+            listRegistrations: () => markEvacuated(this.state.registrations.list(), this.state.evacuatedZones),
+            listServices: () => this.state.routes.services,
             listEntries: () => this.attachedEntries.listCounted(this.nowMs()),
             onChanged: () => this.notifyChange(),
             onObserved: () => this.leaderReports.sendNews(),
         });
+        this.quotas = new QuotaCoordinator({
+            log,
+            clock: options.clock,
+            logger: options.logger,
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            getRoutes: () => this.state.routes,
+            getEntryTotal: () => this.entryCounts.getTotal(this.nowMs()),
+            onChanged: () => this.notifyChange(),
+            onUrgent: () => this.leaderReports.sendNews(),
+        });
         this.leaderReports = new LeaderReports({
             log,
             links: options.links,
             clock: options.clock,
             logger: options.logger,
             limits: this.limits,
+            quotas: this.quotas,
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
+        this.relayPeers = new RelayPeers({
+            listAttached: () => this.attachedEntries.listPeers(this.nowMs()),
+            listControlVms: () => this.listOtherControlVms(),
+            links: options.links,
+            clock: options.clock,
+        });
+        this.leavingInstances = new LeavingInstances({
+            find: id => this.state.registrations.get(id),
+            submit: registration => {
+                const { id, state, bornAtMs } = registration;
+                return this.submitAndLog({ kind: "register", registration }, { id, state, bornAtMs, by: "an entry" });
+            },
+        });
         this.metrics = new DirectoryMetrics({
             isLeader: () => log.isLeader,
             isLed: () => log.isLed,
@@ -97,8 +150,22 @@
             attachedEntries: () => this.attachedEntries.count(this.nowMs()),
             totalEntries: () => this.entryCounts.getTotal(this.nowMs()) ?? NaN,
             limitedInstances: () => this.limits.limitedCount,
+            evacuatedZones: () => this.state.evacuatedZones.length,
+            limitedOrganisations: () => this.quotas.limitedCount,
+            coldInstances: () => this.limits.cold.coldCount,
         });
-        options.log.state.onChange = () => this.notifyChange();
+        this.entryListHistory = new EntryListHistory(options.clock.now().getTime());
+        const { self, links, clock, logger } = options;
+        this.entryListExchange = self === undefined ? undefined : new EntryListExchange({
+            self,
+            links,
+            clock,
+            logger,
+            listNodes: () => this.state.nodes,
+            listOwn: () => this.attachedEntries.listStates(this.nowMs()),
+        });
+        options.log.state.onChange = () => this.onStateChange();
+        this.limits.cold.refresh();
     }
 
     /** Submits a route change to the leader. Returns undefined if it was refused or its outcome is not known. */
@@ -126,6 +193,18 @@
         return proposalOutcome.result;
     }
 
+    /** Begins or ends the evacuation of an availability zone; returns whether the state is committed. */
+    async changeEvacuation(availabilityZone: string, isEvacuated: boolean): Promise<boolean> {
+        const proposedAtMs = this.options.clock.now().getTime();
+        const { kind } = await this.submit({ kind: "evacuation", availabilityZone, isEvacuated, proposedAtMs });
+        const isCommitted = kind === "applied";
+        this.options.logger[isCommitted ? "info" : "warn"](
+            isCommitted ? "evacuation committed" : "evacuation refused or its outcome unknown",
+            { availabilityZone, isEvacuated, end: kind, version: this.state.revision },
+        );
+        return isCommitted;
+    }
+
     /** Returns the current routes, or undefined if this VM cannot confirm that its routes are current. */
     async readRoutes(): Promise<RouteTable | undefined> {
         const version = await this.findReadRevision();
@@ -144,12 +223,20 @@
      */
     async register(registration: Registration): Promise<boolean> {
         this.recordHeartbeat(registration.id);
-        if (!this.state.registrations.wouldChange(registration)) {
+        if (!this.state.registrations.wouldChange(registration, this.limits.cold.findRemainingMs(registration))) {
             this.metrics.reports.inc({ end: "known" });
             return true;
         }
-        const { id, state, service, address } = registration;
-        return this.submitAndLog({ kind: "register", registration }, { id, state, service, address });
+        this.limits.recordWarmup(registration);
+        const { id, state, service, address, warmupMs } = registration;
+        const isOnlyWarmup = !this.state.registrations.wouldChange(registration);
+        const change: DirectoryChange = { kind: "register", registration };
+        if (isOnlyWarmup) {
+            // Acknowledged as before without a leader: the next heartbeat proposes the change again.
+            void this.submitAndLog(change, { id, state, service, address, warmupMs });
+            return true;
+        }
+        return this.submitAndLog(change, { id, state, service, address });
     }
 
     /** Deregisters an instance, any incarnation if `bornAtMs` is undefined; returns whether that was committed. */
@@ -174,13 +261,17 @@
     }
 
     /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
-    async watch({ entry, version, canUpdate, limitsVersion, waitMs }: WatchParams): Promise<WatchAnswer> {
+    async watch(params: WatchParams): Promise<WatchAnswer> {
+        const { entry, version, canUpdate, limitsVersion, quotasVersion, wantsPeers, waitMs } = params;
         this.recordEntry(entry);
-        if (version === this.state.revision && !this.limits.hasNews(limitsVersion ?? undefined)) {
+        const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
+            this.quotas.hasNews(quotasVersion ?? undefined);
+        if (version === this.state.revision && !hasNews) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
-        const delta = version === this.state.revision ? undefined : this.state.diffSince(version, canUpdate);
+        const peers = wantsPeers === true ? await this.relayPeers.find(entry) : undefined;
+        const delta = version === this.state.revision ? undefined : this.diffSince(version, canUpdate);
         const nowMs = this.nowMs();
         const demand = this.demandTable.describe(nowMs);
         return {
@@ -189,6 +280,8 @@
             entryCount: this.attachedEntries.count(nowMs),
             entryTotal: this.entryCounts.getTotal(nowMs),
             limits: this.limits.describe(entry.id, limitsVersion ?? undefined),
+            ...this.quotas.describe(quotasVersion ?? undefined),
+            ...(peers === undefined ? {} : { peers }),
             // Absent while nothing is rejected, so that the answer is that of the version before.
             ...(demand === undefined ? {} : { demand }),
         };
@@ -200,19 +293,44 @@
         maxAddresses: number,
         callerIp: string,
     ): readonly string[] {
-        return this.attachedEntries.listAddresses(availabilityZone, this.nowMs(), maxAddresses, callerIp);
+        const states = this.entryListExchange?.listAll() ?? this.attachedEntries.listStates(this.nowMs());
+        return selectAddresses(states, availabilityZone, maxAddresses, callerIp);
+    }
+
+    /** Answers another control VM once the attached entries differ from its list, or after `waitMs`. */
+    async listAttachedEntries({ version, waitMs }: EntryListParams): Promise<EntryListAnswer> {
+        this.entryListHistory.update(this.attachedEntries.listStates(this.nowMs()));
+        if (!this.entryListHistory.hasNews(version)) {
+            await waitForCall(this.entryListeners, waitMs);
+            this.entryListHistory.update(this.attachedEntries.listStates(this.nowMs()));
+        }
+        return this.entryListHistory.describe(version, this.nowMs());
     }
 
     /** Records the reported state of an entry. */
     recordEntry(entry: EntryReport): void {
-        this.attachedEntries.recordReport(entry, this.nowMs());
+        if (this.attachedEntries.recordReport(entry, this.nowMs())) {
+            this.entryListeners.forEach(listener => listener());
+        }
         this.limits.recordEntryReport(entry);
+        this.leavingInstances.recordReport(entry);
+        this.quotas.recordEntryReport(entry.quotas);
         const { id, availabilityZone, demand } = entry;
         if (this.demandTable.record(id, availabilityZone, demand, this.nowMs())) {
             this.notifyChange();
         }
     }
 
+    /** Lists attached entries that can take relayed requests, for another control VM. */
+    listRelayPeers(): readonly RelayPeer[] {
+        return this.relayPeers.listOwn();
+    }
+
+    private listOtherControlVms(): readonly string[] {
+        const { members: { voters, learners }, selfId } = this.options.log;
+        return [...voters, ...learners].filter(({ id }) => id !== selfId).map(member => member.peerAddress);
+    }
+
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
     async handleProposal({ change }: ProposeParams): Promise<ForwardedOutcome> {
         return this.options.log.isLeader ? this.options.log.propose(change) : { kind: "refused" };
@@ -230,7 +348,9 @@
         report.ids.forEach(id => this.lastHeartbeatAtMs.set(id, nowMs));
         this.entryCounts.recordCount(memberId, report.entryCount, nowMs);
         const limits = await this.limits.handleReport(report, memberId);
-        return { entryTotal: this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined, limits };
+        const entryTotal = this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined;
+        const quotas = this.quotas.handleReport(report.quotas, memberId);
+        return quotas === undefined ? { entryTotal, limits } : { entryTotal, limits, quotas };
     }
 
     /**
@@ -240,6 +360,8 @@
     runMaintenance(): void {
         const { log } = this.options;
         this.limits.runMaintenance();
+        this.entryListExchange?.refresh();
+        this.quotas.runMaintenance();
         if (log.isLeader) {
             this.leaderSinceMs ??= this.nowMs();
             this.expireInstances(this.leaderSinceMs);
@@ -258,6 +380,24 @@
         return this.options.log.state;
     }
 
+    private onStateChange(): void {
+        const { evacuatedZones, revision } = this.state;
+        if (evacuatedZones.join() !== this.loggedEvacuatedZones) {
+            this.loggedEvacuatedZones = evacuatedZones.join();
+            this.options.logger.info("evacuated zones changed", { evacuatedZones, version: revision });
+        }
+        this.limits.onDirectoryChanged();
+        this.notifyChange();
+    }
+
+    private diffSince(version: number, canUpdate: boolean | undefined): DirectoryDelta {
+        const delta = this.state.diffSince(version, canUpdate);
+        return {
+            ...delta,
+            registrations: delta.registrations.map(registration => this.limits.cold.adjust(registration)),
+        };
+    }
+
     private notifyChange(): void {
         this.changeListeners.forEach(listener => listener());
     }
@@ -326,15 +466,7 @@
     }
 
     private waitForChange(waitMs: number): Promise<void> {
-        return new Promise(resolve => {
-            const settle = () => {
-                clearTimeout(timer);
-                this.changeListeners.delete(settle);
-                resolve();
-            };
-            const timer = setTimeout(settle, waitMs);
-            this.changeListeners.add(settle);
-        });
+        return waitForCall(this.changeListeners, waitMs);
     }
 
     private removeNonMembers(): void {
@@ -374,3 +506,16 @@
         }
     }
 }
+
+/** Waits until the listeners of a set are called, or for `waitMs`. */
+function waitForCall(listeners: Set<() => void>, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+        const settle = () => {
+            clearTimeout(timer);
+            listeners.delete(settle);
+            resolve();
+        };
+        const timer = setTimeout(settle, waitMs);
+        listeners.add(settle);
+    });
+}
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -2,8 +2,18 @@
 import { createHash } from "node:crypto";
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
+import { concealKeysInTable, concealKeysInUpdate } from "../organisations/keyConcealment.js";
+import { findOrganisationProblem, type OrganisationProblem } from "../organisations/organisationProblems.js";
 import { diffRoutes } from "./diffRoutes.js";
-import { type ControlNode, emptyRouteTable, type Registration, type RouteTable, type RouteUpdate } from "./model.js";
+import { EvacuatedZones, type EvacuationChange } from "./evacuatedZones.js";
+import {
+    type ControlNode,
+    emptyRouteTable,
+    isWarmupLimited,
+    type Registration,
+    type RouteTable,
+    type RouteUpdate,
+} from "./model.js";
 import { RegistrationTable } from "./registrations.js";
 import { updateRoutes } from "./updateRoutes.js";
 import { findRouteProblem } from "./validateRoutes.js";
@@ -37,6 +47,7 @@
 /** Replicated change of the directory. */
 export type DirectoryChange =
     | RouteChange
+    | EvacuationChange
     | { readonly kind: "register"; readonly registration: Registration; }
     /** The instance has deregistered; `bornAtMs` identifies its incarnation, if known. */
     | { readonly kind: "end"; readonly id: UpstreamId; readonly bornAtMs: number | undefined; }
@@ -61,6 +72,8 @@
     readonly outcome: RouteOutcome;
     /** Reason for the rejection; empty if accepted. */
     readonly detail: string;
+    /** Field of an organisation that caused the rejection; undefined for other reasons. */
+    readonly organisationField?: OrganisationProblem["field"];
 }
 
 /** Audit record of a route change. */
@@ -72,6 +85,9 @@
     readonly proposedAtMs: number;
 }
 
+/** Audit record of an operator's change; one of an evacuation is the change itself. */
+export type DirectoryAuditRecord = RouteAuditRecord | EvacuationChange;
+
 /** Difference between an earlier revision of the state and the current one. */
 export interface DirectoryDelta {
     /** Revision of the state after the delta. */
@@ -87,6 +103,8 @@
     readonly ended: readonly UpstreamId[];
     /** Undefined if unchanged. */
     readonly nodes: readonly ControlNode[] | undefined;
+    /** Evacuated availability zones; undefined if unchanged, and if `isFull` when there are none. */
+    readonly evacuatedZones?: readonly string[];
 }
 
 /** A `RouteUpdate` with the version of the route table to which it applies. */
@@ -102,7 +120,9 @@
     readonly registrations: ReturnType<RegistrationTable["toImage"]>;
     readonly nodes: readonly ControlNode[];
     readonly acceptedDigests: readonly string[];
-    readonly audit: readonly RouteAuditRecord[];
+    readonly audit: readonly DirectoryAuditRecord[];
+    /** Undefined in snapshots of versions without evacuations. */
+    readonly evacuatedZones?: readonly string[];
 }
 
 const accepted: DirectoryResult = { outcome: RouteOutcome.accepted, detail: "" };
@@ -116,12 +136,17 @@
     private nodesByAddress = new Map<string, ControlNode>();
     private stateRevision = 0;
     private acceptedDigests = new Set<string>();
-    private auditRecords: RouteAuditRecord[] = [];
+    private auditRecords: DirectoryAuditRecord[] = [];
+    private readonly evacuations = new EvacuatedZones();
+    /** Below every revision until the first evacuation, so that deltas and snapshots without one stay as they were. */
+    private evacuationChangedAtRevision = -1;
     private tableChangedAtRevision = 0;
     /** Latest route tables with the revisions at which they were installed, oldest first. */
     private recentTables: { readonly atRevision: number; readonly table: RouteTable; }[] = [];
     /** Updates from earlier route tables to the current one, by the revision at which the earlier one was installed. */
     private readonly cachedTableUpdates = new Map<number, TableUpdate>();
+    /** The current route table as entries get it; undefined until it is asked for. */
+    private cachedEntryTable: RouteTable | undefined;
     private nodesChangedAtRevision = 0;
     /** Revision of the last change of each registration. */
     private readonly registrationRevisions = new Map<UpstreamId, number>();
@@ -142,10 +167,14 @@
         return [...this.nodesByAddress.values()];
     }
 
-    get audit(): readonly RouteAuditRecord[] {
+    get audit(): readonly DirectoryAuditRecord[] {
         return this.auditRecords;
     }
 
+    get evacuatedZones(): readonly string[] {
+        return this.evacuations.list();
+    }
+
     apply(change: DirectoryChange): DirectoryResult {
         const revisionBefore = this.stateRevision;
         const result = this.applyChange(change);
@@ -159,8 +188,13 @@
         switch (change.kind) {
             case "routes":
                 return this.changeRoutes(change);
+            case "evacuation":
+                this.changeEvacuation(change);
+                return accepted;
             case "register":
-                this.recordRegistrationChanges(this.registrations.register(change.registration));
+                this.recordRegistrationChanges(
+                    this.registrations.register(change.registration, this.tracksWarmup(change.registration)),
+                );
                 return accepted;
             case "end":
             case "expire":
@@ -180,7 +214,10 @@
         }
     }
 
-    /** Returns the delta since a revision. `canUpdate`: whether the receiver supports updates of its route table. */
+    /**
+     * Returns the delta since a revision, with digests instead of keys. `canUpdate`: whether the receiver supports
+     * updates of its route table.
+     */
     diffSince(heldRevision: number, canUpdate = false): DirectoryDelta {
         const isFull = heldRevision < this.oldestDeltaRevision || heldRevision > this.stateRevision ||
             heldRevision === 0;
@@ -190,13 +227,14 @@
         return {
             version: this.stateRevision,
             isFull,
-            table: isTableChanged && tableUpdate === undefined ? this.table : undefined,
+            table: isTableChanged && tableUpdate === undefined ? this.getEntryTable() : undefined,
             tableUpdate,
             registrations: this.registrations.list().filter(registered =>
                 (this.registrationRevisions.get(registered.id) ?? 0) > since
             ),
             ended: isFull ? [] : this.removals.filter(removal => removal.atRevision > since).map(removal => removal.id),
             nodes: this.nodesChangedAtRevision > since ? this.nodes : undefined,
+            ...this.evacuationChangedAtRevision > since ? { evacuatedZones: this.evacuatedZones } : {},
         };
     }
 
@@ -208,6 +246,7 @@
             nodes: this.nodes,
             acceptedDigests: [...this.acceptedDigests],
             audit: this.auditRecords,
+            ...this.evacuatedZones.length > 0 ? { evacuatedZones: this.evacuatedZones } : {},
         };
         return packr.pack(snapshot);
     }
@@ -220,9 +259,12 @@
         this.nodesByAddress = new Map(snapshot.nodes.map(node => [node.peerAddress, node]));
         this.acceptedDigests = new Set(snapshot.acceptedDigests);
         this.auditRecords = [...snapshot.audit];
+        this.evacuations.restore(snapshot.evacuatedZones);
+        this.evacuationChangedAtRevision = this.evacuatedZones.length > 0 ? this.stateRevision : -1;
         this.tableChangedAtRevision = this.stateRevision;
         this.recentTables = [{ atRevision: this.stateRevision, table: this.table }];
         this.cachedTableUpdates.clear();
+        this.cachedEntryTable = undefined;
         this.nodesChangedAtRevision = this.stateRevision;
         this.registrationRevisions.clear();
         this.removals = [];
@@ -238,14 +280,26 @@
         const result = this.validateAndApply(change);
         const version = change.table?.version ?? change.update?.version ?? 0;
         const { baseVersion, proposedAtMs } = change;
-        this.auditRecords.push({ baseVersion, version, ...result, proposedAtMs });
-        this.auditRecords.splice(0, this.auditRecords.length - maxAuditRecords);
+        const { outcome, detail } = result;
+        this.recordAudit({ baseVersion, version, outcome, detail, proposedAtMs });
         if (result.outcome === RouteOutcome.accepted) {
             this.recordDigest(digest);
         }
         return result;
     }
 
+    private changeEvacuation(change: EvacuationChange): void {
+        if (this.evacuations.apply(change)) {
+            this.evacuationChangedAtRevision = this.incrementRevision();
+            this.recordAudit(change);
+        }
+    }
+
+    private recordAudit(record: DirectoryAuditRecord): void {
+        this.auditRecords.push(record);
+        this.auditRecords.splice(0, this.auditRecords.length - maxAuditRecords);
+    }
+
     private validateAndApply({ baseVersion, table, update }: RouteChange): DirectoryResult {
         const { version } = this.table;
         if (baseVersion !== version) {
@@ -257,6 +311,11 @@
         if (newTable === undefined || problem !== undefined) {
             return { outcome: RouteOutcome.invalid, detail: problem ?? "" };
         }
+        const organisationProblem = findOrganisationProblem(newTable.organisations ?? []);
+        if (organisationProblem !== undefined) {
+            const { text, field } = organisationProblem;
+            return { outcome: RouteOutcome.invalid, detail: text, organisationField: field };
+        }
         if (newTable.version <= version) {
             const detail = `version ${newTable.version} is not above version ${version}, which is in force`;
             return { outcome: RouteOutcome.invalid, detail };
@@ -267,17 +326,25 @@
             -maxRecentTables,
         );
         this.cachedTableUpdates.clear();
+        this.cachedEntryTable = undefined;
         return accepted;
     }
 
+    private getEntryTable(): RouteTable {
+        this.cachedEntryTable ??= concealKeysInTable(this.table);
+        return this.cachedEntryTable;
+    }
+
     private findTableUpdate(heldRevision: number): TableUpdate | undefined {
         const base = this.recentTables.findLast(installed => installed.atRevision <= heldRevision);
         if (base === undefined || base.table.version === 0) {
             return undefined;
         }
         const cached = this.cachedTableUpdates.get(base.atRevision);
-        const updateFromBase = cached ??
-            { baseVersion: base.table.version, update: diffRoutes(base.table, this.table) } satisfies TableUpdate;
+        const updateFromBase: TableUpdate = cached ?? {
+            baseVersion: base.table.version,
+            update: concealKeysInUpdate(diffRoutes(base.table, this.table)),
+        };
         this.cachedTableUpdates.set(base.atRevision, updateFromBase);
         return updateFromBase;
     }
@@ -292,6 +359,10 @@
         }
     }
 
+    private tracksWarmup({ service }: Registration): boolean {
+        return this.table.services.some(routed => routed.name === service && isWarmupLimited(routed));
+    }
+
     private recordRegistrationChanges(ids: readonly UpstreamId[]): void {
         if (ids.length === 0) {
             return;
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -82,11 +82,22 @@
     maxAttempts: isNumber,
     targets: arrayOf(objectWith({ service: isString, weight: isNumber })),
     isSplit: isBoolean,
+    isPublic: optional(isBoolean),
+    homes: optional(arrayOf(isString)),
+});
+const isOrganisation = objectWith({
+    name: isString,
+    keys: arrayOf(isString),
+    priority: optional(isNumber),
+    ratePerSecond: optional(isNumber),
+    burst: optional(isNumber),
+    homes: optional(arrayOf(isString)),
 });
 const routeTableFields = {
     version: isNumber,
     hosts: arrayOf(objectWith({ host: isString, routes: arrayOf(isRoute) })),
     services: arrayOf(objectWith({ name: isString, healthPath: isString })),
+    organisations: optional(arrayOf(isOrganisation)),
 };
 
 /** Returns whether a value is a directory change. A malformed change would crash each replica that applies it. */
@@ -100,8 +111,10 @@
             limits: optional(objectWith({})),
             removedRoutes: arrayOf(isString),
             removedServices: arrayOf(isString),
+            removedOrganisations: optional(arrayOf(isString)),
         })),
     },
+    "evacuation": { availabilityZone: isString, isEvacuated: isBoolean, proposedAtMs: isNumber },
     "register": {
         registration: objectWith({
             id: isString,
@@ -124,6 +137,11 @@
 const limitReports = optional(
     arrayOf(objectWith({ id: isString, bornAtMs: isNumber, perSecond: optional(isNumber), ageMs: isNumber })),
 );
+const coldReports = optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber, warmupMs: isNumber })));
+const isQuotaUse: Check = value =>
+    Array.isArray(value) && value.length === 3 && isString(value[0]) && isNumber(value[1]) && isNumber(value[2]);
+const isQuotaLevel: Check = value =>
+    Array.isArray(value) && value.length === 2 && isString(value[0]) && isNumber(value[1]);
 const isRate: Check = value => isNumber(value) && Number(value) >= 0;
 const isDemandRow: Check = value => Array.isArray(value) && value.length === 4 && value.every(isRate);
 const entryReportFields = {
@@ -133,6 +151,10 @@
     isServing: isBoolean,
     services: optional(arrayOf(isString)),
     limits: limitReports,
+    isCutOff: optional(isBoolean),
+    leaving: optional(arrayOf(objectWith({ id: isString, bornAtMs: isNumber }))),
+    cold: coldReports,
+    quotas: optional(arrayOf(isQuotaUse)),
     demand: optional(arrayOf(objectWith({ service: isString, rows: arrayOf(isDemandRow) }))),
 };
 
@@ -143,11 +165,14 @@
         version: isNumber,
         canUpdate: optional(isBoolean),
         limitsVersion: optional(isNumber),
+        quotasVersion: optional(isNumber),
         waitMs: isNumber,
+        wantsPeers: optional(isBoolean),
     }),
     [DirectoryMethod.reportEntry]: objectWith(entryReportFields),
     [DirectoryMethod.propose]: objectWith({ change: isDirectoryChange }),
     [DirectoryMethod.readVersion]: isAny,
+    [DirectoryMethod.listPeers]: isAny,
     [DirectoryMethod.reportHeartbeats]: objectWith({
         ids: arrayOf(isString),
         entryCount: optional(isNumber),
@@ -155,7 +180,10 @@
             arrayOf(objectWith({ id: isString, availabilityZone: isString, services: arrayOf(isString) })),
         ),
         limits: limitReports,
+        cold: coldReports,
+        quotas: optional(objectWith({ uses: arrayOf(isQuotaUse), levels: optional(arrayOf(isQuotaLevel)) })),
     }),
+    [DirectoryMethod.entryList]: objectWith({ version: isNumber, waitMs: isNumber }),
     [DirectoryMethod.join]: objectWith(memberFields),
     [DirectoryMethod.leaving]: objectWith(memberFields),
 };
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,8 +1,9 @@
 import type { Member } from "../control/messages.js";
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { ServiceDemand, ZoneDemand } from "../overload/demand.js";
+import type { EntryQuotas, MemberQuotas, QuotaReport, QuotaUse } from "../quotas/quotaMessages.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
-import type { EntryDemand, EntryLimits, LimitReport } from "./rateLimits.js";
+import type { ColdReport, EntryDemand, EntryLimits, LimitReport, MemberColdRow } from "./rateLimits.js";
 
 /** Methods of the calls between the processes of a directory. */
 export const DirectoryMethod = {
@@ -16,12 +17,22 @@
     readVersion: "directory.read-version",
     /** Control VM to leader: reports received heartbeats and the number of attached entries. */
     reportHeartbeats: "directory.heard",
+    /** Control VM to control VM: asks for the entries attached to the other one, and waits for changes of them. */
+    entryList: "directory.entries",
+    /** Control VM to control VM: asks for the serving entries attached to the receiver. */
+    listPeers: "directory.peers",
     /** Control VM to control VM: the sender asks to join the group. */
     join: "directory.join",
     /** Control VM to control VM: the sender is about to stop. */
     leaving: "directory.leaving",
 } as const;
 
+/** Incarnation of an instance whose responses announce that it leaves. */
+export interface LeavingInstance {
+    readonly id: UpstreamId;
+    readonly bornAtMs: number;
+}
+
 /** State of an entry, as reported to a control VM. */
 export interface EntryReport {
     readonly id: EntryId;
@@ -34,10 +45,25 @@
     readonly services?: readonly ServiceName[];
     /** Rate limits that the entry saw and that the control VM does not show yet. */
     readonly limits?: readonly LimitReport[];
+    /** Instances that told the entry that they leave and that the directory shows as ready; undefined if none. */
+    readonly leaving?: readonly LeavingInstance[];
+    /** Warmups that the entry saw and that the control VM does not show yet. */
+    readonly cold?: readonly ColdReport[];
+    /** Requests of organisations with quotas since the last report; undefined if there were none. */
+    readonly quotas?: readonly QuotaUse[];
+    /** Whether the entry cannot reach instances; callers should get other entries. Undefined if it can. */
+    readonly isCutOff?: boolean;
     /** Recent demand for the services of which requests were rejected; undefined while there are none. */
     readonly demand?: readonly ServiceDemand[] | undefined;
 }
 
+/** A serving entry through which another one can relay requests. */
+export interface RelayPeer {
+    /** For callers, `host:port`. */
+    readonly address: string;
+    readonly availabilityZone: string;
+}
+
 /** Parameters of `directory.watch`. */
 export interface WatchParams {
     readonly entry: EntryReport;
@@ -47,6 +73,10 @@
     readonly canUpdate?: boolean;
     /** Version of the rate limits that the entry has; undefined from versions without them. */
     readonly limitsVersion?: number;
+    /** Version of the quotas that the entry has; undefined if no organisation has one. */
+    readonly quotasVersion?: number;
+    /** Whether the entry asks for peers through which it can relay requests; undefined if not. */
+    readonly wantsPeers?: boolean;
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
 }
@@ -63,6 +93,10 @@
     readonly entryTotal?: number;
     /** Undefined while no instance has named a rate limit. */
     readonly limits?: EntryLimits;
+    /** Undefined unless the entry named a version and organisations have quotas. */
+    readonly quotas?: EntryQuotas;
+    /** A few serving entries of each availability zone; undefined unless the entry asked for them. */
+    readonly peers?: readonly RelayPeer[];
     /** Recent demand for the services of which requests were rejected, by zone; undefined while there are none. */
     readonly demand?: readonly ZoneDemand[] | undefined;
 }
@@ -87,10 +121,14 @@
     readonly ids: readonly UpstreamId[];
     /** Entries attached to the sender; undefined from versions without this field. */
     readonly entryCount?: number;
-    /** Entries attached to the sender; undefined while it knows of no rate limit. */
+    /** Entries attached to the sender; undefined while it knows of no rate limit and none is configured. */
     readonly entries?: readonly EntryDemand[];
     /** Rate limits that entries saw since the last report. */
     readonly limits?: readonly LimitReport[];
+    /** Warmups that entries saw and registrations do not show. */
+    readonly cold?: readonly ColdReport[];
+    /** Undefined unless organisations have quotas. */
+    readonly quotas?: QuotaReport;
 }
 
 /** Answer of `directory.heard`. */
@@ -99,6 +137,8 @@
     readonly entryTotal: number | undefined;
     /** Undefined unless the answering VM leads. */
     readonly limits?: MemberLimits;
+    /** Undefined unless the answering VM leads and organisations have quotas. */
+    readonly quotas?: MemberQuotas;
 }
 
 /** Rate limits with the shares of the entries that a control VM reported. */
@@ -106,6 +146,8 @@
     /** Time for which the shares may be used, in milliseconds from the report. */
     readonly validMs: number;
     readonly rows: readonly MemberLimitRow[];
+    /** Cold instances; undefined if none, and from versions without them. */
+    readonly cold?: readonly MemberColdRow[];
 }
 
 /** One rate limit for a control VM. */
@@ -114,6 +156,34 @@
     readonly shares: readonly (readonly [position: number, share: number])[];
 }
 
+/** Parameters of `directory.entries`. */
+export interface EntryListParams {
+    /** Version of the list that the sender holds; 0 if it holds none. */
+    readonly version: number;
+    /** Longest wait for a change in milliseconds. */
+    readonly waitMs: number;
+}
+
+/** An attached entry; `ageMs` is the time since it first reported this state. */
+export type EntryRow = readonly [
+    id: EntryId,
+    address: string,
+    availabilityZone: string,
+    isServing: boolean,
+    ageMs: number,
+];
+
+/** Answer of `directory.entries`. */
+export interface EntryListAnswer {
+    readonly version: number;
+    /** Whether `rows` is the whole list and not only what changed. */
+    readonly isFull?: boolean;
+    /** Undefined when nothing has changed. */
+    readonly rows?: readonly EntryRow[];
+    /** Entries that are no longer attached; undefined with a whole list. */
+    readonly removed?: readonly EntryId[];
+}
+
 /** Answer of `directory.join`: the members known to the answering VM. */
 export interface JoinAnswer {
     readonly members: readonly Member[];
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -6,6 +6,9 @@
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
+import { EntryQuotas } from "../quotas/entryQuotas.js";
+import { defaultQuotaBounds } from "../quotas/quotaBounds.js";
+import { EntryRelay } from "../relay/entryRelay.js";
 import { CallerServer } from "./callerServer.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
@@ -17,16 +20,15 @@
 import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { computeShutdownPhases } from "./shutdownPhases.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
-import { UpstreamLimits } from "./upstreamLimits.js";
+import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
+import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const connectionCleanupIntervalMs = 5000;
 const drainPollMs = 50;
-/** Requests are refused after at most this share of the grace period; later ones might not complete before the kill. */
-const acceptingShareOfGrace = 0.6;
-/** Share of the grace period after which the drain ends and connections are closed even if requests are in flight. */
-const closingShareOfGrace = 0.9;
 const idPrefixBytes = 6;
 const msPerSecond = 1000;
 
@@ -54,6 +56,10 @@
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly upstreamTable = new UpstreamStateTable();
     private readonly upstreamLimits: UpstreamLimits;
+    private readonly upstreamStatements: UpstreamStatements;
+    private readonly quotas: EntryQuotas;
+    private readonly relay: EntryRelay | undefined;
+    private readonly peerConnections: UpstreamConnections;
     private readonly overloadControl: OverloadControl | undefined;
     private readonly server: CallerServer;
     private readonly watch: DirectoryWatch;
@@ -65,6 +71,7 @@
     constructor(private readonly options: GatewayOptions) {
         const { id, clock, random, dialect, logger, limits, availabilityZone, seeds, clusterSecret } = options;
         this.connections = new UpstreamConnections(limits);
+        this.peerConnections = new UpstreamConnections(limits);
         this.metrics = new GatewayMetrics({
             inFlight: () => this.exchanges.size,
             directoryVersion: () => this.watch.version,
@@ -73,6 +80,8 @@
             upstreams: () => this.upstreamTable.list().length,
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
             limitedUpstreams: () => this.upstreamLimits.countLimited(),
+            evacuatedZones: () => this.upstreamTable.evacuatedZones.size,
+            coldUpstreams: () => this.upstreamLimits.cold.count(),
         });
         const { metrics } = this;
         this.upstreamLimits = new UpstreamLimits({
@@ -82,7 +91,26 @@
             metrics,
             onObserved: () => this.watch.report(),
         });
+        this.quotas = new EntryQuotas({
+            bounds: options.quotaBounds ?? defaultQuotaBounds,
+            clock,
+            random,
+            countEntries: () => countEntries(),
+            onUrgent: () => this.watch.report(),
+            onDecision: outcome => metrics.quotaDecisions.inc({ outcome }),
+        });
         const { upstreamLimits } = this;
+        this.upstreamStatements = new UpstreamStatements({
+            upstreamTable: this.upstreamTable,
+            dialect,
+            clock,
+            logger,
+            metrics,
+            onLeaving: () => this.watch.report(),
+        });
+        const { upstreamStatements } = this;
+        this.relay = options.canRelay === true ? this.createRelay() : undefined;
+        const { relay } = this;
         this.overloadControl = options.isOverloadControlled === true
             ? new OverloadControl({
                 logger,
@@ -97,10 +125,12 @@
         const prober = new LoadProber({
             upstreamTable: this.upstreamTable,
             upstreamLimits,
+            upstreamStatements,
             connections: this.connections,
             dialect,
             clock,
             metrics,
+            relay,
             overloadControl,
         });
         this.server = new CallerServer(limits, (incoming, outgoing) => this.onRequest(incoming, outgoing));
@@ -115,6 +145,8 @@
             describeEntry: () => this.buildReport(),
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
+            quotas: this.quotas,
+            peers: relay,
             onDemand: overloadControl && ((demand, sentAt) => overloadControl.applyDemand(demand, sentAt)),
         });
         const { watch } = this;
@@ -124,6 +156,7 @@
                 upstreamTable: this.upstreamTable,
                 upstreamLimits,
                 prober,
+                affinity: new UpstreamAffinity(id),
                 availabilityZone,
                 probesPerSecond: () => options.probesPerUpstreamSecond / countEntries(),
                 clock,
@@ -132,6 +165,8 @@
             }),
             upstreamTable: this.upstreamTable,
             upstreamLimits,
+            quotaGate: this.quotas,
+            upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: options.retries,
                 countEntries,
@@ -146,6 +181,7 @@
             logger,
             clock,
             random,
+            relay,
         };
         this.requestHandler = new GatewayRequestHandler({
             limits,
@@ -153,6 +189,7 @@
             logger,
             metrics,
             random,
+            region: options.region,
             dependencies,
             watch: this.watch,
         });
@@ -166,7 +203,10 @@
         }
         void this.watch.run();
         this.connectionCleanupTimer = setInterval(
-            () => this.connections.closeUnusedPools(this.nowMs()),
+            () => {
+                this.connections.closeUnusedPools(this.nowMs());
+                this.peerConnections.closeUnusedPools(this.nowMs());
+            },
             connectionCleanupIntervalMs,
         );
         this.options.logger.info("entry started", { id: this.options.id, incarnation: this.idPrefix });
@@ -186,14 +226,15 @@
         logger.info("entry drains", { inFlight: this.exchanges.size });
         this.isDraining = true;
         this.watch.report();
-        const acceptingMs = Math.min(stop.addressLifetimeMs, acceptingShareOfGrace * stop.graceMs);
+        const { acceptingMs, closingMs } = computeShutdownPhases(stop);
         await this.waitUntil(startMs + acceptingMs, () => false);
         this.requestHandler.isRefusingAll = true;
         this.server.stopListening();
-        await this.waitUntil(startMs + closingShareOfGrace * stop.graceMs, () => this.exchanges.size === 0);
+        await this.waitUntil(startMs + closingMs, () => this.exchanges.size === 0);
         logger.info("entry drained", { inFlight: this.exchanges.size, afterMs: Math.round(this.nowMs() - startMs) });
         clearInterval(this.connectionCleanupTimer);
         this.watch.close();
+        this.relay?.close();
         this.server.closeAllConnections();
     }
 
@@ -208,8 +249,33 @@
         return this.options.clock.monotonicMs();
     }
 
+    private createRelay(): EntryRelay {
+        const { clock, random, logger, clusterSecret } = this.options;
+        return new EntryRelay({
+            secret: clusterSecret,
+            clock,
+            random,
+            logger,
+            metrics: this.metrics,
+            connections: this.peerConnections,
+            listCheckable: () =>
+                this.upstreamTable.listProbeable(this.nowMs())
+                    .filter(upstreamState => !this.upstreamLimits.isLimited(upstreamState))
+                    .map(upstreamState => upstreamState.registration),
+            findHealthPath: service => this.requestHandler.findService(service)?.healthPath,
+            onCheckHead: (id, head) => {
+                const upstreamState = this.upstreamTable.get(id);
+                if (upstreamState !== undefined) {
+                    this.upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
+                }
+            },
+            onChanged: () => this.watch.report(),
+        });
+    }
+
     private buildReport(): EntryReport {
         const { id, listen, availabilityZone } = this.options;
+        const leaving = this.upstreamStatements.listUnreported();
         const demand = this.overloadControl?.describeDemand();
         return {
             id,
@@ -218,12 +284,16 @@
             isServing: this.isReady(),
             services: this.upstreamLimits.listRequestedServices(),
             limits: this.upstreamLimits.listUnreported(),
+            ...(leaving.length > 0 ? { leaving } : {}),
+            ...this.upstreamLimits.cold.describeUnreported(),
+            ...this.quotas.takeReport(),
+            ...(this.relay?.isRelaying === true ? { isCutOff: true } : {}),
             ...(demand === undefined ? {} : { demand }),
         };
     }
 
     private onDelta(
-        { version, isFull, registrations, ended }: DirectoryDelta,
+        { version, isFull, registrations, ended, evacuatedZones }: DirectoryDelta,
         table: RouteTable | undefined,
     ): void {
         if (isFull) {
@@ -231,14 +301,25 @@
         }
         ended.forEach(id => this.upstreamTable.delete(id));
         registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
+        this.applyEvacuatedZones(evacuatedZones ?? (isFull ? [] : undefined));
         if (table !== undefined) {
+            this.quotas.configure(table.organisations);
             this.requestHandler.setRoutes(table);
+            this.upstreamLimits.cold.setServices(table.services);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
             this.options.logger.info("applied routes", { routesVersion: table.version, version });
         }
         this.watch.report();
     }
 
+    private applyEvacuatedZones(availabilityZones: readonly string[] | undefined): void {
+        const { evacuatedZones } = this.upstreamTable;
+        if (availabilityZones !== undefined && availabilityZones.join() !== [...evacuatedZones].join()) {
+            this.upstreamTable.setEvacuatedZones(availabilityZones);
+            this.options.logger.info("evacuated zones changed", { evacuatedZones: availabilityZones });
+        }
+    }
+
     private onRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
         const id = `${this.idPrefix}-${this.nextRequestNumber++}`;
         const { stallTimeoutMs } = this.options.limits;
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -3,17 +3,27 @@
 import type { RandomSource } from "../core/random.js";
 import { maxCountedAgeMs } from "../directory/attachedEntries.js";
 import type { DirectoryDelta } from "../directory/directoryState.js";
-import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../directory/messages.js";
+import {
+    DirectoryMethod,
+    type EntryReport,
+    type RelayPeer,
+    type WatchAnswer,
+    type WatchParams,
+} from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ZoneDemand } from "../overload/demand.js";
+import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
 import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
+import { rankControlVms } from "./controlVmRanking.js";
 import type { GatewayLogger } from "./options.js";
 
 /** Time for which a control VM may hold a watch call while the directory does not change. */
 const waitMs = 400;
+/** The same while the entry waits for peers; not 0, since there may be none for some time. */
+const urgentWaitMs = 20;
 const watchTimeoutMs = waitMs + 500;
 const connectTimeoutMs = 400;
 /** Pause before the next control VM is tried after a failure. */
@@ -35,6 +45,23 @@
     resetVersion(): void;
 }
 
+/** Receives quotas of organisations from the control VM in use. */
+export interface QuotasReceiver {
+    /** Version of the quotas that are held; undefined while no organisation has one. */
+    readonly version: number | undefined;
+    apply(quotas: EntryQuotas, sentAt: Instant): void;
+    resetVersion(): void;
+    /** Takes back the use in a report that may not have arrived. */
+    returnUses(uses: readonly QuotaUse[] | undefined): void;
+}
+
+/** Receives entries through which requests can be relayed. */
+export interface PeersReceiver {
+    readonly wantsPeers: boolean;
+    readonly hasPeers: boolean;
+    setPeers(peers: readonly RelayPeer[]): void;
+}
+
 /** Options of a directory watch. */
 export interface DirectoryWatchOptions {
     readonly channel: ChannelOptions;
@@ -50,6 +77,10 @@
     readonly onDelta: (delta: DirectoryDelta, table: RouteTable | undefined) => void;
     /** Receives the rate limits with this entry's shares. */
     readonly limits: LimitsReceiver;
+    /** Receives the quotas of organisations; undefined if they are not supported. */
+    readonly quotas?: QuotasReceiver;
+    /** Receives peers while it asks for them; undefined if the entry does not relay. */
+    readonly peers?: PeersReceiver | undefined;
     /** Receives the demand for services that are short of capacity; undefined if there are none. */
     readonly onDemand?: ((demand: readonly ZoneDemand[] | undefined, sentAt: Instant) => void) | undefined;
 }
@@ -97,9 +128,8 @@
                 this.detach();
                 await new Promise(resolve => setTimeout(resolve, retryPauseMs));
             }
-            else if (this.shouldFailBack()) {
-                this.client?.close();
-                this.client = undefined;
+            else {
+                await this.moveToPreferred();
             }
         }
     }
@@ -139,6 +169,7 @@
         if (address !== undefined) {
             this.client = new ChannelClient(address, this.options.channel);
             this.options.limits.resetVersion();
+            this.options.quotas?.resetVersion();
         }
         return this.client;
     }
@@ -156,15 +187,21 @@
         }
     }
 
-    /** Lists the local availability zone first, then the others in random order; recently failed control VMs last. */
+    /**
+     * Lists the local availability zone first, in order of preference, then the others in random order; recently failed
+     * control VMs last.
+     */
     private listCandidates(): readonly string[] {
         const { seeds, random } = this.options;
-        const addresses = new Set([...this.nodes.map(node => node.peerAddress), ...seeds]);
+        const nodeAddresses = this.nodes.map(node => node.peerAddress);
+        const addresses = new Set([...nodeAddresses, ...seeds]);
+        const preferences = rankControlVms(this.options.channel.selfId, nodeAddresses);
         const rank = (address: string) => {
             const sinceFailureMs = this.nowMs() - (this.failedAtMs.get(address) ?? -Infinity);
             return (sinceFailureMs < failureCooldownMs ? 4 - sinceFailureMs / failureCooldownMs : 0) +
-                (this.isInLocalZone(address) ? 0 : 1) +
-                random.nextUnit() / 2;
+                (this.isInLocalZone(address)
+                    ? preferences.indexOf(address) / (2 * preferences.length)
+                    : 1 + random.nextUnit() / 2);
         };
         return [...addresses].map(address => ({ address, rank: rank(address) }))
             .sort((first, second) => first.rank - second.rank)
@@ -176,27 +213,67 @@
         return this.nodes.some(node => node.peerAddress === address && node.availabilityZone === availabilityZone);
     }
 
-    private shouldFailBack(): boolean {
-        const { client } = this;
-        const localNode = this.nodes.find(node => this.isInLocalZone(node.peerAddress));
-        const isRemote = client !== undefined && localNode !== undefined && !this.isInLocalZone(client.address);
-        return isRemote && this.nowMs() - (this.failedAtMs.get(localNode.peerAddress) ?? -Infinity) > failbackDelayMs;
+    /** Moves to the preferred control VM of the local availability zone if it can be connected. */
+    private async moveToPreferred(): Promise<void> {
+        const address = this.findPreferred();
+        if (address === undefined || address === this.client?.address) {
+            return;
+        }
+        // The control VM in use keeps offering this entry to callers while the other one is connected.
+        this.report();
+        const client = new ChannelClient(address, this.options.channel);
+        if (!await client.waitConnected(connectTimeoutMs) || this.isClosed) {
+            this.options.logger.info("the preferred control VM cannot be reached", { address });
+            this.failedAtMs.set(address, this.nowMs());
+            client.close();
+            return;
+        }
+        this.client?.close();
+        this.client = client;
+        this.options.limits.resetVersion();
+    }
+
+    /** Returns the control VM of the local availability zone that this entry uses unless it has failed recently. */
+    private findPreferred(): string | undefined {
+        const hasFailed = (address: string) =>
+            this.nowMs() - (this.failedAtMs.get(address) ?? -Infinity) <= failbackDelayMs;
+        const local = this.nodes.map(node => node.peerAddress).filter(address => this.isInLocalZone(address));
+        return rankControlVms(this.options.channel.selfId, local).find(address => !hasFailed(address));
     }
 
     private async poll(client: ChannelClient): Promise<boolean> {
         if (!await client.waitConnected(connectTimeoutMs)) {
             return false;
         }
+        const entry = this.options.describeEntry();
+        let isAnswered = false;
         try {
-            const entry = this.options.describeEntry();
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
-            const params: WatchParams = { entry, version, canUpdate, limitsVersion, waitMs };
+            const { peers, quotas } = this.options;
+            const quotasVersion = quotas?.version;
+            const quotasField = quotasVersion === undefined ? {} : { quotasVersion };
+            const peersQuery = peers?.wantsPeers === true ? { wantsPeers: true } : {};
+            // An entry without peers serves nothing until it gets some.
+            const isUrgent = peers?.wantsPeers === true && !peers.hasPeers;
+            const params: WatchParams = {
+                entry,
+                version,
+                canUpdate,
+                limitsVersion,
+                waitMs: isUrgent ? urgentWaitMs : waitMs,
+                ...quotasField,
+                ...peersQuery,
+            };
             const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
+            isAnswered = true;
             return this.applyAnswer(answer, sentAt);
         }
         catch (error) {
+            if (!isAnswered) {
+                this.options.quotas?.returnUses(entry.quotas);
+            }
             this.options.logger.info("watch call to a control VM failed", {
                 address: client.address,
                 reason: (error as Error).message,
@@ -221,10 +298,8 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer(
-        { isLed, delta, entryCount, entryTotal, limits, demand }: WatchAnswer,
-        sentAt: Instant,
-    ): boolean {
+    private applyAnswer(answer: WatchAnswer, sentAt: Instant): boolean {
+        const { isLed, delta, entryCount, entryTotal, limits, quotas, peers, demand } = answer;
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             return false;
@@ -245,6 +320,12 @@
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
         }
+        if (quotas !== undefined && quotas !== null) {
+            this.options.quotas?.apply(quotas, sentAt);
+        }
+        if (peers !== undefined && peers !== null) {
+            this.options.peers?.setPeers(peers);
+        }
         this.options.onDemand?.(demand ?? undefined, sentAt);
         this.confirmedAt = sentAt;
         this.pendingWaits.forEach(settle => settle());
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -2,9 +2,12 @@
 import type { UpstreamId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import { Verdict } from "../core/verdict.js";
-import type { Route, RoutedService } from "../directory/model.js";
+import type { Organisation, Route, RoutedService } from "../directory/model.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { QuotaGate } from "../organisations/quotaGate.js";
+import type { EntryRelay } from "../relay/entryRelay.js";
+import { RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
 import { AttemptFailure, type GeneratedAnswer, type ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
@@ -18,6 +21,7 @@
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
+import type { UpstreamStatements } from "./upstreamStatements.js";
 import {
     recordReportedLoad,
     UpstreamOutcome,
@@ -29,6 +33,8 @@
 const upstreamGraceMs = 80;
 /** The entry answers this long after the request's timeout: longer, so that the upstream can answer first. */
 const answerGraceMs = 180;
+/** Maximum wait for a placement on an existing connection while no new ones can be opened: two rounds of load probes. */
+const maxWaitBeforeRelayMs = 100;
 /** A retry starts only if more than this time remains until the timeout. */
 const minRetryRemainingMs = 10;
 
@@ -40,6 +46,8 @@
     readonly placer: Placer;
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
+    readonly quotaGate: QuotaGate;
+    readonly upstreamStatements: UpstreamStatements;
     readonly retryBudget: SharedRetryBudget;
     readonly durationEstimates: DurationEstimates;
     readonly bufferBudget: BufferBudget;
@@ -50,6 +58,8 @@
     readonly logger: GatewayLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Undefined if the entry does not relay. */
+    readonly relay?: EntryRelay | undefined;
 }
 
 /** Immutable inputs of a request. */
@@ -57,6 +67,8 @@
     readonly exchange: GatewayExchange;
     readonly requestId: string | undefined;
     readonly route: Route;
+    /** Organisation of the request, which was taken from its quota; undefined if no key is required. */
+    readonly organisation: Organisation | undefined;
     readonly service: RoutedService;
     readonly deadlineAtMs: number;
     /** Estimated time that the caller had waited when the request arrived, including its earlier refused requests. */
@@ -72,9 +84,13 @@
     private lastErrorAttempt: GatewayAttempt | undefined;
     /** Whether an ended attempt may have run the request. */
     private mayHaveRun = false;
+    /** Whether the unit taken last from the organisation's quota was used by an attempt that may have run. */
+    private isQuotaUnitUsed = false;
     private attemptCount = 0;
     /** Time until a limited upstream may get a request; undefined unless the request was refused for the limits. */
     private permitDelayMs: number | undefined;
+    /** Time until an upstream accepts requests again; undefined unless the request was refused as all back off. */
+    private backOffDelayMs: number | undefined;
 
     constructor(private readonly context: RequestContext, private readonly dependencies: RequestDependencies) {
         const { route, exchange, deadlineAtMs, callerAgeMs } = context;
@@ -84,8 +100,13 @@
     /** Runs the request; resolves when it has ended. */
     async run(): Promise<void> {
         const timer = setTimeout(() => this.onTimeout(), this.times.timeoutAtMs + answerGraceMs - this.nowMs());
-        this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
-        this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        if (!this.context.exchange.isRelayed) {
+            this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
+        }
+        // An entry that is cut off cannot use a share of the limits.
+        if (this.dependencies.relay?.isCutOff !== true) {
+            this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
+        }
         try {
             let shouldContinue = true;
             while (shouldContinue && !this.context.exchange.isEnded) {
@@ -94,6 +115,14 @@
         }
         finally {
             clearTimeout(timer);
+            this.returnUnusedQuota();
+        }
+    }
+
+    private returnUnusedQuota(): void {
+        const { organisation, exchange } = this.context;
+        if (organisation !== undefined && !exchange.isRelayed && !this.isQuotaUnitUsed) {
+            this.dependencies.quotaGate.giveBack(organisation.name);
         }
     }
 
@@ -126,6 +155,13 @@
 
     /** Places and sends the request once; returns whether another attempt follows. */
     private async runAttempt(): Promise<boolean> {
+        const { relay } = this.dependencies;
+        if (relay?.isCutOff === true && relay.hasPeers) {
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue !== undefined) {
+                return shouldContinue;
+            }
+        }
         const placement = await this.findPlacement();
         if (this.context.exchange.isEnded) {
             if (placement !== undefined) {
@@ -135,16 +171,72 @@
             return false;
         }
         if (placement === undefined) {
-            this.answerUnplaced();
-            return false;
+            const shouldContinue = await this.relayIfPossible();
+            if (shouldContinue === undefined) {
+                this.answerUnplaced();
+            }
+            return shouldContinue ?? false;
         }
         const attemptResult = await this.sendAttempt(placement);
         return this.handleAttemptResult(placement, attemptResult);
     }
 
+    /** Relays the request while the entry is cut off; returns whether an attempt follows, undefined if none took it. */
+    private async relayIfPossible(): Promise<boolean | undefined> {
+        const { exchange, requestId, deadlineAtMs } = this.context;
+        const { relay, dialect, bufferBudget, metrics } = this.dependencies;
+        const isSafe = this.context.route.isIdempotent || !this.mayHaveRun;
+        const isFirst = this.attemptCount === 0;
+        if (relay?.isRelaying !== true || !exchange.isRelayAllowed || !isSafe || !(isFirst || this.canReplayBody())) {
+            return undefined;
+        }
+        let hasTriedPeer = false;
+        const outcome = await relayRequest({
+            exchange,
+            requestId,
+            relay,
+            dialect,
+            bufferBudget,
+            metrics,
+            computeRemainingMs: () => Math.min(deadlineAtMs, this.times.timeoutAtMs) - this.nowMs(),
+            canReplayBody: () => this.canReplayBody(),
+            mayHaveRun: this.mayHaveRun,
+            onAttempt: attempt => {
+                this.attempt = attempt;
+                hasTriedPeer = true;
+            },
+            log: (text, fields) => this.log(text, fields),
+        });
+        this.isQuotaUnitUsed ||= hasTriedPeer && outcome !== RelayOutcome.unavailable;
+        if (outcome === RelayOutcome.lost) {
+            this.mayHaveRun = true;
+            this.attemptCount++;
+            if (this.takeRetry()) {
+                return true;
+            }
+        }
+        if (outcome === RelayOutcome.lost || outcome === RelayOutcome.failed) {
+            this.answerFailure("attempt-failed", "The entry to which the request was relayed failed.");
+            return false;
+        }
+        if (outcome === RelayOutcome.unavailable && hasTriedPeer && !this.canReplayBody()) {
+            this.answerFailure("relay-failed", "No entry took the request, and its body cannot be sent again.");
+            return false;
+        }
+        return outcome === RelayOutcome.unavailable ? undefined : false;
+    }
+
     private answerUnplaced(): void {
+        this.backOffDelayMs = this.dependencies.placer.findBackOffDelayMs(this.context.service.name);
+        if (this.backOffDelayMs !== undefined) {
+            this.answerFailure("backing-off", "All upstreams of the service have asked for a pause.");
+            return;
+        }
         this.permitDelayMs = this.dependencies.placer.findPermitDelayMs(this.context.service.name, this.excluded);
-        if (this.permitDelayMs === undefined) {
+        if (this.dependencies.upstreamTable.isEvacuated(this.context.service.name)) {
+            this.answerFailure("evacuated", "All availability zones with upstreams of the service are evacuated.");
+        }
+        else if (this.permitDelayMs === undefined) {
             this.answerFailure("no-room", "No upstream had room for the request in time.");
         }
         else {
@@ -153,28 +245,39 @@
     }
 
     private findPlacement(): Promise<LeasedPlacement | undefined> {
-        const { route, service, exchange } = this.context;
+        const { route, organisation, service, exchange } = this.context;
         const baselineMs = this.dependencies.durationEstimates.get(route.name, this.times.targetLatencyMs);
         const startMs = this.attemptCount === 0 ? exchange.receivedAtMs : this.nowMs();
+        const waitLimits = this.times.computeWaitLimits(startMs, baselineMs);
+        const canRelay = this.dependencies.relay?.isRelaying === true && this.dependencies.relay.hasPeers &&
+            exchange.isRelayAllowed;
+        const maxWaitUntilMs = canRelay ? this.nowMs() + maxWaitBeforeRelayMs : Infinity;
         return this.dependencies.placer.place({
             service,
             excluded: this.excluded,
-            priority: route.priority,
+            priority: organisation?.priority ?? route.priority,
             kind: route.name,
+            organisation: organisation?.name,
             wasRejected: this.context.callerAgeMs >= minRejectedAgeMs,
-            ...this.times.computeWaitLimits(startMs, baselineMs),
+            ...waitLimits,
+            waitUntilMs: Math.min(waitLimits.waitUntilMs, maxWaitUntilMs),
             isExchangeEnded: () => exchange.isEnded,
         });
     }
 
     private async sendAttempt({ upstreamState, cost, connection }: LeasedPlacement): Promise<AttemptResult> {
         const { exchange, requestId, deadlineAtMs, route, service } = this.context;
-        const { dialect, bufferBudget, upstreamLimits } = this.dependencies;
+        const { dialect, bufferBudget, upstreamLimits, upstreamStatements } = this.dependencies;
         const sentAtMs = this.nowMs();
         const remainingMs = Math.floor(Math.min(deadlineAtMs, this.times.timeoutAtMs + upstreamGraceMs) - sentAtMs);
         const { id } = upstreamState.registration;
         const headers = exchange.buildAttemptHeaders(id, remainingMs);
-        const onHead = (head: ResponseHead, isNotRun: boolean) =>
+        const onHead = (head: ResponseHead, isNotRun: boolean) => {
+            this.dependencies.relay?.recordResponse(false);
+            upstreamStatements.recordHead(upstreamState, head, MessageKind.request);
+            if (dialect.isMisdirected(head)) {
+                upstreamLimits.cold.returnPermit(upstreamState);
+            }
             upstreamLimits.recordStatement(
                 upstreamState,
                 dialect.readRateLimit(head),
@@ -182,6 +285,7 @@
                 // Rejections and errors can come from a part of the instance that does not know the limit.
                 !isNotRun && head.status < minServerErrorStatus,
             );
+        };
         const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
         this.attemptCount++;
@@ -221,6 +325,7 @@
         }
         upstreamState.openSentAtMs.delete(sentAtMs);
         this.mayHaveRun ||= attempt.mayHaveRun;
+        this.isQuotaUnitUsed ||= attempt.mayHaveRun;
         return attemptResult;
     }
 
@@ -257,6 +362,9 @@
                 failuresInRow: upstreamState.failuresInRow,
             });
         }
+        if ("failure" in attemptResult && !isIgnoredForHealth && this.attempt?.responseHead === undefined) {
+            this.dependencies.relay?.recordFailure(upstreamState.registration.id, attemptResult.kind === "not-sent");
+        }
         if (attemptResult.kind === "delivered" || exchange.isEnded) {
             return false;
         }
@@ -291,7 +399,7 @@
         const isSafeToRetry = route.isIdempotent || !this.mayHaveRun;
         const isRetryPossible = isSafeToRetry && this.attemptCount < route.maxAttempts && this.canReplayBody() &&
             this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
-        if (!isRetryPossible) {
+        if (!isRetryPossible || !this.takeQuotaForRetry()) {
             return false;
         }
         const isWithinBudget = retryBudget.take(service.name, this.nowMs());
@@ -299,6 +407,17 @@
         return isWithinBudget;
     }
 
+    /** Takes another unit for a retry after an attempt that may have run, since both may run; returns whether it did. */
+    private takeQuotaForRetry(): boolean {
+        const { organisation, exchange } = this.context;
+        if (organisation === undefined || exchange.isRelayed || !this.isQuotaUnitUsed) {
+            return true;
+        }
+        const { isAdmitted } = this.dependencies.quotaGate.take(organisation.name);
+        this.isQuotaUnitUsed = !isAdmitted;
+        return isAdmitted;
+    }
+
     /** Delivers the held error response of an upstream if there is one; otherwise the entry generates an answer. */
     private answerFailure(reason: string, detail: string): void {
         if (this.lastErrorAttempt !== undefined) {
@@ -351,6 +470,7 @@
         const request: RefusedRequest = {
             cause: this.findRefusalCause(),
             permitDelayMs: this.permitDelayMs,
+            backOffDelayMs: this.backOffDelayMs,
             untilTargetMs: this.times.targetAtMs - this.nowMs(),
             untilDeadlineMs: this.context.deadlineAtMs - this.nowMs(),
             baselineMs: this.dependencies.durationEstimates.get(this.context.route.name, this.times.targetLatencyMs),
@@ -359,6 +479,9 @@
     }
 
     private findRefusalCause(): RefusalCause {
+        if (this.backOffDelayMs !== undefined) {
+            return RefusalCause.backingOff;
+        }
         if (this.permitDelayMs !== undefined) {
             return RefusalCause.limited;
         }
@@ -371,8 +494,16 @@
 
     private log(text: string, fields: object): void {
         const { requestId, route, exchange } = this.context;
+        const organisation = this.context.organisation?.name;
         const ageMs = Math.round(this.nowMs() - exchange.receivedAtMs);
         const { callerAgeMs } = this.context;
-        this.dependencies.logger.info(text, { requestId, route: route.name, ageMs, callerAgeMs, ...fields });
+        this.dependencies.logger.info(text, {
+            requestId,
+            route: route.name,
+            organisation,
+            ageMs,
+            callerAgeMs,
+            ...fields,
+        });
     }
 }
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -2,11 +2,13 @@
 import type { Clock } from "../core/clock.js";
 import { toHeaderFields } from "../entry/headers.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import type { EntryRelay } from "../relay/entryRelay.js";
 import type { ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { OverloadControl } from "./overloadControl.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
+import type { UpstreamStatements } from "./upstreamStatements.js";
 import {
     recordReportedLoad,
     UpstreamOutcome,
@@ -37,6 +39,9 @@
 export interface LoadProberOptions {
     readonly upstreamTable: UpstreamStateTable;
     readonly upstreamLimits: UpstreamLimits;
+    readonly upstreamStatements: UpstreamStatements;
+    /** Learns which upstreams answer; undefined if the entry does not relay. */
+    readonly relay?: Pick<EntryRelay, "recordResponse" | "recordFailure"> | undefined;
     readonly connections: UpstreamConnections;
     readonly dialect: Dialect;
     readonly clock: Clock;
@@ -77,18 +82,37 @@
     }
 
     private async probeOne(upstreamState: UpstreamState, healthPath: string): Promise<ProbeResult | undefined> {
-        const { upstreamTable, upstreamLimits, connections, dialect, clock, metrics, overloadControl } = this.options;
+        const {
+            upstreamTable,
+            upstreamLimits,
+            upstreamStatements,
+            connections,
+            dialect,
+            clock,
+            metrics,
+            overloadControl,
+        } = this.options;
         const probedAtMs = clock.monotonicMs();
         const { address, id } = upstreamState.registration;
+        const isNewConnection = !connections.hasIdle(address);
         const connection = connections.lease(address, probedAtMs);
         if (connection === undefined) {
             return undefined;
         }
         upstreamLimits.recordSent(upstreamState, MessageKind.probe);
-        const { head, isReset } = await fetchHead(connection.dispatcher, healthPath);
+        const { head, isConnectionError, isReset } = await fetchHead(connection.dispatcher, healthPath);
+        if (head === undefined) {
+            this.options.relay?.recordFailure(id, isNewConnection && isConnectionError);
+        }
+        else {
+            this.options.relay?.recordResponse(isNewConnection);
+        }
         // A duplicate of an earlier response on the connection states the id of its request.
         const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
             (dialect.readUpstreamId(head) ?? id) === id;
+        if (isMatchingResponse) {
+            upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
+        }
         if (!isMatchingResponse || head.status !== 200) {
             connection.discard();
             metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
@@ -104,6 +128,7 @@
         metrics.loadProbes.inc({ end: "answered" });
         // Instances need not name their limit in answers to probes, so such an answer does not withdraw it.
         upstreamLimits.recordStatement(upstreamState, dialect.readRateLimit(head), MessageKind.probe, false);
+        upstreamLimits.cold.recordProbe(upstreamState, dialect.readWarmupMs(head));
         const load = dialect.readLoad(head);
         if (load !== undefined) {
             recordReportedLoad(upstreamState, load, probedAtMs);
@@ -112,25 +137,27 @@
     }
 }
 
-interface ProbeResponse {
-    /** Undefined when the request fails or times out. */
+interface FetchResult {
+    /** Undefined when the request failed or timed out. */
     readonly head: ResponseHead | undefined;
+    /** Whether the connection was not established in time, or failed before the response. */
+    readonly isConnectionError: boolean;
     /** Whether the connection was closed or reset after the request had been sent on it. */
     readonly isReset: boolean;
 }
 
-function fetchHead(dispatcher: Dispatcher, path: string): Promise<ProbeResponse> {
+function fetchHead(dispatcher: Dispatcher, path: string): Promise<FetchResult> {
     return new Promise(resolve => {
         let controller: Dispatcher.DispatchController | undefined;
         let head: ResponseHead | undefined;
         let isFinished = false;
-        const finish = (result: ResponseHead | undefined, isReset = false) => {
+        const finish = (result: ResponseHead | undefined, isConnectionError: boolean, isReset = false) => {
             isFinished = true;
             clearTimeout(timer);
-            resolve({ head: result, isReset });
+            resolve({ head: result, isConnectionError, isReset });
         };
         const onProbeTimeout = () => {
-            finish(undefined);
+            finish(undefined, controller === undefined);
             controller?.abort(new Error("load probe timed out"));
         };
         let timer = setTimeout(onProbeTimeout, connectTimeoutMs);
@@ -148,16 +175,17 @@
                 head = { status, headers: toHeaderFields((requestController.rawHeaders ?? []) as (string | Buffer)[]) };
             },
             onResponseData: () => undefined,
-            onResponseEnd: () => finish(head),
+            onResponseEnd: () => finish(head, false),
             // Treated like a missing response.
-            onResponseError: (_controller, error) => finish(undefined, controller !== undefined && isClosed(error)),
+            onResponseError: (_controller, error) =>
+                finish(undefined, true, controller !== undefined && isClosed(error)),
         };
         try {
             dispatcher.dispatch({ method: "GET", path }, handler);
         }
         catch {
             // undici throws for an invalid path; treated like a missing response.
-            finish(undefined);
+            finish(undefined, false);
         }
     });
 }
--- a/src/gateway/options.ts
+++ b/src/gateway/options.ts
@@ -3,6 +3,7 @@
 import type { EntryId } from "../core/ids.js";
 import type { RandomSource } from "../core/random.js";
 import type { EntryLimits } from "../entry/options.js";
+import type { QuotaBounds } from "../quotas/quotaBounds.js";
 import type { Dialect } from "./dialect.js";
 import type { RetryLimits } from "./sharedRetryBudget.js";
 
@@ -26,6 +27,8 @@
 export interface GatewayOptions {
     readonly id: EntryId;
     readonly availabilityZone: string;
+    /** Region of the entry; requests whose home regions do not include it are refused. */
+    readonly region: string;
     readonly listen: ListenAddress;
     /** Address on which metrics are served; undefined to disable. */
     readonly metricsListen: ListenAddress | undefined;
@@ -38,9 +41,13 @@
     readonly retries: RetryLimits;
     /** Limit on load probes per second and upstream, over all entries; a service's upstreams share the sum. */
     readonly probesPerUpstreamSecond: number;
+    /** Bounds of the quotas of organisations. */
+    readonly quotaBounds?: QuotaBounds;
     /** Whether requests are ordered and refused by their worth while capacity is insufficient; default false. */
     readonly isOverloadControlled?: boolean;
     readonly stop: ShutdownTimes;
+    /** Whether requests are relayed through other entries while no instance can be reached; false if undefined. */
+    readonly canRelay?: boolean;
     readonly dialect: Dialect;
     readonly logger: GatewayLogger;
     readonly clock: Clock;
--- a/src/gateway/overloadControl.test.ts
+++ b/src/gateway/overloadControl.test.ts
@@ -12,6 +12,7 @@
     isConfirmed: () => true,
     upstreams: () => 0,
     ejectedUpstreams: () => 0,
+    coldUpstreams: () => 0,
     limitedUpstreams: () => 0,
 };
 
--- a/src/gateway/resetsWhenFull.test.ts
+++ b/src/gateway/resetsWhenFull.test.ts
@@ -5,7 +5,7 @@
 for (const isOverloadControlled of [false, true]) {
     const name = isOverloadControlled ? "with a learned limit" : "without the setting";
     test(`guards against a non-idempotent request that is sent again after a reset: ${name}`, async t => {
-        const entry = new TestEntry(isOverloadControlled);
+        const entry = new TestEntry({ isOverloadControlled });
         const upstreams = [new TestUpstream("i-1"), new TestUpstream("i-2")];
         const times = { targetLatencyMs: 100_000, timeoutMs: 100_000 };
         await entry.start(makeTable(1, [makeRoute({ isIdempotent: false, maxAttempts: 3, ...times })]));
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -9,6 +9,7 @@
 import { findHeader } from "../entry/headers.js";
 import { defaultEntryLimits } from "../entry/options.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
+import { type QuotaGate, UnlimitedQuotaGate } from "../organisations/quotaGate.js";
 import type { ResponseHead } from "../requests/model.js";
 import { CallerServer } from "./callerServer.js";
 import { Dialect, type InstanceLoad, type RateLimitStatement } from "./dialect.js";
@@ -21,8 +22,10 @@
 import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
+import { UpstreamStatements } from "./upstreamStatements.js";
 import { UpstreamStateTable } from "./upstreamStateTable.js";
 
 const stallTimeoutMs = 5000;
@@ -47,7 +50,8 @@
 
 /** Headers of tests: deadline, request id, not-run statement, load and upstream id. */
 export class TestDialect extends Dialect {
-    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms"]);
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key", "relay"]);
+    readonly organisationHeaders: ReadonlySet<string> = new Set(["organisation"]);
 
     readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
         return headers["deadline-ms"] === undefined ? undefined : Number(headers["deadline-ms"]);
@@ -57,16 +61,32 @@
         return headers["request-id"] === undefined ? undefined : String(headers["request-id"]);
     }
 
+    readKeys(rawHeaders: readonly string[]): readonly string[] {
+        return rawHeaders.filter((_value, index) => index % 2 === 1 && rawHeaders[index - 1].toLowerCase() === "key");
+    }
+
+    listOrganisationHeaders(organisation: string): readonly string[] {
+        return ["Organisation", organisation];
+    }
+
     listAttemptHeaders(_upstreamId: string, remainingMs: number): readonly string[] {
         return ["Deadline-Ms", String(remainingMs)];
     }
 
+    readRelayToken(headers: IncomingHttpHeaders): string | undefined {
+        return headers["relay"] === undefined ? undefined : String(headers["relay"]);
+    }
+
+    listRelayHeaders(remainingMs: number, token: string): readonly string[] {
+        return ["Deadline-Ms", String(remainingMs), "Relay", token];
+    }
+
     readAnsweredRequestId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "request-id");
     }
 
-    isNotRun({ headers }: ResponseHead): boolean {
-        return findHeader(headers, "not-run") !== undefined;
+    isNotRun({ status, headers }: ResponseHead): boolean {
+        return findHeader(headers, "not-run") !== undefined || status === 421;
     }
 
     isAuthentic(): boolean {
@@ -88,6 +108,24 @@
         return text === undefined ? { kind: "none" } : { kind: "limit", perSecond: Number(text) };
     }
 
+    isLeaving({ headers }: ResponseHead): boolean {
+        return findHeader(headers, "leaving") !== undefined;
+    }
+
+    readBackOffMs(head: ResponseHead): number | undefined {
+        const text = findHeader(head.headers, "back-off-ms");
+        return this.isNotRun(head) && text !== undefined ? Number(text) : undefined;
+    }
+
+    readWarmupMs({ headers }: ResponseHead): number | undefined {
+        const text = findHeader(headers, "warmup-ms");
+        return text === undefined ? undefined : Number(text);
+    }
+
+    isMisdirected({ status }: ResponseHead): boolean {
+        return status === 421;
+    }
+
     readUpstreamId({ headers }: ResponseHead): string | undefined {
         return findHeader(headers, "upstream-id");
     }
@@ -100,12 +138,20 @@
     /** Whether it answers load probes. */
     isAnsweringProbes = true;
     load = "0,3,1";
+    /** Header fields that it adds to answers to load probes. */
+    probeFields: Record<string, string> = {};
+    /** Number of load probes that it received. */
+    /** Rest of the warmup that it states in answers to load probes. */
+    warmupMs: number | undefined;
+    probeCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
+            this.probeCount++;
             if (this.isAnsweringProbes) {
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id });
+                const warmup = this.warmupMs === undefined ? {} : { "Warmup-Ms": this.warmupMs };
+                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...warmup, ...this.probeFields });
                 response.end();
             }
             return;
@@ -161,15 +207,28 @@
     }
 }
 
+/** Options of a TestEntry. */
+export interface TestEntryOptions {
+    readonly quotaGate?: QuotaGate;
+    readonly isOverloadControlled?: boolean;
+}
+
 /** An entry without control VMs; the test sets its routes and upstreams. */
 export class TestEntry {
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
     readonly upstreamTable = new UpstreamStateTable();
+    readonly upstreamLimits: UpstreamLimits;
     readonly requestHandler: GatewayRequestHandler;
+    readonly dependencies: RequestDependencies;
     readonly clock = new SystemClock();
+    readonly upstreamStatements: UpstreamStatements;
+    /** How often an upstream announced that it leaves. */
+    leavingReportCount = 0;
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
-    private readonly metrics = new GatewayMetrics({
+    /** Whether the directory is confirmed to be up to date. */
+    isConfirmed = true;
+    readonly metrics = new GatewayMetrics({
         inFlight: () => 0,
         directoryVersion: () => 1,
         routesVersion: () => this.requestHandler.routesVersion,
@@ -177,6 +236,7 @@
         upstreams: () => this.upstreamTable.list().length,
         ejectedUpstreams: () => this.upstreamTable.countEjected(this.clock.monotonicMs()),
         limitedUpstreams: () => 0,
+        coldUpstreams: () => 0,
     });
     private readonly server = new CallerServer(defaultEntryLimits, (incoming, outgoing) => {
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
@@ -187,12 +247,22 @@
     });
     private readonly dialect = new TestDialect();
 
-    constructor(isOverloadControlled = false) {
+    constructor({ quotaGate = new UnlimitedQuotaGate(), isOverloadControlled = false }: TestEntryOptions = {}) {
         const { upstreamTable, dialect, clock, metrics } = this;
         const random = new SeededRandom(1);
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
         const upstreamLimits = new UpstreamLimits({ upstreamTable, clock, logger, metrics, onObserved: () => 0 });
+        const upstreamStatements = new UpstreamStatements({
+            upstreamTable,
+            dialect,
+            clock,
+            logger,
+            metrics,
+            onLeaving: () => this.leavingReportCount++,
+        });
+        this.upstreamStatements = upstreamStatements;
+        this.upstreamLimits = upstreamLimits;
         const connections = new UpstreamConnections(limits);
         const overloadControl = isOverloadControlled
             ? new OverloadControl({ logger, metrics, clock, random, availabilityZone: "az-1", onShortage: () => 0 })
@@ -200,6 +270,7 @@
         const prober = new LoadProber({
             upstreamTable,
             upstreamLimits,
+            upstreamStatements,
             connections,
             dialect,
             clock,
@@ -207,8 +278,9 @@
             overloadControl,
         });
         const probesPerSecond = () => highProbeRate;
-        const dependencies: RequestDependencies = {
+        this.dependencies = {
             placer: new Placer({
+                affinity: new UpstreamAffinity("entry-1"),
                 upstreamTable,
                 upstreamLimits,
                 prober,
@@ -219,6 +291,8 @@
             }),
             upstreamTable,
             upstreamLimits,
+            quotaGate,
+            upstreamStatements,
             retryBudget: new SharedRetryBudget({
                 limits: { ratio: 1, slack: 100, windowMs: 10_000 },
                 countEntries: () => 1,
@@ -235,18 +309,31 @@
             random,
         };
         const waitUntilKnown = () => Promise.resolve(this.onDirectoryWait());
-        const watch = { version: 1, isConfirmed: true, waitUntilKnown };
+        const isConfirmed = () => this.isConfirmed;
+        const watch = {
+            version: 1,
+            get isConfirmed() {
+                return isConfirmed();
+            },
+            waitUntilKnown,
+        };
         this.requestHandler = new GatewayRequestHandler({
             limits,
             dialect,
             logger,
             metrics,
             random,
-            dependencies,
+            region: "west",
+            dependencies: this.dependencies,
             watch,
         });
     }
 
+    /** Port for callers. */
+    get port(): number {
+        return this.server.port;
+    }
+
     async start(table?: RouteTable): Promise<void> {
         if (table !== undefined) {
             this.requestHandler.setRoutes(table);
@@ -264,9 +351,14 @@
     }
 
     /** Sends a request; resolves with status and body, or rejects when the connection breaks. */
-    async send(path: string, id: string, method = "GET"): Promise<{ readonly status: number; readonly text: string; }> {
+    async send(
+        path: string,
+        id: string,
+        method = "GET",
+        fields: http.OutgoingHttpHeaders = {},
+    ): Promise<{ readonly status: number; readonly text: string; }> {
         const { port } = this.server;
-        const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(longDeadlineMs) };
+        const headers = { "Host": "shop.example", "Request-Id": id, "Deadline-Ms": String(longDeadlineMs), ...fields };
         const request = http.request({ host: "127.0.0.1", port, path, method, headers, agent: false });
         request.end();
         const [response] = await once(request, "response") as [http.IncomingMessage];
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -2,6 +2,7 @@
 import { type Registration, RegistrationState } from "../directory/model.js";
 import { type ConcurrencyLimit, raiseLimit } from "../overload/concurrencyLimit.js";
 import type { InstanceLoad } from "./dialect.js";
+import type { Permits } from "./permits.js";
 
 /** First and maximum ejection time; it doubles with each further consecutive failure. */
 const baseEjectionMs = 250;
@@ -16,6 +17,8 @@
  */
 const outlierFactor = 1.5;
 const outlierShare = 0.1;
+/** Maximum number of leaving incarnations that are remembered after their registration has ended. */
+const maxLeavingIncarnations = 4096;
 
 /** Outcome of an attempt or probe for the health of an upstream. */
 export const UpstreamOutcome = {
@@ -38,6 +41,16 @@
     readonly observedAtMs: number;
 }
 
+/** Warmup of an upstream and this entry's permits during it. Times are in monotonic milliseconds. */
+export interface ColdState {
+    /** End of the warmup by the registration, and by an answer to a probe of this entry. */
+    registeredUntilMs: number;
+    observedUntilMs: number;
+    readonly permits: Permits;
+    /** The holding whose first permits were added; undefined if none. */
+    startedGrant: number | undefined;
+}
+
 /** State of an upstream as known to this entry. */
 export interface UpstreamState {
     registration: Registration;
@@ -54,12 +67,17 @@
     /** Moving average of failures, in [0, 1]. */
     failureShare: number;
     ejectedUntilMs: number;
+    /** Whether this incarnation has announced that it leaves; final. */
+    isLeaving: boolean;
+    /** Until when the upstream wants neither requests nor probes from this entry, in monotonic milliseconds. */
+    backOffUntilMs: number;
     /** Rate limit that this entry saw last; undefined if it never saw one. */
     namedLimit: NamedLimit | undefined;
     /** Learned limit of an upstream that resets connections when it is full; undefined if it did not. */
     concurrencyLimit?: ConcurrencyLimit | undefined;
-    /** Requests that this entry may send while the upstream is limited, at a time in monotonic milliseconds. */
-    readonly permits: { count: number; settledAtMs: number; };
+    /** Requests that this entry may send while the upstream is limited. */
+    readonly permits: Permits;
+    readonly cold: ColdState;
 }
 
 /** Records a reported load; it shows what an upstream with a learned limit holds without resets. */
@@ -75,12 +93,36 @@
 /** Known upstreams and their state, by id. */
 export class UpstreamStateTable {
     private readonly statesById = new Map<UpstreamId, UpstreamState>();
+    /** Start times of the incarnations that announced that they leave, also after their state was deleted. */
+    private readonly leavingBornAtMs = new Map<UpstreamId, number>();
+    private evacuated: ReadonlySet<string> = new Set();
+
+    /** Availability zones whose upstreams get no new requests and no load probes. */
+    get evacuatedZones(): ReadonlySet<string> {
+        return this.evacuated;
+    }
+
+    setEvacuatedZones(availabilityZones: readonly string[]): void {
+        this.evacuated = new Set(availabilityZones);
+    }
+
+    /** Returns whether a service has ready upstreams, but only in evacuated availability zones. */
+    isEvacuated(service: ServiceName): boolean {
+        if (this.evacuated.size === 0) {
+            return false;
+        }
+        const ready = this.list().map(({ registration }) => registration).filter(registration =>
+            registration.service === service && registration.state === RegistrationState.ready
+        );
+        return ready.length > 0 && ready.every(({ availabilityZone }) => this.evacuated.has(availabilityZone));
+    }
 
     /** Adds an upstream or updates its registration; a new incarnation starts with a new state. */
     set(registration: Registration, nowMs: number): void {
         const upstreamState = this.statesById.get(registration.id);
         if (upstreamState !== undefined && upstreamState.registration.bornAtMs === registration.bornAtMs) {
             upstreamState.registration = registration;
+            upstreamState.cold.registeredUntilMs = nowMs + registration.warmupMs;
             return;
         }
         this.statesById.set(registration.id, {
@@ -93,8 +135,16 @@
             failuresInRow: 0,
             failureShare: 0,
             ejectedUntilMs: -Infinity,
+            isLeaving: this.leavingBornAtMs.get(registration.id) === registration.bornAtMs,
+            backOffUntilMs: -Infinity,
             namedLimit: undefined,
             permits: { count: 0, settledAtMs: nowMs },
+            cold: {
+                registeredUntilMs: nowMs + registration.warmupMs,
+                observedUntilMs: -Infinity,
+                permits: { count: 0, settledAtMs: nowMs },
+                startedGrant: undefined,
+            },
         });
     }
 
@@ -102,6 +152,15 @@
         this.statesById.delete(id);
     }
 
+    get(id: UpstreamId): UpstreamState | undefined {
+        return this.statesById.get(id);
+    }
+
+    /** Returns the upstreams that may get probes, of all services. */
+    listProbeable(nowMs: number): readonly UpstreamState[] {
+        return this.list().filter(upstreamState => isUsable(upstreamState, nowMs));
+    }
+
     /** Removes all upstreams whose id is not in `ids`. */
     keepOnly(ids: ReadonlySet<UpstreamId>): void {
         [...this.statesById.keys()].filter(id => !ids.has(id)).forEach(id => this.statesById.delete(id));
@@ -116,14 +175,44 @@
     }
 
     /** Returns whether an upstream that was probed earlier may still get new requests. */
-    isCurrent(upstreamState: UpstreamState): boolean {
+    isCurrent(upstreamState: UpstreamState, nowMs: number): boolean {
         return this.statesById.get(upstreamState.registration.id) === upstreamState &&
-            upstreamState.registration.state === RegistrationState.ready;
+            isUsable(upstreamState, nowMs) && !this.evacuated.has(upstreamState.registration.availabilityZone);
+    }
+
+    /** Excludes an incarnation that leaves, also when it is registered again later. */
+    markLeaving(upstreamState: UpstreamState): void {
+        const { id, bornAtMs } = upstreamState.registration;
+        upstreamState.isLeaving = true;
+        // Without a start time, a later incarnation could not be told from this one and would be excluded, too.
+        if (bornAtMs === 0) {
+            return;
+        }
+        this.leavingBornAtMs.delete(id);
+        this.leavingBornAtMs.set(id, bornAtMs);
+        for (const oldestId of this.leavingBornAtMs.keys()) {
+            if (this.leavingBornAtMs.size <= maxLeavingIncarnations) {
+                break;
+            }
+            this.leavingBornAtMs.delete(oldestId);
+        }
+    }
+
+    /**
+     * Returns the time until the first upstream of a service ends its back-off; undefined unless the service has
+     * upstreams and all of them back off.
+     */
+    findBackOffDelayMs(service: ServiceName, nowMs: number): number | undefined {
+        const present = this.list().filter(upstreamState =>
+            upstreamState.registration.service === service && isPresent(upstreamState)
+        );
+        const untilMs = Math.min(...present.map(upstreamState => upstreamState.backOffUntilMs));
+        return present.length > 0 && untilMs > nowMs ? untilMs - nowMs : undefined;
     }
 
     /**
      * Returns the upstreams of a service that may get new requests and that `isAccepted` accepts; ejected ones only when
-     * all of these are ejected.
+     * all of these are ejected. Leaving ones and those that back off are never returned.
      */
     listEligible(
         service: ServiceName,
@@ -133,8 +222,9 @@
     ): readonly UpstreamState[] {
         const ready = this.list().filter(upstreamState => {
             const { registration } = upstreamState;
-            return registration.service === service && registration.state === RegistrationState.ready &&
-                !excluded.has(registration.id) && isAccepted(upstreamState);
+            return registration.service === service && isUsable(upstreamState, nowMs) &&
+                !excluded.has(registration.id) && !this.evacuated.has(registration.availabilityZone) &&
+                isAccepted(upstreamState);
         });
         const notEjected = ready.filter(upstreamState => upstreamState.ejectedUntilMs <= nowMs);
         return notEjected.length > 0 ? notEjected : ready;
@@ -165,3 +255,12 @@
         return upstreamState.failureShare > outlierFactor * meanFailureShare + outlierShare;
     }
 }
+
+/** Returns whether an upstream neither drains nor leaves. */
+function isPresent({ registration, isLeaving }: UpstreamState): boolean {
+    return registration.state === RegistrationState.ready && !isLeaving;
+}
+
+function isUsable(upstreamState: UpstreamState, nowMs: number): boolean {
+    return isPresent(upstreamState) && upstreamState.backOffUntilMs <= nowMs;
+}
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -13,6 +13,9 @@
     readonly attachedEntries: () => number;
     readonly totalEntries: () => number;
     readonly limitedInstances: () => number;
+    readonly evacuatedZones?: () => number;
+    readonly limitedOrganisations: () => number;
+    readonly coldInstances: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -60,6 +63,21 @@
             "Instances that name a rate limit, as this VM knows them",
             gauges.limitedInstances,
         );
+        this.addGauge(
+            "figwharf_zones_evacuated",
+            "Availability zones that are evacuated",
+            gauges.evacuatedZones ?? (() => 0),
+        );
+        this.addGauge(
+            "figwharf_quota_limited_organisations",
+            "Organisations that are at their quota; 0 at control VMs that do not lead",
+            gauges.limitedOrganisations,
+        );
+        this.addGauge(
+            "figwharf_cold_instances",
+            "Instances whose rate is limited by a warmup, as this VM knows them",
+            gauges.coldInstances,
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { registerGauge } from "./gauges.js";
 
 /** Bucket bounds of the latency histogram in seconds, from a fast response to the longest usual deadline. */
@@ -15,6 +15,8 @@
     readonly upstreams: () => number;
     readonly ejectedUpstreams: () => number;
     readonly limitedUpstreams: () => number;
+    readonly evacuatedZones?: () => number;
+    readonly coldUpstreams: () => number;
 }
 
 /** Metrics of an entry that watches a directory. */
@@ -39,6 +41,12 @@
     readonly retries = this.addCounter("figwharf_resends_total", "Requests sent to another upstream", ["service"]);
     readonly retriesDenied = this.addCounter("figwharf_resends_denied_total", "Resends the budget denied", ["service"]);
     readonly refusals = this.addCounter("figwharf_refusals_total", "Requests answered without an upstream", ["reason"]);
+    readonly organisationRequests = this.addCounter(
+        "figwharf_organisation_requests_total",
+        "Requests with a valid key by organisation and by whether its quota admitted them",
+        ["organisation", "outcome"],
+    );
+    readonly rejectedKeys = this.addCounter("figwharf_rejected_keys_total", "Requests without a valid key", ["reason"]);
     readonly shedRequests = this.addCounter(
         "figwharf_shed_requests_total",
         "Requests refused before their wait ended, while capacity was insufficient",
@@ -56,9 +64,39 @@
     ]);
     readonly limitedUpstreamMessages = this.addCounter(
         "figwharf_limited_upstream_messages_total",
-        "Requests and load probes sent to upstreams that name a rate limit",
+        "Requests and load probes sent to upstreams with a rate limit",
         ["kind"],
     );
+    readonly leavingUpstreams = this.addCounter(
+        "figwharf_upstreams_leaving_total",
+        "Upstreams whose responses announced that they leave",
+        ["service"],
+    );
+    readonly backOffs = this.addCounter(
+        "figwharf_upstream_back_offs_total",
+        "Pauses that upstreams asked for when they rejected a message",
+        ["service"],
+    );
+    readonly quotaDecisions = this.addCounter(
+        "figwharf_quota_decisions_total",
+        "Requests of organisations with a rate, by the decision of the quota",
+        ["outcome"],
+    );
+    readonly relayedRequests = this.addCounter(
+        "figwharf_relayed_requests_total",
+        "Requests sent to other entries while instances could not be reached",
+        ["end"],
+    );
+    readonly acceptedRelayedRequests = this.addCounter(
+        "figwharf_relayed_requests_accepted_total",
+        "Requests accepted from entries that cannot reach instances",
+        [],
+    );
+    readonly cutOff = new Gauge({
+        name: "figwharf_cut_off",
+        help: "1 while instances cannot be reached or no new connections to them can be opened",
+        registers: [this.registry],
+    });
     readonly controlVmLosses = this.addCounter("figwharf_control_lost_total", "Losses of the control VM in use", []);
 
     constructor(gauges: GatewayGauges) {
@@ -76,7 +114,13 @@
             "Upstreams that are left out at the moment",
             gauges.ejectedUpstreams,
         );
-        this.addGauge("figwharf_upstreams_limited", "Upstreams that name a rate limit", gauges.limitedUpstreams);
+        this.addGauge("figwharf_upstreams_limited", "Upstreams with a rate limit", gauges.limitedUpstreams);
+        this.addGauge(
+            "figwharf_zones_evacuated",
+            "Availability zones that are evacuated",
+            gauges.evacuatedZones ?? (() => 0),
+        );
+        this.addGauge("figwharf_upstreams_cold", "Upstreams whose rate is limited by a warmup", gauges.coldUpstreams);
     }
 
     private addCounter<Label extends string>(name: string, help: string, labelNames: readonly Label[]): Counter<Label> {
