Log since when a control VM hears no leader, and how old an entry's confirmation is

Cause: the logs of a late configuration did not show which control VM had confirmed the old one, or when it last heard a leader. Change: control VMs log when contact with the leader begins and ends; entries log answers that they do not use, and the age of their confirmation beside refusals and when they leave a control VM. No change of behaviour. Result: directoryWatch, replicaHost and gatewayRequestHandler tests pass.

--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -53,6 +53,7 @@
     /** Batch that a full disk delays; the replica handles no events until it is performed. */
     private delayedBatch: EffectBatch | undefined;
     private isStopped = false;
+    private wasLed = false;
 
     constructor(private readonly options: ReplicaHostOptions<Machine>) {
         super();
@@ -120,6 +121,7 @@
             this.queue = [];
             const effects = events.flatMap(event => this.replica.handle(event, nowMs));
             this.perform([...effects, ...this.replica.tick(nowMs)]);
+            this.logLeaderContact();
         }
         catch (error) {
             this.fail(error as Error);
@@ -155,6 +157,15 @@
         this.options.store.close();
     }
 
+    private logLeaderContact(): void {
+        const { isLed } = this;
+        if (isLed !== this.wasLed) {
+            this.wasLed = isLed;
+            const leader = this.replica.knownLeader;
+            this.options.logger.info(isLed ? "in contact with a leader" : "lost contact with the leader", { leader });
+        }
+    }
+
     private requestAnswer(
         timeoutMs: number,
         makeEvent: (requestId: number) => ControlEvent,
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -115,7 +115,8 @@
         return this.confirmedAgeMs < maxCountedAgeMs;
     }
 
-    private get confirmedAgeMs(): number {
+    /** Milliseconds since the directory was last confirmed to be up to date; Infinity before the first time. */
+    get confirmedAgeMs(): number {
         return this.confirmedAt === undefined ? Infinity : ageMs(this.confirmedAt, this.options.clock);
     }
 
@@ -180,6 +181,7 @@
             this.options.logger.warn("disconnected from a control VM", {
                 address: this.client.address,
                 version: this.version,
+                confirmedAgeMs: Math.round(this.confirmedAgeMs),
             });
             this.failedAtMs.set(this.client.address, this.nowMs());
             this.client.close();
@@ -268,7 +270,7 @@
             const sentAt = readInstant(this.options.clock);
             const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
             isAnswered = true;
-            return this.applyAnswer(answer, sentAt);
+            return this.applyAnswer(answer, sentAt, client.address);
         }
         catch (error) {
             if (!isAnswered) {
@@ -298,10 +300,11 @@
     }
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer(answer: WatchAnswer, sentAt: Instant): boolean {
+    private applyAnswer(answer: WatchAnswer, sentAt: Instant, address: string): boolean {
         const { isLed, delta, entryCount, entryTotal, limits, quotas, peers, demand } = answer;
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
+            this.options.logger.info("control VM may be behind", { address, isLed, held: this.version, isStale });
             return false;
         }
         this.entryCount = entryCount;
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -52,7 +52,7 @@
     /** Region of the entry; undefined if it is not known. */
     readonly region?: string;
     readonly dependencies: RequestDependencies;
-    readonly watch: Pick<DirectoryWatch, "version" | "isConfirmed" | "waitUntilKnown">;
+    readonly watch: Pick<DirectoryWatch, "version" | "isConfirmed" | "confirmedAgeMs" | "waitUntilKnown">;
 }
 
 /** Handles callers' requests: checks the deadline, receives the body, and finds the route and the service. */
@@ -295,9 +295,17 @@
     ): void {
         const { dialect, watch, logger, metrics } = this.options;
         const requestId = dialect.readRequestId(exchange.incoming.headers);
-        const { version } = watch;
+        const { version, confirmedAgeMs } = watch;
         const { routesVersion } = this;
-        logger.info("request refused", { requestId, status, reason, organisation, version, routesVersion });
+        logger.info("request refused", {
+            requestId,
+            status,
+            reason,
+            organisation,
+            version,
+            routesVersion,
+            confirmedAgeMs: Math.round(confirmedAgeMs),
+        });
         metrics.refusals.inc({ reason });
         exchange.answer(refuse(status, reason, detail, retryAfterMs));
     }
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -315,6 +315,7 @@
             get isConfirmed() {
                 return isConfirmed();
             },
+            confirmedAgeMs: 0,
             waitUntilKnown,
         };
         this.requestHandler = new GatewayRequestHandler({
