Reproduce a control VM that confirms a configuration which the majority has changed

Change: a test partitions the leader and one follower of five from the others in virtual time, and a method names the time as of which a VM's state is confirmed (no change of behaviour: now, while it is in contact with a leader).

--- /dev/null
+++ b/src/control/confirmation.test.ts
@@ -0,0 +1,78 @@
+import test from "ava";
+import { directoryReplicaLimits } from "../directory/daemon.js";
+import type { ChangeCommand } from "./messages.js";
+import { FakeGroup, type FakeVm, testLimits } from "./testing/fakeGroup.js";
+
+/** Time after its acknowledgement within which a change must be in force everywhere. */
+const configApplyMs = 2000;
+/** Time for which an entry relies on a confirmation. */
+const confirmationTtlMs = 1500;
+const settleMs = 3000;
+const partitionMs = 8000;
+const proposalIntervalMs = 100;
+
+const groups = [
+    { names: ["a", "b", "c"], minority: 1, declareTest: test },
+    { names: ["a", "b", "c", "d", "e"], minority: 2, declareTest: test.failing },
+];
+
+function makeChange(id: number): ChangeCommand {
+    return {
+        changeId: `change-${id}`,
+        baseRevision: id,
+        operation: { kind: "declare", declarations: { services: [], entryVms: [], runbookCommands: [] } },
+        operator: "ann",
+        from: "::1",
+        proposedAtMs: 0,
+        groupTimeMs: 0,
+        problem: undefined,
+    };
+}
+
+/** Partitions the leader and followers from the majority, and returns which VM relied too long on an older state. */
+function findLateConfirmations(seed: number, names: readonly string[], minority: number): readonly string[] {
+    const group = new FakeGroup(seed, names, { ...testLimits, ...directoryReplicaLimits, compactAfterRecords: 24 });
+    group.run(settleMs + group.random.nextInt(500));
+    const leader = group.vms.find(vm => vm.replica?.role === "leader");
+    const isolated = new Set([leader, ...group.vms.filter(vm => vm !== leader)].slice(0, minority));
+    for (const vm of group.vms) {
+        for (const other of group.vms) {
+            if (isolated.has(vm) !== isolated.has(other)) {
+                group.cutLinks.add(`${vm.name}>${other.name}`);
+            }
+        }
+    }
+    const acknowledged: { readonly atMs: number; readonly revision: number; }[] = [];
+    const violations: string[] = [];
+    const check = (vm: FakeVm) => {
+        const confirmedAtMs = vm.replica?.getConfirmedAtMs(group.nowMs) ?? -Infinity;
+        const missed = acknowledged.find(({ revision }) => revision > vm.machine.revision);
+        if (missed !== undefined && confirmedAtMs + confirmationTtlMs > missed.atMs + configApplyMs) {
+            violations.push(`${vm.name} at ${group.nowMs}`);
+        }
+    };
+    let changeCount = 0;
+    group.run(partitionMs, () => {
+        const current = group.vms.find(vm => !isolated.has(vm) && vm.replica?.role === "leader");
+        if (current !== undefined && group.nowMs % proposalIntervalMs === 0) {
+            group.proposeChange(current, makeChange(changeCount++), (answer, vm) => {
+                if (answer.kind === "applied") {
+                    acknowledged.push({ atMs: group.nowMs, revision: vm.machine.revision });
+                }
+            });
+        }
+        group.vms.forEach(check);
+    });
+    return acknowledged.length === 0 ? ["no change was acknowledged"] : violations;
+}
+
+for (const { names, minority, declareTest } of groups) {
+    declareTest(
+        `guards against a partitioned control VM that confirms a configuration after the majority changed it: ${names.length} VMs`,
+        t => {
+            for (let seed = 1; seed <= 20; seed++) {
+                t.deepEqual(findLateConfirmations(seed, names, minority).slice(0, 1), [], `seed ${seed}`);
+            }
+        },
+    );
+}
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -73,6 +73,11 @@
         return this.leader !== undefined || nowMs - this.lastLeaderContactAtMs < this.state.limits.maxElectionMs;
     }
 
+    /** Returns the time as of which the state of this VM is confirmed to be current; -Infinity if it is not. */
+    getConfirmedAtMs(nowMs: number): number {
+        return this.isLed(nowMs) ? nowMs : -Infinity;
+    }
+
     handle(event: ControlEvent, nowMs: number): readonly ControlEffect[] {
         this.advanceTime(nowMs);
         switch (event.kind) {
