Forget the version of quotas when an entry moves to its preferred control VM

Cause: each control VM numbers its own versions. An entry forgot the version of limits in both places where it turns to another control VM, that of quotas only in one. Change: both places call one method. Result: directoryWatch.test failed before (the first call to the preferred VM named version 7) and passes.

--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -167,6 +167,7 @@
     onDelta: DirectoryWatchOptions["onDelta"],
     clock: Clock = new SystemClock(),
     selfId = "entry",
+    overrides: Partial<DirectoryWatchOptions> = {},
 ): DirectoryWatch {
     return new DirectoryWatch({
         channel: { selfId, secret },
@@ -188,6 +189,7 @@
         describeEntry: () => ({ id: "entry", address: "127.0.0.1:1", availabilityZone: "az-1", isServing: true }),
         onDelta,
         limits: { version: 0, apply: () => undefined, resetVersion: () => undefined },
+        ...overrides,
     });
 }
 
@@ -241,3 +243,33 @@
         await control.close();
     });
 }
+
+test("guards against an entry that keeps outdated quotas when it moves to a control VM with versions of its own", async t => {
+    const controls = [new FakeControl(), new FakeControl()];
+    const addresses = await Promise.all(controls.map(control => control.start()));
+    const [preferred] = rankControlVms("entry", addresses);
+    const [early, late] = preferred === addresses[1] ? [0, 1] : [1, 0];
+    const nodes = addresses.map(address => makeNode(address, "az-1"));
+    controls[early].nodes = controls[late].nodes = nodes;
+    const quotas = {
+        version: 7 as number | undefined,
+        apply: () => undefined,
+        resetVersion: () => void (quotas.version = 0),
+        returnUses: () => undefined,
+    };
+    controls[early].onWatchCall = () => quotas.version = 7;
+    const watch = makeWatch(
+        [addresses[early]],
+        () => {
+            if (controls[late].watchCalls.length > 0) {
+                watch.close();
+            }
+        },
+        new SystemClock(),
+        "entry",
+        { quotas },
+    );
+    await watch.run();
+    t.is(controls[late].watchCalls[0].quotasVersion, 0);
+    await Promise.all(controls.map(control => control.close()));
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -171,12 +171,17 @@
         const address = this.listCandidates().at(0);
         if (address !== undefined) {
             this.client = new ChannelClient(address, this.options.channel);
-            this.options.limits.resetVersion();
-            this.options.quotas?.resetVersion();
+            this.resetVersions();
         }
         return this.client;
     }
 
+    /** Each control VM has its own versions of limits and quotas. */
+    private resetVersions(): void {
+        this.options.limits.resetVersion();
+        this.options.quotas?.resetVersion();
+    }
+
     private detach(): void {
         if (this.client !== undefined) {
             this.options.metrics.controlVmLosses.inc();
@@ -234,7 +239,7 @@
         }
         this.client?.close();
         this.client = client;
-        this.options.limits.resetVersion();
+        this.resetVersions();
     }
 
     /** Returns the control VM of the local availability zone that this entry uses unless it has failed recently. */
