Answer entries at once on a control VM that hears no leader

A control VM without contact to a leader waited like any other, although its answer is of no use, and a call that was waiting when contact ended stayed waiting. Change: such a VM answers at once, and contact that begins or ends wakes the calls. So that entries do not ask in a loop while nobody leads, the pause between tries doubles from 50 to 200 ms. Result: the new test hung before and passes; tests of directory, directoryWatch, replicaHost and platform pass.

--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -44,6 +44,8 @@
 /** Runs a replica: connects it to its disk, its peers and the clock. */
 export class ReplicaHost<Machine extends StateMachine, Change, Result> extends ReplicatedLog<Machine, Change, Result> {
     readonly state: Machine;
+    /** Called when `isLed` has changed. */
+    onContactChange: () => void = () => undefined;
     private readonly replica: Replica;
     private readonly startedAtMs: number;
     private readonly tickTimer: NodeJS.Timeout;
@@ -126,7 +128,7 @@
             this.queue = [];
             const effects = events.flatMap(event => this.replica.handle(event, nowMs));
             this.perform([...effects, ...this.replica.tick(nowMs)]);
-            this.logLeaderContact();
+            this.checkLeaderContact();
         }
         catch (error) {
             this.fail(error as Error);
@@ -162,12 +164,13 @@
         this.options.store.close();
     }
 
-    private logLeaderContact(): void {
+    private checkLeaderContact(): void {
         const { isLed } = this;
         if (isLed !== this.wasLed) {
             this.wasLed = isLed;
             const leader = this.replica.knownLeader;
             this.options.logger.info(isLed ? "in contact with a leader" : "lost contact with the leader", { leader });
+            this.onContactChange();
         }
     }
 
--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -11,7 +11,13 @@
     readonly service: DirectoryService;
     readonly clock: ManualClock;
     readonly state: DirectoryState;
-    readonly log: { isLeader: boolean; isLed: boolean; confirmedAtMs: number; leaderAddress: string | undefined; };
+    readonly log: {
+        isLeader: boolean;
+        isLed: boolean;
+        confirmedAtMs: number;
+        onContactChange: () => void;
+        leaderAddress: string | undefined;
+    };
     readonly calls: string[];
 }
 
@@ -24,6 +30,7 @@
         isLeader: true,
         isLed: true,
         confirmedAtMs: 0,
+        onContactChange: () => undefined,
         leaderAddress: undefined as string | undefined,
         selfId: "a",
         state,
@@ -216,3 +223,14 @@
     log.isLed = false;
     t.false("confirmedAgeMs" in await service.watch({ entry, version: 0, waitMs: 0 }));
 });
+
+test("guards against a control VM without a leader that holds the calls of entries", async t => {
+    const { service, log, state } = makeService();
+    state.apply({ kind: "register", registration: makeRegistration() });
+    const entry = { id: "e-1", address: "10.2.0.1:80", availabilityZone: "az-1", isServing: true };
+    const held = service.watch({ entry, version: state.revision, waitMs: 300_000 });
+    log.isLed = false;
+    log.onContactChange();
+    t.false((await held).isLed);
+    t.false((await service.watch({ entry, version: state.revision, waitMs: 300_000 })).isLed);
+});
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -62,6 +62,8 @@
         /** Monotonic time as of which the state is confirmed to be current. */
         readonly confirmedAtMs: number;
         readonly members: GroupMembers;
+        /** Called when `isLed` has changed. */
+        onContactChange: () => void;
     };
     readonly links: Pick<PeerLinks, "call" | "notify" | "isConnected">;
     readonly clock: Clock;
@@ -170,6 +172,8 @@
             listOwn: () => this.attachedEntries.listStates(this.nowMs()),
         });
         options.log.state.onChange = () => this.onStateChange();
+        // Entries whose calls are held turn to another control VM once this one hears no leader.
+        options.log.onContactChange = () => this.notifyChange();
         this.limits.cold.refresh();
     }
 
@@ -265,14 +269,17 @@
         return inZone.find(node => links.isConnected(node.peerAddress))?.operatorAddress;
     }
 
-    /** Records an entry's report and answers once the state differs from the entry's, or after `waitMs`. */
+    /**
+     * Records an entry's report and answers once the state differs from the entry's, or after `waitMs`; at once without
+     * contact to a leader, as the entry then needs another control VM.
+     */
     async watch(params: WatchParams): Promise<WatchAnswer> {
         const { entry, version, canUpdate, limitsVersion, quotasVersion, wantsPeers, waitMs } = params;
         const receivedAtMs = this.nowMs();
         this.recordEntry(entry);
         const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
             this.quotas.hasNews(quotasVersion ?? undefined);
-        if (version === this.state.revision && !hasNews) {
+        if (version === this.state.revision && !hasNews && this.options.log.isLed) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -16,7 +16,7 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ZoneDemand } from "../overload/demand.js";
 import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
-import { ChannelClient, type ChannelOptions } from "../transport/channel.js";
+import { ChannelClient, type ChannelOptions, computeBackoffMs } from "../transport/channel.js";
 import { rankControlVms } from "./controlVmRanking.js";
 import type { GatewayLogger } from "./options.js";
 
@@ -26,8 +26,9 @@
 const urgentWaitMs = 20;
 const watchTimeoutMs = waitMs + 500;
 const connectTimeoutMs = 400;
-/** Pause before the next control VM is tried after a failure. */
+/** Pause before the next control VM is tried after a failure; doubles with each further one up to the maximum. */
 const retryPauseMs = 50;
+const maxRetryPauseMs = 200;
 /** A control VM that failed is not tried again for this time while others are available. */
 const failureCooldownMs = 2000;
 /** Time after the failure of a control VM of the local availability zone until the watch returns to it. */
@@ -124,14 +125,18 @@
 
     /** Watches the directory until `close` is called. */
     async run(): Promise<void> {
+        let failureCount = 0;
         while (!this.isClosed) {
             const client = this.client ?? this.attach();
             const isUsable = client !== undefined && await this.poll(client);
             if (!isUsable && !this.isClosed) {
                 this.detach();
-                await new Promise(resolve => setTimeout(resolve, retryPauseMs));
+                const pauseMs = computeBackoffMs(retryPauseMs, maxRetryPauseMs, failureCount);
+                failureCount++;
+                await new Promise(resolve => setTimeout(resolve, pauseMs));
             }
             else {
+                failureCount = 0;
                 await this.moveToPreferred();
             }
         }
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -403,6 +403,7 @@
             get confirmedAtMs() {
                 return clock.monotonicMs();
             },
+            onContactChange: () => undefined,
             leaderAddress: index === 0 ? undefined : "c-0",
             selfId: `c-${index}`,
             state,
