Move to the preferred control VM only after it has answered a watch call

Cause: an entry moved as soon as it could connect. Whether the preferred control VM hears a leader showed only afterwards, when the connection in use was closed. Change: the entry makes one watch call without a wait to the preferred control VM first and moves if it can use the answer. Result: the new test failed before, as the entry disconnected from the control VM in use, and passes.

--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -19,6 +19,7 @@
     readonly watchCalls: WatchParams[] = [];
     nodes: readonly ControlNode[] = [];
     version = 1;
+    isLed = true;
     table: RouteTable | undefined = emptyRouteTable;
     tableUpdate: TableUpdate | undefined;
     confirmedAgeMs: number | undefined;
@@ -44,7 +45,7 @@
         };
         const { confirmedAgeMs } = this;
         const confirmation = confirmedAgeMs === undefined ? {} : { confirmedAgeMs };
-        return { isLed: true, delta, entryCount: 1, ...confirmation } satisfies WatchAnswer;
+        return { isLed: this.isLed, delta, entryCount: 1, ...confirmation } satisfies WatchAnswer;
     });
 
     async start(): Promise<string> {
@@ -273,3 +274,24 @@
     t.is(controls[late].watchCalls[0].quotasVersion, 0);
     await Promise.all(controls.map(control => control.close()));
 });
+
+test("guards against an entry that leaves its control VM for a preferred one that hears no leader", async t => {
+    const controls = [new FakeControl(), new FakeControl()];
+    const addresses = await Promise.all(controls.map(control => control.start()));
+    const [preferred] = rankControlVms("entry", addresses);
+    const [used, unled] = preferred === addresses[1] ? [0, 1] : [1, 0];
+    controls[used].nodes = addresses.map(address => makeNode(address, "az-1"));
+    controls[unled].isLed = false;
+    const warnings: string[] = [];
+    const logger = { ...silentLogger, warn: (text: string) => warnings.push(text) };
+    const watch = makeWatch([addresses[used]], () => undefined, new SystemClock(), "entry", { logger });
+    controls[used].onWatchCall = () => {
+        if (controls[used].watchCalls.length === 5) {
+            watch.close();
+        }
+    };
+    await watch.run();
+    t.is(controls[unled].watchCalls.length, 1, "it is asked once before the entry would move");
+    t.deepEqual(warnings, [], "the entry stays connected to the control VM in use");
+    await Promise.all(controls.map(control => control.close()));
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -24,7 +24,8 @@
 const waitMs = 400;
 /** The same while the entry waits for peers; not 0, since there may be none for some time. */
 const urgentWaitMs = 20;
-const watchTimeoutMs = waitMs + 500;
+/** Time beyond the requested wait after which a watch call has failed. */
+const answerTimeoutMs = 500;
 const connectTimeoutMs = 400;
 /** Pause before the next control VM is tried after a failure; doubles with each further one up to the maximum. */
 const retryPauseMs = 50;
@@ -227,7 +228,7 @@
         return this.nodes.some(node => node.peerAddress === address && node.availabilityZone === availabilityZone);
     }
 
-    /** Moves to the preferred control VM of the local availability zone if it can be connected. */
+    /** Moves to the preferred control VM of the local availability zone once it has answered a watch call. */
     private async moveToPreferred(): Promise<void> {
         const address = this.findPreferred();
         if (address === undefined || address === this.client?.address) {
@@ -236,15 +237,16 @@
         // The control VM in use keeps offering this entry to callers while the other one is connected.
         this.report();
         const client = new ChannelClient(address, this.options.channel);
-        if (!await client.waitConnected(connectTimeoutMs) || this.isClosed) {
-            this.options.logger.info("the preferred control VM cannot be reached", { address });
+        this.resetVersions();
+        if (!await this.poll(client, 0) || this.isClosed) {
+            this.options.logger.info("the preferred control VM cannot be used", { address });
             this.failedAtMs.set(address, this.nowMs());
             client.close();
+            this.resetVersions();
             return;
         }
         this.client?.close();
         this.client = client;
-        this.resetVersions();
     }
 
     /** Returns the control VM of the local availability zone that this entry uses unless it has failed recently. */
@@ -255,7 +257,7 @@
         return rankControlVms(this.options.channel.selfId, local).find(address => !hasFailed(address));
     }
 
-    private async poll(client: ChannelClient): Promise<boolean> {
+    private async poll(client: ChannelClient, maxWaitMs = waitMs): Promise<boolean> {
         if (!await client.waitConnected(connectTimeoutMs)) {
             return false;
         }
@@ -275,12 +277,16 @@
                 version,
                 canUpdate,
                 limitsVersion,
-                waitMs: isUrgent ? urgentWaitMs : waitMs,
+                waitMs: Math.min(maxWaitMs, isUrgent ? urgentWaitMs : waitMs),
                 ...quotasField,
                 ...peersQuery,
             };
             const sentAt = readInstant(this.options.clock);
-            const answer = await client.call(DirectoryMethod.watch, params, watchTimeoutMs) as WatchAnswer;
+            const answer = await client.call(
+                DirectoryMethod.watch,
+                params,
+                params.waitMs + answerTimeoutMs,
+            ) as WatchAnswer;
             isAnswered = true;
             return this.applyAnswer(answer, sentAt, client.address);
         }
