Begin the weighted sequence of a route at a random point at each entry

The rule allows a share that differs by 0.2 from its weight over 200 requests. Cause: all entries begin the sequence of a route that is new or newly split at the same point, so the first request of each goes to the same target. With few requests an entry, that is most of the first 200. Change: an entry begins at a random point of the sequence.

--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -61,12 +61,13 @@
     isRefusingAll = false;
     private routeLookup = new RouteLookup(emptyRouteTable);
     private services = new Map<string, RoutedService>();
-    private readonly roundRobin = new WeightedRoundRobin();
+    private readonly roundRobin: WeightedRoundRobin;
     private readonly callerAgeEstimator = new CallerAgeEstimator();
     private readonly admission: OrganisationAdmission;
 
     constructor(private readonly options: RequestHandlerOptions) {
-        const { region, metrics, dependencies } = options;
+        const { region, metrics, random, dependencies } = options;
+        this.roundRobin = new WeightedRoundRobin(random);
         this.admission = new OrganisationAdmission({ region, metrics, quotaGate: dependencies.quotaGate });
     }
 
