Reject two routes for the same requests under a host that is listed twice, and ignore the case of hosts

Callers would see: requests that follow one of two routes with the same host and prefix, and 404 for a route whose host was configured with capital letters; seen by reading, in no play. Cause: prefixes were compared within one entry of the list of hosts only, and the lookup compared the lower-case host of a request with the host as configured. Change: prefixes are compared over all entries of a host, and both sides ignore the case.

--- a/src/directory/directoryState.test.ts
+++ b/src/directory/directoryState.test.ts
@@ -110,3 +110,14 @@
     t.true(restored.diffSince(version).isFull);
     t.is(restored.revision, state.revision);
 });
+
+for (const host of ["shop.example", "Shop.Example"]) {
+    test(`guards against accepting two routes for the same requests: ${host} is listed beside shop.example`, t => {
+        const table = makeTable(2, []);
+        const hosts = ["shop.example", host].map((name, position) => ({
+            host: name,
+            routes: [makeRoute({ name: `route-${position}` })],
+        }));
+        t.is(new DirectoryState().apply(replaceRoutes(0, { ...table, hosts })).outcome, "invalid");
+    });
+}
--- a/src/directory/validateRoutes.ts
+++ b/src/directory/validateRoutes.ts
@@ -19,8 +19,10 @@
         return `service ${withInvalidPath.name}: the health path ${withInvalidPath.healthPath} is not a path`;
     }
     const names = new Set<string>();
+    const prefixesByHost = new Map<string, Set<string>>();
     for (const { host, routes } of table.hosts) {
-        const prefixes = new Set<string>();
+        const prefixes = prefixesByHost.get(host.toLowerCase()) ?? new Set<string>();
+        prefixesByHost.set(host.toLowerCase(), prefixes);
         for (const route of routes) {
             const problem = findProblemInRoute(route, services);
             if (problem !== undefined) {
--- a/src/gateway/routeLookup.ts
+++ b/src/gateway/routeLookup.ts
@@ -6,9 +6,10 @@
 
     constructor(readonly table: RouteTable) {
         for (const { host, routes } of table.hosts) {
-            const hostRoutes = [...this.routesByHost.get(host) ?? [], ...routes];
+            const name = host.toLowerCase();
+            const hostRoutes = [...this.routesByHost.get(name) ?? [], ...routes];
             this.routesByHost.set(
-                host,
+                name,
                 hostRoutes.sort((first, second) => second.pathPrefix.length - first.pathPrefix.length),
             );
         }
