Ignore instances that cannot be used, instead of ending on them

Callers would see: 503 for every request of a service, or entries that end again and again, once one odd instance was registered. Cause: a heartbeat with a port out of range, an address that is none, or endless or huge numbers was registered. At an entry, opening a connection to it threw from a probe: the rejection was not handled, which ends the process, and where it does not, the service's round of probes never ended and every request got 503. The check for a partition threw for such a port, too. Deeply nested documents were read without harm before, too.

--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -1,3 +1,4 @@
+import { isIPv4 } from "node:net";
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 
 /** Target of a route with its share of the requests. */
@@ -164,6 +165,33 @@
     readonly warmupMs: number;
 }
 
+/** Highest number of slots of an instance. */
+export const maxSlots = 1_000_000;
+/** Longest warmup of an instance. */
+export const maxWarmupMs = 24 * 60 * 60 * 1000;
+/** Latest time that a date can have, in Unix milliseconds. */
+export const maxUnixMs = 8.64e15;
+
+const maxPort = 65_535;
+
+/** Returns whether a text is an IPv4 address with a port to which connections can be opened. */
+export function isInstanceAddress(address: string): boolean {
+    const separator = address.lastIndexOf(":");
+    const port = address.slice(separator + 1);
+    return isIPv4(address.slice(0, separator)) && /^\d{1,5}$/.test(port) && Number(port) >= 1 &&
+        Number(port) <= maxPort;
+}
+
+/** Returns whether requests can be sent to an instance; one that another writer registered may lack what it takes. */
+export function isUsableRegistration({ address, slots, warmupMs, bornAtMs }: Registration): boolean {
+    return isInstanceAddress(address) && isWithin(slots, maxSlots) && isWithin(warmupMs, maxWarmupMs) &&
+        isWithin(bornAtMs, maxUnixMs);
+}
+
+function isWithin(value: number, max: number): boolean {
+    return value >= 0 && value <= max;
+}
+
 /** Addresses and availability zone of a control VM. */
 export interface ControlNode {
     /** For other processes of the system, `host:port`. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { DirectoryDelta } from "../directory/directoryState.js";
 import type { EntryReport } from "../directory/messages.js";
-import type { RouteTable } from "../directory/model.js";
+import { isUsableRegistration, type Registration, type RouteTable } from "../directory/model.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
@@ -300,7 +300,7 @@
             this.upstreamTable.keepOnly(new Set(registrations.map(registered => registered.id)));
         }
         ended.forEach(id => this.upstreamTable.delete(id));
-        registrations.forEach(registered => this.upstreamTable.set(registered, this.nowMs()));
+        registrations.forEach(registered => this.applyRegistration(registered));
         this.applyEvacuatedZones(evacuatedZones ?? (isFull ? [] : undefined));
         if (table !== undefined) {
             this.quotas.configure(table.organisations);
@@ -312,6 +312,16 @@
         this.watch.report();
     }
 
+    private applyRegistration(registered: Registration): void {
+        if (isUsableRegistration(registered)) {
+            this.upstreamTable.set(registered, this.nowMs());
+            return;
+        }
+        const { id, address, slots, warmupMs, bornAtMs } = registered;
+        this.upstreamTable.delete(id);
+        this.options.logger.warn("ignored an instance that cannot be used", { id, address, slots, warmupMs, bornAtMs });
+    }
+
     private applyEvacuatedZones(availabilityZones: readonly string[] | undefined): void {
         const { evacuatedZones } = this.upstreamTable;
         if (availabilityZones !== undefined && availabilityZones.join() !== [...evacuatedZones].join()) {
--- a/test/entryHarness.ts
+++ b/test/entryHarness.ts
@@ -1,5 +1,6 @@
+import { once } from "node:events";
 import http from "node:http";
-import net from "node:net";
+import net, { type AddressInfo } from "node:net";
 import { benchCatalogue, benchRegion, benchSecret, benchService } from "../bench/benchCatalogue.js";
 import { FixedControl } from "../bench/fixedControl.js";
 import type { Service } from "../src/catalogue/model.js";
@@ -136,3 +137,13 @@
     }
     throw new Error("timed out waiting for the condition");
 }
+
+/** Resolves with a port of the loopback address that nothing listens on. */
+export async function findFreePort(): Promise<number> {
+    const server = net.createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+}
--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -1,7 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import http from "node:http";
-import net, { type AddressInfo } from "node:net";
 import { SystemClock } from "../src/core/clock.js";
 import { SeededRandom } from "../src/core/random.js";
 import { AttachedEntries } from "../src/directory/attachedEntries.js";
@@ -14,6 +13,7 @@
 import { TestDialect, TestUpstream, waitFor } from "../src/gateway/testing.js";
 import { ChannelServer } from "../src/transport/channel.js";
 import { TcpRelay } from "../src/transport/relay.js";
+import { findFreePort } from "./entryHarness.js";
 
 const secret = "secret";
 const deadlineMs = 3000;
@@ -179,15 +179,6 @@
     }
 }
 
-async function findFreePort(): Promise<number> {
-    const server = net.createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
-
 async function startSystem(t: ExecutionContext, zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
     const system = await RelayingSystem.start(zones, canRelay);
     t.teardown(() => system.close());
