Notice a partition from the instances also where callers use a service with few of them

An entry checks whether it is cut off once three instances have failed without a response in between; a service with fewer never shows three. Change: it also checks when all instances of a service have failed. The check itself is as before: it covers all zones and services, and finds a partition only if none of at least three instances answers. Result: two new cases of relaying.test waited without end before and pass; the cases of false alarms pass unchanged.

--- a/src/relay/entryRelay.ts
+++ b/src/relay/entryRelay.ts
@@ -85,7 +85,7 @@
     /** Records a request or load probe without a response. */
     recordFailure(id: UpstreamId, isConnectFailure: boolean): void {
         this.detector.recordFailure(id, isConnectFailure, this.nowMs());
-        this.checkIfDue();
+        this.checkIfDue(this.isServiceLost(id));
     }
 
     /** Leases a connection to a peer that was not tried yet; undefined if no peer can take a request. */
@@ -135,9 +135,17 @@
         return this.options.clock.monotonicMs();
     }
 
-    private checkIfDue(): void {
+    /** A service may have too few instances for a suspicion by their number. */
+    private isServiceLost(failedId: UpstreamId): boolean {
+        const registrations = this.options.listCheckable();
+        const service = registrations.find(({ id }) => id === failedId)?.service;
+        const ofService = registrations.filter(registration => registration.service === service);
+        return ofService.length > 0 && ofService.every(({ id }) => this.detector.hasFailed(id, this.nowMs()));
+    }
+
+    private checkIfDue(isServiceLost = false): void {
         const nowMs = this.nowMs();
-        if (!this.isChecking && !this.isClosed && this.detector.shouldCheck(nowMs)) {
+        if (!this.isChecking && !this.isClosed && this.detector.shouldCheck(nowMs, isServiceLost)) {
             this.isChecking = true;
             this.detector.startCheck(nowMs);
             void this.check(this.options.listCheckable(), nowMs).finally(() => this.isChecking = false);
--- a/src/relay/partitionDetector.ts
+++ b/src/relay/partitionDetector.ts
@@ -69,12 +69,17 @@
         }
     }
 
-    /** Returns whether a check is due. */
-    shouldCheck(nowMs: number): boolean {
+    /** Returns whether an instance failed recently and no instance has responded since. */
+    hasFailed(id: UpstreamId, nowMs: number): boolean {
+        return nowMs - (this.failedAtMs.get(id) ?? -Infinity) <= failureTtlMs;
+    }
+
+    /** Returns whether a check is due. `isServiceLost`: whether all instances of a service have failed recently. */
+    shouldCheck(nowMs: number, isServiceLost = false): boolean {
         if (this.current !== Reachability.reachable) {
             return nowMs - this.lastCheckAtMs >= recoveryCheckIntervalMs;
         }
-        const isSuspicious = countRecent(this.failedAtMs, nowMs) >= minSuspiciousFailures ||
+        const isSuspicious = isServiceLost || countRecent(this.failedAtMs, nowMs) >= minSuspiciousFailures ||
             countRecent(this.connectFailedAtMs, nowMs) >= minConnectFailures;
         return isSuspicious && nowMs - this.lastCheckAtMs >= minCheckIntervalMs;
     }
--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -33,8 +33,9 @@
     /** Tables of routes; a non-idempotent request must run at most once. */
     readonly table = makeTable(1, [makeRoute({ isIdempotent: false, targetLatencyMs: 800, timeoutMs: 2500 })]);
 
-    static async start(zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
-        const system = new RelayingSystem();
+    /** `usedCount` is the number of instances of the service that callers use; the others belong to another one. */
+    static async start(zones: readonly string[], canRelay: boolean, usedCount: number): Promise<RelayingSystem> {
+        const system = new RelayingSystem(usedCount);
         for (let index = 0; index < 6; index++) {
             const upstream = new TestUpstream(`i-${index}`);
             system.upstreams.push(upstream);
@@ -50,6 +51,8 @@
 
     readonly addresses: string[] = [];
 
+    private constructor(readonly usedCount: number) {}
+
     get runCount(): number {
         return this.upstreams.reduce((sum, upstream) => sum + upstream.receivedIds.length, 0);
     }
@@ -81,6 +84,7 @@
                 id: system.upstreams[index].id,
                 address: `127.0.0.1:${await proxy.listen()}`,
                 availabilityZone: `az-${1 + index % 3}`,
+                service: index < system.usedCount ? "orders" : "moulds",
             });
         }));
         entry.registrations = proxied;
@@ -188,8 +192,13 @@
     return port;
 }
 
-async function startSystem(t: ExecutionContext, zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
-    const system = await RelayingSystem.start(zones, canRelay);
+async function startSystem(
+    t: ExecutionContext,
+    zones: readonly string[],
+    canRelay = true,
+    usedCount = 6,
+): Promise<RelayingSystem> {
+    const system = await RelayingSystem.start(zones, canRelay, usedCount);
     t.teardown(() => system.close());
     // On a busy machine, load probes can time out at first.
     for (const entry of system.entries) {
@@ -254,6 +263,13 @@
     });
 }
 
+for (const usedCount of [1, 2]) {
+    test.serial(`guards against an entry that never notices a partition as its callers use few instances: ${usedCount}`, async t => {
+        const system = await startSystem(t, ["az-1", "az-2", "az-3"], true, usedCount);
+        await checkRelaying(t, system, 1, proxy => proxy.blackhole("both", true));
+    });
+}
+
 test.serial("guards against refusals while only new connections are refused", async t => {
     const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
     const [entry] = system.entries;
