Trust a refusal only if it names the request that it answers

Callers would see: 'not run, try again' for a request that an instance was running, or a second run of it elsewhere. Cause: a response that names another request is dropped, but one that names none was taken for the answer that is awaited. An instance that writes an earlier refusal once more on a kept connection, without its id, so refused the next request, which it then ran. Change: the statement that a request has not run counts only with the id of that request, as instances echo it. Without it the attempt may have run. Answers of other entries to relayed requests carry no id and are taken as before. The instance of the gateway tests refused without an id, other than the protocol says; it now echoes the id, and the four tests that use its refusals check what they checked before.

--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -28,6 +28,8 @@
     readonly exchange: GatewayExchange;
     readonly requestId: string | undefined;
     readonly headers: string[];
+    /** Whether the receiver is another entry, whose own answers carry no request id. */
+    readonly isRelayed?: boolean;
     /** Called with the head of a response that belongs to the request and is authentic. */
     readonly onHead: (head: ResponseHead, isNotRun: boolean) => void;
 }
@@ -93,7 +95,8 @@
     private onHead(head: ResponseHead): void {
         this.head = head;
         this.isNotRun = this.dialect.isNotRun(head);
-        if (this.isForAnotherRequest(head) || (!this.isNotRun && !this.dialect.isAuthentic(head))) {
+        const isTrusted = this.isNotRun ? this.isIdentified(head) : this.dialect.isAuthentic(head);
+        if (this.isForAnotherRequest(head) || !isTrusted) {
             // Neither a statement that the request did not run nor later bytes on the connection can be trusted.
             this.isNotRun = false;
             this.attempt.cancel();
@@ -111,6 +114,13 @@
             : answeredId !== this.context.requestId;
     }
 
+    /** A refusal without the id of the request may repeat that of an earlier request on the connection. */
+    private isIdentified(head: ResponseHead): boolean {
+        const { requestId, isRelayed } = this.context;
+        return requestId === undefined || isRelayed === true ||
+            this.dialect.readAnsweredRequestId(head) !== undefined;
+    }
+
     private onOverflow(): void {
         if (!this.isNotRun) {
             this.deliver();
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -156,7 +156,9 @@
             }
             return;
         }
-        this.receivedIds.push(String(request.headers["request-id"]));
+        const requestId = String(request.headers["request-id"]);
+        this.receivedIds.push(requestId);
+        response.setHeader("Request-Id", requestId);
         this.answer(request, response);
     });
 
--- a/src/relay/relayedRequest.ts
+++ b/src/relay/relayedRequest.ts
@@ -84,7 +84,7 @@
     const token = relay.sign({ requestId, method, path: exchange.path });
     const headers = exchange.buildRelayHeaders(remainingMs, token);
     const attempt = new GatewayAttempt(
-        { exchange, requestId, headers, onHead: () => undefined },
+        { exchange, requestId, headers, isRelayed: true, onHead: () => undefined },
         dialect,
         bufferBudget,
     );
