--- a/src/transport/relay.ts
+++ b/src/transport/relay.ts
@@ -101,7 +101,11 @@
         from.setNoDelay(true);
         from.on("data", chunk => this.forwardUnlessBlackholed(relayed, direction, () => this.write(from, to, chunk)));
         from.on("end", () => this.forwardUnlessBlackholed(relayed, direction, () => to.end()));
-        from.on("error", () => this.destroy(relayed));
+        from.on("error", () => {
+            // A close would end a response without a length as if it were complete.
+            to.resetAndDestroy();
+            this.destroy(relayed);
+        });
         from.on("close", hadError => this.onSideClosed(relayed, from, to, hadError));
     }
 
--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -313,3 +313,50 @@
     t.false(entry.lines.some(line => line.text === "relayed"));
     t.false("isCutOff" in (entry.lastReport ?? {}));
 });
+
+const brokenAnswers: readonly {
+    readonly name: string;
+    readonly part: string;
+    readonly isReset: boolean;
+    readonly statuses: readonly number[];
+}[] = [
+    { name: "a head that stops", part: "Content-Le", isReset: false, statuses: [502] },
+    { name: "a head that is reset", part: "Content-Le", isReset: true, statuses: [502] },
+    {
+        name: "a body without a length that is reset",
+        part: "Connection: close\r\n\r\nhell",
+        isReset: true,
+        statuses: [0, 502],
+    },
+    {
+        name: "a chunk that stops",
+        part: "Transfer-Encoding: chunked\r\n\r\n9\r\nhell",
+        isReset: false,
+        statuses: [0, 502],
+    },
+];
+
+for (const { name, part, isReset, statuses } of brokenAnswers) {
+    test.serial(`guards against a part of a response that looks whole through two entries: ${name}`, async t => {
+        const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
+        const [entry] = system.entries;
+        entry.proxies.forEach(proxy => proxy.cut());
+        await entry.sendUntilServed();
+        for (const upstream of system.upstreams) {
+            upstream.answer = (request, { socket }) => {
+                const id = String(request.headers["request-id"]);
+                socket?.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${part}`, () => {
+                    setTimeout(() => isReset ? socket.resetAndDestroy() : socket.end(), 20);
+                });
+            };
+        }
+        const runsBefore = system.runCount;
+        let status = 503;
+        // On a busy machine, load probes can time out, and the request is refused.
+        while (status === 503) {
+            status = await entry.send();
+        }
+        t.true(statuses.includes(status), String(status));
+        t.is(system.runCount - runsBefore, 1);
+    });
+}
