--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -1,7 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import http from "node:http";
-import net, { type AddressInfo } from "node:net";
 import { SystemClock } from "../src/core/clock.js";
 import { SeededRandom } from "../src/core/random.js";
 import { AttachedEntries } from "../src/directory/attachedEntries.js";
@@ -14,6 +13,7 @@
 import { TestDialect, TestUpstream, waitFor } from "../src/gateway/testing.js";
 import { ChannelServer } from "../src/transport/channel.js";
 import { TcpRelay } from "../src/transport/relay.js";
+import { findFreePort } from "./entryHarness.js";
 
 const secret = "secret";
 const deadlineMs = 3000;
@@ -33,8 +33,9 @@
     /** Tables of routes; a non-idempotent request must run at most once. */
     readonly table = makeTable(1, [makeRoute({ isIdempotent: false, targetLatencyMs: 800, timeoutMs: 2500 })]);
 
-    static async start(zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
-        const system = new RelayingSystem();
+    /** `usedCount` is the number of instances of the service that callers use; the others belong to another one. */
+    static async start(zones: readonly string[], canRelay: boolean, usedCount: number): Promise<RelayingSystem> {
+        const system = new RelayingSystem(usedCount);
         for (let index = 0; index < 6; index++) {
             const upstream = new TestUpstream(`i-${index}`);
             system.upstreams.push(upstream);
@@ -50,6 +51,8 @@
 
     readonly addresses: string[] = [];
 
+    private constructor(readonly usedCount: number) {}
+
     get runCount(): number {
         return this.upstreams.reduce((sum, upstream) => sum + upstream.receivedIds.length, 0);
     }
@@ -81,6 +84,7 @@
                 id: system.upstreams[index].id,
                 address: `127.0.0.1:${await proxy.listen()}`,
                 availabilityZone: `az-${1 + index % 3}`,
+                service: index < system.usedCount ? "orders" : "moulds",
             });
         }));
         entry.registrations = proxied;
@@ -179,17 +183,13 @@
     }
 }
 
-async function findFreePort(): Promise<number> {
-    const server = net.createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
-
-async function startSystem(t: ExecutionContext, zones: readonly string[], canRelay = true): Promise<RelayingSystem> {
-    const system = await RelayingSystem.start(zones, canRelay);
+async function startSystem(
+    t: ExecutionContext,
+    zones: readonly string[],
+    canRelay = true,
+    usedCount = 6,
+): Promise<RelayingSystem> {
+    const system = await RelayingSystem.start(zones, canRelay, usedCount);
     t.teardown(() => system.close());
     // On a busy machine, load probes can time out at first.
     for (const entry of system.entries) {
@@ -254,6 +254,13 @@
     });
 }
 
+for (const usedCount of [1, 2]) {
+    test.serial(`guards against an entry that never notices a partition as its callers use few instances: ${usedCount}`, async t => {
+        const system = await startSystem(t, ["az-1", "az-2", "az-3"], true, usedCount);
+        await checkRelaying(t, system, 1, proxy => proxy.blackhole("both", true));
+    });
+}
+
 test.serial("guards against refusals while only new connections are refused", async t => {
     const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
     const [entry] = system.entries;
@@ -306,3 +313,50 @@
     t.false(entry.lines.some(line => line.text === "relayed"));
     t.false("isCutOff" in (entry.lastReport ?? {}));
 });
+
+const brokenAnswers: readonly {
+    readonly name: string;
+    readonly part: string;
+    readonly isReset: boolean;
+    readonly statuses: readonly number[];
+}[] = [
+    { name: "a head that stops", part: "Content-Le", isReset: false, statuses: [502] },
+    { name: "a head that is reset", part: "Content-Le", isReset: true, statuses: [502] },
+    {
+        name: "a body without a length that is reset",
+        part: "Connection: close\r\n\r\nhell",
+        isReset: true,
+        statuses: [0, 502],
+    },
+    {
+        name: "a chunk that stops",
+        part: "Transfer-Encoding: chunked\r\n\r\n9\r\nhell",
+        isReset: false,
+        statuses: [0, 502],
+    },
+];
+
+for (const { name, part, isReset, statuses } of brokenAnswers) {
+    test.serial(`guards against a part of a response that looks whole through two entries: ${name}`, async t => {
+        const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
+        const [entry] = system.entries;
+        entry.proxies.forEach(proxy => proxy.cut());
+        await entry.sendUntilServed();
+        for (const upstream of system.upstreams) {
+            upstream.answer = (request, { socket }) => {
+                const id = String(request.headers["request-id"]);
+                socket?.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${part}`, () => {
+                    setTimeout(() => isReset ? socket.resetAndDestroy() : socket.end(), 20);
+                });
+            };
+        }
+        const runsBefore = system.runCount;
+        let status = 503;
+        // On a busy machine, load probes can time out, and the request is refused.
+        while (status === 503) {
+            status = await entry.send();
+        }
+        t.true(statuses.includes(status), String(status));
+        t.is(system.runCount - runsBefore, 1);
+    });
+}
