Ignore instances whose registration lacks an address or has fields of another type

Cause: the check of what an entry can use read the address as a text, so a registration without one threw while the directory was applied, and the entry stopped following it. Change: the check takes values of any type. Result: the case without an address never got ready before and passes.

--- a/src/directory/model.ts
+++ b/src/directory/model.ts
@@ -174,8 +174,11 @@
 
 const maxPort = 65_535;
 
-/** Returns whether a text is an IPv4 address with a port to which connections can be opened. */
-export function isInstanceAddress(address: string): boolean {
+/** Returns whether a value is an IPv4 address with a port to which connections can be opened. */
+export function isInstanceAddress(address: unknown): boolean {
+    if (typeof address !== "string") {
+        return false;
+    }
     const separator = address.lastIndexOf(":");
     const port = address.slice(separator + 1);
     return isIPv4(address.slice(0, separator)) && /^\d{1,5}$/.test(port) && Number(port) >= 1 &&
@@ -188,8 +191,8 @@
         isWithin(bornAtMs, maxUnixMs);
 }
 
-function isWithin(value: number, max: number): boolean {
-    return value >= 0 && value <= max;
+function isWithin(value: unknown, max: number): boolean {
+    return typeof value === "number" && value >= 0 && value <= max;
 }
 
 /** Addresses and availability zone of a control VM. */
--- a/test/oddRegistrations.test.ts
+++ b/test/oddRegistrations.test.ts
@@ -36,6 +36,8 @@
     { name: "an address that is none", address: "nobody" },
     { name: "an endless warmup", warmupMs: Infinity },
     { name: "endless slots", slots: Infinity },
+    { name: "no address", address: undefined },
+    { name: "slots of another type", slots: "3" as never },
 ];
 
 for (const { name, ...overrides } of oddRegistrations) {
