Look for a lost service only when a check of reachability may be due, and split the cases of a confirmation

Cause: reading the diff: each failed load probe listed all instances, and one condition covered two unlike cases. Change: the service is looked at last, and the confirmation of an earlier version has a branch of its own. No change of behaviour.

--- a/src/control/follower.ts
+++ b/src/control/follower.ts
@@ -69,10 +69,13 @@
         if (this.state.commitIndex < commitIndex) {
             return;
         }
-        // Leaders of versions without confirmations send no time; their contact confirmed the state.
-        const atMs = confirmedAtMs ?? this.nowMs;
-        if (confirmedAtMs === undefined || confirmedAtMs === null || this.answeredAtMs.includes(atMs)) {
-            this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+        // The codec between processes may decode an undefined field as null.
+        if (confirmedAtMs === undefined || confirmedAtMs === null) {
+            // A leader of a version without confirmations: its contact confirms the state.
+            this.confirmedAtMs = this.nowMs;
+        }
+        else if (this.answeredAtMs.includes(confirmedAtMs)) {
+            this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
         }
     }
 
--- a/src/relay/entryRelay.ts
+++ b/src/relay/entryRelay.ts
@@ -85,7 +85,7 @@
     /** Records a request or load probe without a response. */
     recordFailure(id: UpstreamId, isConnectFailure: boolean): void {
         this.detector.recordFailure(id, isConnectFailure, this.nowMs());
-        this.checkIfDue(this.isServiceLost(id));
+        this.checkIfDue(() => this.isServiceLost(id));
     }
 
     /** Leases a connection to a peer that was not tried yet; undefined if no peer can take a request. */
@@ -143,7 +143,7 @@
         return ofService.length > 0 && ofService.every(({ id }) => this.detector.hasFailed(id, this.nowMs()));
     }
 
-    private checkIfDue(isServiceLost = false): void {
+    private checkIfDue(isServiceLost?: () => boolean): void {
         const nowMs = this.nowMs();
         if (!this.isChecking && !this.isClosed && this.detector.shouldCheck(nowMs, isServiceLost)) {
             this.isChecking = true;
--- a/src/relay/partitionDetector.ts
+++ b/src/relay/partitionDetector.ts
@@ -74,14 +74,16 @@
         return nowMs - (this.failedAtMs.get(id) ?? -Infinity) <= failureTtlMs;
     }
 
-    /** Returns whether a check is due. `isServiceLost`: whether all instances of a service have failed recently. */
-    shouldCheck(nowMs: number, isServiceLost = false): boolean {
+    /** Returns whether a check is due. `isServiceLost` returns whether all instances of a service have failed recently. */
+    shouldCheck(nowMs: number, isServiceLost: () => boolean = () => false): boolean {
         if (this.current !== Reachability.reachable) {
             return nowMs - this.lastCheckAtMs >= recoveryCheckIntervalMs;
         }
-        const isSuspicious = isServiceLost || countRecent(this.failedAtMs, nowMs) >= minSuspiciousFailures ||
-            countRecent(this.connectFailedAtMs, nowMs) >= minConnectFailures;
-        return isSuspicious && nowMs - this.lastCheckAtMs >= minCheckIntervalMs;
+        if (nowMs - this.lastCheckAtMs < minCheckIntervalMs) {
+            return false;
+        }
+        return countRecent(this.failedAtMs, nowMs) >= minSuspiciousFailures ||
+            countRecent(this.connectFailedAtMs, nowMs) >= minConnectFailures || isServiceLost();
     }
 
     /** Records that a check begins. */
