Send no directory to an entry from a control VM that hears no leader

Cause: a control VM without a leader now answers at once, and the answer carried the directory, the whole one for an entry that just started, which does not use it. While the group forms, each entry asks several control VMs of all zones. Change: such an answer carries no directory. Result: the test failed before this change and passes.

--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -232,5 +232,6 @@
     log.isLed = false;
     log.onContactChange();
     t.false((await held).isLed);
+    t.is((await service.watch({ entry, version: 0, waitMs: 0 })).delta, undefined, "the entry could not use it");
     t.false((await service.watch({ entry, version: state.revision, waitMs: 300_000 })).isLed);
 });
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -284,7 +284,9 @@
         }
         const { log } = this.options;
         const peers = wantsPeers === true ? await this.relayPeers.find(entry) : undefined;
-        const delta = version === this.state.revision ? undefined : this.diffSince(version, canUpdate);
+        // An entry does not use a state that may be behind.
+        const isDeltaNeeded = log.isLed && version !== this.state.revision;
+        const delta = isDeltaNeeded ? this.diffSince(version, canUpdate) : undefined;
         const nowMs = this.nowMs();
         const demand = this.demandTable.describe(nowMs);
         return {
