Let an entry that starts with the group wait for its first leader

Cause: since control VMs without a leader answer at once, entries that start together with the group left the control VM of their zone before it had one, and stayed for 2.5 s with the first VM that did, mostly in another zone, while all instances registered. Change: an entry without a directory waits as before at a control VM without one; contact that begins ends the wait.

--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -235,3 +235,14 @@
     t.is((await service.watch({ entry, version: 0, waitMs: 0 })).delta, undefined, "the entry could not use it");
     t.false((await service.watch({ entry, version: state.revision, waitMs: 300_000 })).isLed);
 });
+
+test("guards against entries that leave the control VM of their zone while the group forms", async t => {
+    const { service, log } = makeService();
+    const entry = { id: "e-1", address: "10.2.0.1:80", availabilityZone: "az-1", isServing: true };
+    log.isLed = false;
+    const held = service.watch({ entry, version: 0, waitMs: 300_000 });
+    await new Promise(resolve => setImmediate(resolve));
+    log.isLed = true;
+    log.onContactChange();
+    t.true((await held).isLed);
+});
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -271,7 +271,8 @@
 
     /**
      * Records an entry's report and answers once the state differs from the entry's, or after `waitMs`; at once without
-     * contact to a leader, as the entry then needs another control VM.
+     * contact to a leader, as the entry then needs another control VM. An entry that starts together with the group waits
+     * for its first leader.
      */
     async watch(params: WatchParams): Promise<WatchAnswer> {
         const { entry, version, canUpdate, limitsVersion, quotasVersion, wantsPeers, waitMs } = params;
@@ -279,7 +280,8 @@
         this.recordEntry(entry);
         const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
             this.quotas.hasNews(quotasVersion ?? undefined);
-        if (version === this.state.revision && !hasNews && this.options.log.isLed) {
+        const isWaitUseful = this.options.log.isLed || version === 0;
+        if (version === this.state.revision && !hasNews && isWaitUseful) {
             await this.waitForChange(waitMs);
         }
         const { log } = this.options;
