Review case 5: an entry ends when a repeated request times out in mid-answer

Rule: LOST (requests on kept connections, passed on to sound instances). Disruption: an instance answers an idempotent request with its own 500; the instance that gets the repeat goes dark in the middle of its answer. Seen: at the route's timeout the entry ends with an uncaught ERR_HTTP_HEADERS_SENT; 8 of 8 running orders of other clients lost their connection without an answer.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,6 +6,8 @@
 const folder = path.dirname(fileURLToPath(import.meta.url));
 const clientCount = 8;
 const orderWorkMs = 1000;
+/** Time between the orders of two clients. */
+const staggerMs = 40;
 /** Time between the head and the body of the mould instance's answers. */
 const bodyDelayMs = 300;
 const deadlineMs = 3000;
@@ -83,8 +85,11 @@
     for (const client of clients) {
         await client.send("/order/quick");
     }
-    const orders = clients.map(client => client.send("/order/slow"));
-    await sleep(300);
+    const orders = [];
+    for (const client of clients) {
+        orders.push(client.send("/order/slow"));
+        await sleep(staggerMs);
+    }
     const pattern = await system.request(entry, hasTrouble ? "/mould/garbled" : "/mould/plain", { deadlineMs: 2500 });
     record.line(`pattern lookup ${pattern.id}: ${pattern.status} ${pattern.text}`);
     const answers = await Promise.all(orders);
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -77,6 +77,9 @@
     for (const signal of ["SIGINT", "SIGTERM"]) {
         process.on(signal, () => void finish(2, `the case was stopped by ${signal}`));
     }
+    for (const event of ["uncaughtException", "unhandledRejection"]) {
+        process.on(event, error => void finish(2, `RESULT: the case could not run: ${error?.stack ?? error}`));
+    }
     try {
         await system.prepare();
         const isBroken = await play(system, record);
@@ -408,6 +411,14 @@
         this.server?.closeAllConnections();
     }
 
+    /** Behaves like a machine without power: sends nothing, accepts nothing, and its connections stay open. */
+    goDark() {
+        this.isDark = true;
+        this.#closed = true;
+        this.server.close();
+        this.system.record.line(`${this.id} goes dark`);
+    }
+
     /** Sends a heartbeat to the known address, then to one control VM after the other, until one acknowledges it. */
     async heartbeat() {
         this.#sequence++;
@@ -451,6 +462,9 @@
     }
 
     #handle(request, response) {
+        if (this.isDark) {
+            return;
+        }
         if (request.url === "/healthz") {
             response.writeHead(this.state === "ready" ? 200 : 503, {
                 "X-Figwharf-Instance-Id": this.id,
@@ -468,6 +482,12 @@
             response.end();
             return;
         }
+        if (id === undefined) {
+            request.resume();
+            response.writeHead(400, { "X-Figwharf-Not-Executed": "1", "Content-Length": 0 });
+            response.end();
+            return;
+        }
         const run = { id, method: request.method, path: request.url, atMs: performance.now(), headers: request.headers };
         const chunks = [];
         request.on("data", chunk => chunks.push(chunk));
