--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -51,7 +51,17 @@
     await system.kill(replaced);
     record.line("core-1 has left for good");
     await sleep(afterRemovalMs);
-    record.line(`before the final fault: ${JSON.stringify(await sendRequests(system, record))}`);
+    const before = { sent: 0, served: 0 };
+    for (let round = 0; round < 20; round++) {
+        const { sent, served } = await sendRequests(system, record);
+        before.sent += sent;
+        before.served += served;
+        await sleep(100);
+    }
+    record.line(`before the final fault: ${JSON.stringify(before)}`);
+    if (before.served * 4 < before.sent) {
+        throw new Error("less than a quarter was served before the final fault");
+    }
 
     const second = makeConfig(2, [...rules, makeRule("r-2", "/b/", "orders")], ["orders"]);
     if (await system.changeConfig([2, 3, 4], "config.replace", second, 1, 15_000) !== 200) {
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -8,6 +8,8 @@
 const orderWorkMs = 1000;
 /** Time between the orders of two clients. */
 const staggerMs = 40;
+/** The instance that fails one request has got this many or more, so that it fails at most 0.45 of them. */
+const minRunsOfFailing = 3;
 /** Timeout of the route of the lookups. */
 const timeoutMs = 1200;
 const deadlineMs = 3000;
@@ -66,7 +68,7 @@
         };
         await instance.start();
     }
-    const lookups = [4, 5, 6].map(index => new Instance(system, `mould-${index}`, "moulds", index));
+    const lookups = [4, 5, 6, 7, 8, 9, 10, 11].map(index => new Instance(system, `mould-${index}`, "moulds", index));
     const arrivals = [];
     for (const instance of lookups) {
         instance.respond = (request, response) => {
@@ -74,6 +76,11 @@
                 instance.answer(request, response, 200, "drawing");
                 return;
             }
+            if (arrivals.length === 0 && instance.runs.length < minRunsOfFailing) {
+                record.line(`${instance.id} has too few requests to fail one of them`);
+                instance.answer(request, response, 200, "drawing");
+                return;
+            }
             arrivals.push(instance.id);
             record.line(`arrival ${arrivals.length} of the lookup at ${instance.id}`);
             if (arrivals.length === 1) {
@@ -96,10 +103,13 @@
     await waitFor("orders are served", async () => (await system.request(entry, "/order/first")).status === 200);
     await waitFor("moulds are served", async () => (await system.request(entry, "/mould/first")).status === 200);
     await sleep(4000);
-    // The retry budget allows a part of the recent requests.
-    for (let count = 0; count < 20; count++) {
-        await system.request(entry, `/mould/small/${count}`);
-    }
+    // The retry budget allows a part of the recent requests; each instance answers several before one of them fails.
+    await Promise.all(Array.from({ length: 8 }, async () => {
+        for (let count = 0; count < 20; count++) {
+            await system.request(entry, `/mould/small/${count}`);
+        }
+    }));
+    record.line(`lookups answered before, by instance: ${lookups.map(({ runs }) => runs.length)}`);
 
     const clients = Array.from({ length: clientCount }, () => new KeptConnection(system, entry));
     for (const client of clients) {
