Let a control VM that was removed while it was silent join again

Cause: a VM asked to join only while its own list of members did not name it. A silent voter or learner is removed by a record that is sent only to the members that remain, so its own list kept naming it, also after a restart. Ruled out: a stale term or log of the returned VM; it was sent nothing that it could have rejected. Change: a VM that no leader has contacted for the longest election timeout asks to join, under its old identity. The same holds for the group of the catalogue. Why it works: the identity keeps its term, vote and log, so the VM is a follower that lags, and the leader adds it as a learner.

--- a/src/control/formation.ts
+++ b/src/control/formation.ts
@@ -19,7 +19,8 @@
 
 /**
  * Bootstraps a group or joins an existing one. The first VM by name bootstraps a group when all others answer that they
- * have none. A VM that is not a member, for example after the loss of its disk, asks the others to let it join.
+ * have none. A VM that is not a member, for example after the loss of its disk, or that may have been removed while it was
+ * silent, asks the others to let it join.
  */
 export class Formation {
     private timer: NodeJS.Timeout | undefined;
@@ -63,7 +64,7 @@
     }
 
     private async step(): Promise<void> {
-        if (this.host.isMember) {
+        if (!this.host.needsToJoin) {
             return;
         }
         const method = this.hasGroup() ? FormationMethod.join : FormationMethod.hello;
--- a/src/control/replica.ts
+++ b/src/control/replica.ts
@@ -25,11 +25,13 @@
     private leaderId: ControlVmId | undefined;
     private electionAtMs = 0;
     private lastLeaderContactAtMs = -Infinity;
+    private readonly startedAtMs: number;
     private nowMs: number;
 
     constructor(options: ReplicaOptions) {
         const limits = options.limits ?? defaultReplicaLimits;
         this.random = options.random;
+        this.startedAtMs = options.nowMs;
         this.nowMs = options.nowMs;
         this.state = new ReplicaState(options.selfId, options.persisted, options.machine, limits);
         this.follower = new Follower(this.state);
@@ -81,6 +83,17 @@
         return Math.max(this.leader?.confirmedAtMs ?? -Infinity, this.follower.confirmedAtMs);
     }
 
+    /**
+     * Returns whether this VM should ask members to add it: it is not a member, or no leader has contacted it for so long
+     * that it may have been removed. A removed member is not told, as it did not answer.
+     */
+    needsToJoin(nowMs: number): boolean {
+        const { voters, learners } = this.members;
+        const isMember = [...voters, ...learners].some(member => member.id === this.state.selfId);
+        const silentMs = nowMs - Math.max(this.startedAtMs, this.lastLeaderContactAtMs);
+        return !isMember || (this.leader === undefined && silentMs > this.state.limits.maxElectionMs);
+    }
+
     handle(event: ControlEvent, nowMs: number): readonly ControlEffect[] {
         this.advanceTime(nowMs);
         switch (event.kind) {
--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -95,6 +95,11 @@
         return !this.isSuspended && this.replica.isLed(this.options.clock.monotonicMs());
     }
 
+    /** Returns whether this VM should ask members to add it to the group. */
+    get needsToJoin(): boolean {
+        return !this.isSuspended && this.replica.needsToJoin(this.options.clock.monotonicMs());
+    }
+
     /** Returns whether this VM is a voter or learner of the group that it knows. */
     get isMember(): boolean {
         const { voters, learners } = this.replica.members;
--- a/src/control/testing/fakeGroup.ts
+++ b/src/control/testing/fakeGroup.ts
@@ -209,10 +209,7 @@
             return;
         }
         this.perform(vm, vm.replica?.tick(this.nowMs) ?? []);
-        const replica = vm.replica;
-        const isMember = replica !== undefined &&
-            [...replica.members.voters, ...replica.members.learners].some(member => member.id === vm.id);
-        if (!isMember && this.nowMs % joinIntervalMs === 0) {
+        if (vm.replica?.needsToJoin(this.nowMs) === true && this.nowMs % joinIntervalMs === 0) {
             const member: Member = { id: vm.id, peerAddress: vm.name };
             this.vms.filter(other => other !== vm && this.isRunning(other) && !this.isCut(vm, other)).forEach(other =>
                 this.submit(other, { kind: "join", member })
--- a/src/directory/groupFormation.ts
+++ b/src/directory/groupFormation.ts
@@ -31,10 +31,14 @@
     return `${peerAddress}.first`;
 }
 
-/** Makes a control VM a member of the group: a seed founds it on the first start, other VMs ask members to add them. */
+/**
+ * Makes a control VM a member of the group: a seed founds it on the first start, other VMs ask members to add them, also
+ * after they were removed while they were silent.
+ */
 export class GroupFormation {
     private timer: NodeJS.Timeout | undefined;
     private isClosed = false;
+    private isJoining = false;
     /** Peer addresses from the answers of other VMs. */
     private readonly discoveredAddresses = new Set<string>();
 
@@ -49,7 +53,7 @@
             host.submit({ kind: "found", members: { voters, learners: [] } });
             host.run();
         }
-        void this.joinUnlessMember();
+        void this.joinIfNeeded();
     }
 
     close(): void {
@@ -65,16 +69,21 @@
         return { members: [...host.members.voters, ...host.members.learners] };
     }
 
-    private async joinUnlessMember(): Promise<void> {
-        const { host, seeds, self } = this.options;
-        if (!host.isMember) {
+    private async joinIfNeeded(): Promise<void> {
+        const { host, seeds, self, logger } = this.options;
+        const needsToJoin = host.needsToJoin;
+        if (needsToJoin !== this.isJoining) {
+            this.isJoining = needsToJoin;
+            logger.info(needsToJoin ? "asking to join the group" : "joined the group", { isMember: host.isMember });
+        }
+        if (needsToJoin) {
             const knownAddresses = [...host.members.voters, ...host.members.learners].map(member => member.peerAddress);
             const addresses = new Set([...seeds, ...knownAddresses, ...this.discoveredAddresses]);
             addresses.delete(self.peerAddress);
             await Promise.all([...addresses].map(address => this.requestJoin(address)));
         }
         if (!this.isClosed) {
-            this.timer = setTimeout(() => void this.joinUnlessMember(), joinIntervalMs);
+            this.timer = setTimeout(() => void this.joinIfNeeded(), joinIntervalMs);
         }
     }
 
