Cut off a response that is under way at the timeout, instead of writing a second head

Cause: a request that holds the error response of an earlier attempt delivers it at its timeout, although a later response has already been forwarded in part. Node throws for the second head, in a timer, and the process ends. Change: Exchange checks for all its writers that no head was written; the timeout cuts off a response that has started before it looks at held errors, with a log line of its own. Why it works: a response that has started can neither be completed in time nor be replaced; a reset tells the caller so. Attempts that have not been forwarded still give way to the held error.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -58,6 +58,11 @@
         return this.isOver;
     }
 
+    /** Whether the head of the response has been written. */
+    get isResponseStarted(): boolean {
+        return this.outgoing.headersSent;
+    }
+
     /** Returns the headers of a request to an upstream, as a flat list of names and values. */
     requestHeaders(timeoutMs: number): string[] {
         this.fields ??= selectEndToEndFields(toHeaderFields(this.incoming.rawHeaders))
@@ -74,7 +79,7 @@
     }
 
     writeHead(head: ResponseHead, isBodyComplete: boolean): void {
-        if (this.isOver) {
+        if (!this.canStartResponse()) {
             return;
         }
         const headers: string[] = [];
@@ -134,11 +139,7 @@
 
     /** Ends the request with a generated answer. */
     answer(answer: GeneratedAnswer): void {
-        if (this.isOver) {
-            return;
-        }
-        if (this.outgoing.headersSent) {
-            this.destroyCaller();
+        if (!this.canStartResponse()) {
             return;
         }
         const { headers, body } = formatProblem(answer, this.id);
@@ -155,6 +156,14 @@
         this.finish();
     }
 
+    /** Returns whether a head may be written. Cuts off a response that has started, as no second one can follow it. */
+    private canStartResponse(): boolean {
+        if (this.outgoing.headersSent) {
+            this.destroyCaller();
+        }
+        return !this.isOver;
+    }
+
     private lingerIfBodyUnread(): void {
         const { socket } = this.outgoing;
         if (!this.incoming.complete && socket !== null) {
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -434,10 +434,15 @@
     }
 
     private answerTimeout(): void {
-        if (this.context.exchange.isEnded) {
+        const { exchange } = this.context;
+        if (exchange.isEnded) {
             return;
         }
-        if (this.lastErrorAttempt !== undefined) {
+        if (exchange.isResponseStarted) {
+            this.log("cut off the response at the timeout", { attempts: this.attemptCount });
+            exchange.destroyCaller();
+        }
+        else if (this.lastErrorAttempt !== undefined) {
             this.lastErrorAttempt.deliver();
         }
         else {
