Forward Trailer only with a chunked response

Cause: Node throws for a head that announces trailers without chunked framing. The field was forwarded, although the response to the caller can be framed otherwise than that of the instance: with a length, without content, or for HTTP/1.0. Ruled out: other heads. Of 37 odd ones that a trial sent through undici to Node's server, only those with `Trailer` were refused. Change: Exchange.writeHead drops `Trailer` unless Node sends the response in chunks. Why it works: it is the one place that forwarded, replayed and relayed responses pass, and its condition is that of Node.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -5,7 +5,7 @@
 import type { GeneratedAnswer, ResponseHead, RetainedResponse } from "../requests/model.js";
 import type { AdmittedRequest } from "./admission.js";
 import type { Attempt, ResponseSink } from "./attempt.js";
-import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
+import { findHeader, type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 import { formatProblem, formatRetryAfter } from "./problem.js";
 
 /**
@@ -83,8 +83,11 @@
             return;
         }
         const headers: string[] = [];
+        const areTrailersAllowed = this.areTrailersAllowed(head);
         for (const [name, value] of head.headers) {
-            headers.push(name, value);
+            if (areTrailersAllowed || name.toLowerCase() !== "trailer") {
+                headers.push(name, value);
+            }
         }
         if (this.mustClose || !this.incoming.complete) {
             headers.push("Connection", "close");
@@ -102,6 +105,15 @@
         }
     }
 
+    /**
+     * Only a chunked response has trailers (RFC 9112, 7.1.2), and Node rejects a head that announces them for any other. The
+     * response to a caller can have another framing than that of the upstream.
+     */
+    private areTrailersAllowed({ status, headers }: ResponseHead): boolean {
+        return this.outgoing.useChunkedEncodingByDefault && this.incoming.method !== "HEAD" &&
+            !isWithoutContent(status) && findHeader(headers, "content-length") === undefined;
+    }
+
     write(chunk: Buffer, onDrain: () => void): boolean {
         if (this.isOver) {
             return true;
