Keep all routes of a host that is listed twice when a configuration is updated

Cause: updateRoutes put the entries of a table into a map by host, which keeps the last entry alone. Validation and lookup join the entries of a host, so such a table is accepted and served until its first update, of whatever kind. Ruled out: the delta to the entries, which get what the control VMs hold. Change: an update keeps the entries and adds new routes to the last one of their host. Replicas must apply a record alike, whatever their version, so a record with an update keeps its earlier result; a leader replaces an update of such a table by the resulting table and the digest of the update. Entries that hold such a table get whole tables instead of updates. Why it works: all versions apply a record with a table in the same way, and the entries that operators wrote stay as they were sent.

--- a/src/directory/directoryService.test.ts
+++ b/src/directory/directoryService.test.ts
@@ -3,7 +3,7 @@
 import { type DirectoryLog, DirectoryService } from "./directoryService.js";
 import { type DirectoryChange, DirectoryState } from "./directoryState.js";
 import type { ForwardedOutcome } from "./messages.js";
-import { makeRegistration, makeTable } from "./testing.js";
+import { makeRegistration, makeRoute, makeTable } from "./testing.js";
 
 const heartbeatIntervalMs = 1000;
 
@@ -17,6 +17,7 @@
         confirmedAtMs: number;
         onContactChange: () => void;
         leaderAddress: string | undefined;
+        propose: (change: DirectoryChange) => Promise<ForwardedOutcome>;
     };
     readonly calls: string[];
 }
@@ -246,3 +247,57 @@
     log.onContactChange();
     t.true((await held).isLed);
 });
+
+test("guards against an update through any control VM that drops routes of a host that is listed twice", async t => {
+    const { service, state } = makeService();
+    const routes = ["stock", "pour"].map(name => makeRoute({ name, pathPrefix: `/${name}/` }));
+    const host = "shop.example";
+    const hosts = routes.map(route => ({ host, routes: [route] }));
+    await service.changeRoutes({ baseVersion: 0, table: { ...makeTable(1), hosts }, update: undefined });
+    const empty = { limits: undefined, services: [], removedRoutes: [], removedServices: [] };
+    const makeUpdate = (version: number) => ({
+        ...empty,
+        version,
+        hosts: [{ host, routes: [{ ...routes[1], timeoutMs: 700 + version }] }],
+    });
+    const direct = { baseVersion: 1, table: undefined, update: makeUpdate(2) };
+    const forwarded = {
+        kind: "routes" as const,
+        baseVersion: 2,
+        table: undefined,
+        update: makeUpdate(3),
+        proposedAtMs: 0,
+    };
+    for (let sending = 0; sending < 2; sending++) {
+        t.is((await service.changeRoutes(direct))?.outcome, "accepted");
+        const outcome = await service.handleProposal({ change: forwarded });
+        t.deepEqual(outcome.kind === "applied" && outcome.result.outcome, "accepted");
+        t.deepEqual(state.routes.hosts.flatMap(listed => listed.routes.map(route => route.name)), ["stock", "pour"]);
+        t.is(state.routes.version, 3);
+    }
+});
+
+test("guards against an update that drops routes since its base is committed while it arrives", async t => {
+    const { service, state, log } = makeService();
+    const routes = ["stock", "pour"].map(name => makeRoute({ name, pathPrefix: `/${name}/` }));
+    const hosts = routes.map(route => ({ host: "shop.example", routes: [route] }));
+    const applyAtOnce = log.propose;
+    log.propose = async change => {
+        await new Promise(resolve => setImmediate(resolve));
+        return applyAtOnce(change);
+    };
+    const update = {
+        version: 2,
+        limits: undefined,
+        hosts: [],
+        services: [],
+        removedRoutes: [],
+        removedServices: [],
+    };
+    const results = await Promise.all([
+        service.changeRoutes({ baseVersion: 0, table: { ...makeTable(1), hosts }, update: undefined }),
+        service.changeRoutes({ baseVersion: 1, table: undefined, update }),
+    ]);
+    t.deepEqual(results.map(result => result?.outcome), ["accepted", "accepted"]);
+    t.is(state.routes.hosts.flatMap(listed => listed.routes).length, 2);
+});
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -38,6 +38,7 @@
 } from "./messages.js";
 import type { ControlNode, Registration, RouteTable } from "./model.js";
 import { RelayPeers } from "./relayPeers.js";
+import { resolveUpdate } from "./repeatedHosts.js";
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
@@ -99,6 +100,8 @@
     /** Time since which a control VM in the directory has not been a member of the group, by peer address. */
     private readonly nonMemberSinceMs = new Map<string, number>();
     private loggedEvacuatedZones = "";
+    /** Settled once the route change that this VM proposed last has its outcome. */
+    private lastRouteProposal: Promise<unknown> = Promise.resolve();
     readonly metrics: DirectoryMetrics;
 
     constructor(private readonly options: DirectoryServiceOptions) {
@@ -351,7 +354,7 @@
 
     /** Proposes a change that another control VM forwarded; refused if this VM is not the leader. */
     async handleProposal({ change }: ProposeParams): Promise<ForwardedOutcome> {
-        return this.options.log.isLeader ? this.options.log.propose(change) : { kind: "refused" };
+        return this.options.log.isLeader ? this.propose(change) : { kind: "refused" };
     }
 
     /** Returns the revision that a read must include (Raft's read index); undefined unless confirmed as the leader. */
@@ -444,7 +447,7 @@
     private async submit(change: DirectoryChange): Promise<ForwardedOutcome> {
         const { log, links, logger } = this.options;
         if (log.isLeader) {
-            return log.propose(change);
+            return this.propose(change);
         }
         const address = log.leaderAddress;
         if (address === undefined) {
@@ -459,6 +462,21 @@
         }
     }
 
+    /** Proposes a change as the leader. */
+    private async propose(change: DirectoryChange): Promise<ForwardedOutcome> {
+        const { log } = this.options;
+        if (change.kind !== "routes") {
+            return log.propose(change);
+        }
+        if (change.baseVersion !== this.state.routes.version) {
+            // The base of an update can be a table that is not committed yet.
+            await this.lastRouteProposal;
+        }
+        const proposal = log.propose(resolveUpdate(this.state.routes, change));
+        this.lastRouteProposal = proposal;
+        return proposal;
+    }
+
     private async findReadRevision(): Promise<number | undefined> {
         const { log, links, logger } = this.options;
         const address = log.leaderAddress;
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -1,5 +1,4 @@
 import { Packr } from "msgpackr";
-import { createHash } from "node:crypto";
 import { StateMachine } from "../control/stateMachine.js";
 import type { UpstreamId } from "../core/ids.js";
 import { concealKeysInTable, concealKeysInUpdate } from "../organisations/keyConcealment.js";
@@ -15,6 +14,8 @@
     type RouteUpdate,
 } from "./model.js";
 import { RegistrationTable } from "./registrations.js";
+import { hasRepeatedHost, keepLastEntries } from "./repeatedHosts.js";
+import { digestRouteChange } from "./routeChangeDigest.js";
 import { updateRoutes } from "./updateRoutes.js";
 import { findRouteProblem } from "./validateRoutes.js";
 
@@ -42,6 +43,8 @@
     readonly update: RouteUpdate | undefined;
     /** Wall-clock time at the VM that received the change, in Unix milliseconds, for the audit trail. */
     readonly proposedAtMs: number;
+    /** Digest of the change as it was sent, if its content was replaced; resends are recognized by it. */
+    readonly sentDigest?: string;
 }
 
 /** Replicated change of the directory. */
@@ -273,7 +276,7 @@
     }
 
     private changeRoutes(change: RouteChange): DirectoryResult {
-        const digest = digestChange(change);
+        const digest = digestRouteChange(change);
         if (this.acceptedDigests.has(digest)) {
             return accepted;
         }
@@ -306,7 +309,9 @@
             const detail = `the change builds on version ${baseVersion}, and version ${version} is in force`;
             return { outcome: RouteOutcome.conflict, detail };
         }
-        const newTable = update === undefined ? table : updateRoutes(this.table, update);
+        // A leader resolves updates of tables with repeated hosts before it proposes them. Records of earlier versions must
+        // have the result that those versions gave them.
+        const newTable = update === undefined ? table : keepLastEntries(updateRoutes(this.table, update));
         const problem = newTable === undefined ? "the change is empty" : findRouteProblem(newTable);
         if (newTable === undefined || problem !== undefined) {
             return { outcome: RouteOutcome.invalid, detail: problem ?? "" };
@@ -337,7 +342,8 @@
 
     private findTableUpdate(heldRevision: number): TableUpdate | undefined {
         const base = this.recentTables.findLast(installed => installed.atRevision <= heldRevision);
-        if (base === undefined || base.table.version === 0) {
+        // Entries of earlier versions drop routes when they update a table with repeated hosts.
+        if (base === undefined || base.table.version === 0 || hasRepeatedHost(base.table)) {
             return undefined;
         }
         const cached = this.cachedTableUpdates.get(base.atRevision);
@@ -386,8 +392,3 @@
         return this.stateRevision;
     }
 }
-
-/** Returns a digest of a change's content and base version, without its time, so that a resend has the same digest. */
-function digestChange({ baseVersion, table, update }: RouteChange): string {
-    return createHash("sha256").update(JSON.stringify([baseVersion, table ?? null, update ?? null])).digest("base64");
-}
--- a/src/directory/updateRoutes.ts
+++ b/src/directory/updateRoutes.ts
@@ -34,17 +34,24 @@
     };
 }
 
+/** Adds routes to the last entry of their host, or to a new one. */
 function addRoutes(
     updatedHosts: readonly HostRoutes[],
     hostsOfUpdate: readonly HostRoutes[],
     replacedNames: ReadonlySet<string>,
 ): readonly HostRoutes[] {
-    const hosts = new Map(updatedHosts.map(hostRoutes => [hostRoutes.host, hostRoutes.routes]));
+    const hosts = [...updatedHosts];
     for (const { host, routes } of hostsOfUpdate) {
         const newRoutes = routes.filter(route => !replacedNames.has(route.name));
-        hosts.set(host, [...hosts.get(host) ?? [], ...newRoutes]);
+        const position = hosts.findLastIndex(hostRoutes => hostRoutes.host === host);
+        if (position === -1) {
+            hosts.push({ host, routes: newRoutes });
+        }
+        else {
+            hosts[position] = { host, routes: [...hosts[position].routes, ...newRoutes] };
+        }
     }
-    return [...hosts].map(([host, routes]) => ({ host, routes }));
+    return hosts;
 }
 
 function updateServices(services: readonly RoutedService[], update: RouteUpdate): readonly RoutedService[] {
