Add the successor of a leaving control VM as a voter before the VM is removed

Cause: a leaving voter was removed before the caught-up learner was added. A leader that leaves gives up its office with its own removal, so the learner waited for the next election, about 1.2 s, in which the group was two voters. Ruled out: a successor that had not caught up; it had the acknowledged version. Change: a voter that announced its stop and still answers is removed only after the learner was added; a silent one is removed first as before. The leader replicates to removed members until they know of their removal. Surplus voters are removed once they leave or are lost. Why it works: four voters, the leaving one among them, keep a majority without any one of them, and so do the three after it.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -6,8 +6,8 @@
 
 const joinRequestTtlMs = 2000;
 /**
- * A member that announced its stop counts as lost for this long. The notice expires because a member can restart
- * without joining again; one that stays down counts as lost again after `lostAfterMs` of silence.
+ * A member counts as leaving for this long after it announced its stop. The notice expires because a member can restart
+ * without joining again; one that stays down counts as lost after `lostAfterMs` of silence.
  */
 const leavingNoticeTtlMs = 8000;
 /** A learner that has not answered for longer does not count as caught up. */
@@ -54,6 +54,8 @@
     private readonly joining = new Map<ControlVmId, { readonly member: Member; readonly requestedAtMs: number; }>();
     /** Members that announced their stop, with the time of the announcement. */
     private readonly leaving = new Map<ControlVmId, number>();
+    /** Removed members that may not know it yet, with the log index of their removal. */
+    private readonly removedMembers = new Map<ControlVmId, number>();
     private readonly termStartIndex: number;
     private nextHeartbeatMs: number;
 
@@ -75,6 +77,7 @@
     tick(nowMs: number): void {
         this.nowMs = nowMs;
         this.updateMembers();
+        this.forgetRemovedMembers();
         if (nowMs >= this.nextHeartbeatMs) {
             this.nextHeartbeatMs = nowMs + this.state.limits.heartbeatMs;
             this.startRound();
@@ -111,10 +114,17 @@
         this.updateMembers();
     }
 
-    /** Counts a member that announced its stop as lost for a while, so that a caught-up learner can replace it. */
+    /** Counts a member that announced its stop as leaving for a while, so that a caught-up learner replaces it. */
     markLeaving(id: ControlVmId): void {
-        this.leaving.set(id, this.nowMs);
-        this.updateMembers();
+        const { voters, learners } = this.state.members;
+        if ([...voters, ...learners].some(member => member.id === id)) {
+            this.leaving.set(id, this.nowMs);
+            this.updateMembers();
+        }
+        else {
+            // A VM that waits for its removal; an earlier leader may not have told it.
+            this.removedMembers.set(id, this.state.membersIndex);
+        }
     }
 
     handleAppendAnswer(from: ControlVmId, answer: AppendAnswer): void {
@@ -210,9 +220,20 @@
 
     private broadcast(): void {
         const { voters, learners } = this.state.members;
-        [...voters, ...learners].filter(member => member.id !== this.state.selfId).forEach(member =>
-            this.replicateTo(member.id)
-        );
+        const ids = [...[...voters, ...learners].map(member => member.id), ...this.removedMembers.keys()];
+        ids.filter(id => id !== this.state.selfId).forEach(id => this.replicateTo(id));
+    }
+
+    /** Ends the replication to removed members that have the record of their removal and know that it is committed. */
+    private forgetRemovedMembers(): void {
+        for (const [id, removalIndex] of this.removedMembers) {
+            const isInformed = this.state.commitIndex >= removalIndex && this.progressOf(id).matchIndex >= removalIndex;
+            if (isInformed || this.isLost(id)) {
+                this.removedMembers.delete(id);
+                // The last message carries the index up to which records are committed.
+                this.replicateTo(id);
+            }
+        }
     }
 
     private replicateTo(id: ControlVmId): void {
@@ -334,6 +355,7 @@
         const next = planMemberChange(this.state.members, joining, {
             isCaughtUp: member => this.isCaughtUp(member.id),
             isLost: member => this.isLost(member.id),
+            isLeaving: member => this.isLeaving(member.id),
             votersWanted: this.state.limits.votersWanted,
         });
         if (next !== undefined && this.canChangeMembers(next)) {
@@ -344,16 +366,29 @@
                 level: "info",
                 text: `changing voters to ${voters}; learners: ${learners}`,
             });
-            this.state.appendCommand({ kind: "members", members: next });
+            const { members } = this.state;
+            const index = this.state.appendCommand({ kind: "members", members: next });
+            this.trackRemovedMembers(members, next, index);
             this.broadcast();
             this.advance();
         }
     }
 
+    private trackRemovedMembers(before: GroupMembers, after: GroupMembers, index: number): void {
+        const remainingIds = new Set([...after.voters, ...after.learners].map(member => member.id));
+        remainingIds.forEach(id => this.removedMembers.delete(id));
+        [...before.voters, ...before.learners]
+            .filter(member => !remainingIds.has(member.id) && member.id !== this.state.selfId)
+            .forEach(member => this.removedMembers.set(member.id, index));
+    }
+
     private isLost(id: ControlVmId): boolean {
         const silentMs = this.nowMs - this.progressOf(id).lastContactAtMs;
-        const isLeaving = this.nowMs - (this.leaving.get(id) ?? -Infinity) < leavingNoticeTtlMs;
-        return isLeaving || (id !== this.state.selfId && silentMs > this.state.limits.lostAfterMs);
+        return id !== this.state.selfId && silentMs > this.state.limits.lostAfterMs;
+    }
+
+    private isLeaving(id: ControlVmId): boolean {
+        return this.nowMs - (this.leaving.get(id) ?? -Infinity) < leavingNoticeTtlMs;
     }
 
     private isCaughtUp(id: ControlVmId): boolean {
--- a/src/control/memberChanges.test.ts
+++ b/src/control/memberChanges.test.ts
@@ -9,6 +9,7 @@
     readonly joining?: string;
     readonly caughtUp?: string;
     readonly lost?: string;
+    readonly leaving?: string;
     readonly votersWanted?: number;
     /** Voters and learners after each step. */
     readonly steps: readonly string[];
@@ -58,6 +59,53 @@
         votersWanted: 5,
         steps: ["a1 b1 c1 + d1", "a1 b1 c1 + d1 e1", "a1 b1 c1 d1 + e1", "a1 b1 c1 d1 e1 + "],
     },
+    {
+        name: "a new VM replaces a leaving voter, which votes until then",
+        voters: "a1 b1 c1",
+        learners: "d1",
+        caughtUp: "d1",
+        leaving: "b1",
+        steps: ["a1 b1 c1 d1 + ", "a1 c1 d1 + "],
+    },
+    {
+        name: "a leaving voter without a replacement stays",
+        voters: "a1 b1 c1",
+        leaving: "b1",
+        steps: [],
+    },
+    {
+        name: "a leaving voter that has fallen silent is removed first",
+        voters: "a1 b1 c1",
+        learners: "d1",
+        caughtUp: "d1",
+        leaving: "b1",
+        lost: "b1",
+        steps: ["a1 c1 + d1", "a1 c1 d1 + "],
+    },
+    {
+        name: "a lost voter is replaced before a leaving one",
+        voters: "a1 b1 c1",
+        learners: "d1 e1",
+        caughtUp: "d1 e1",
+        leaving: "b1",
+        lost: "c1",
+        steps: ["a1 b1 + d1 e1", "a1 b1 d1 + e1", "a1 b1 d1 e1 + ", "a1 d1 e1 + "],
+    },
+    {
+        name: "a surplus voter is removed once it is lost",
+        voters: "a1 b1 c1 d1",
+        lost: "c1",
+        steps: ["a1 b1 d1 + "],
+    },
+    { name: "a surplus voter that answers stays", voters: "a1 b1 c1 d1", steps: [] },
+    {
+        name: "a leaving learner does not become a voter",
+        voters: "a1 b1 c1",
+        learners: "d1",
+        caughtUp: "d1",
+        leaving: "b1 d1",
+        steps: ["a1 b1 c1 + "],
+    },
     {
         name: "a lost learner is removed",
         voters: "a1 b1 c1",
@@ -67,11 +115,16 @@
     },
 ];
 
-for (const { name, voters, learners, joining, caughtUp, lost, votersWanted = 3, steps } of cases) {
+for (const { name, voters, learners, joining, caughtUp, lost, leaving, votersWanted = 3, steps } of cases) {
     test(`guards against a second loss before the first one is repaired: ${name}`, t => {
         const isListedIn = (text: string | undefined) => (member: Member) =>
             (text ?? "").split(" ").includes(member.id);
-        const view: MembershipView = { isCaughtUp: isListedIn(caughtUp), isLost: isListedIn(lost), votersWanted };
+        const view: MembershipView = {
+            isCaughtUp: isListedIn(caughtUp),
+            isLost: isListedIn(lost),
+            isLeaving: isListedIn(leaving),
+            votersWanted,
+        };
         let members: GroupMembers = { voters: toMembers(voters), learners: toMembers(learners) };
         const actualSteps: string[] = [];
         for (let count = 0; count <= steps.length; count++) {
--- a/src/control/rejoin.test.ts
+++ b/src/control/rejoin.test.ts
@@ -37,7 +37,7 @@
 const silences: readonly Silence[] = [
     {
         name: "suspended",
-        begin: (group, vm) => vm.pausedUntilMs = group.nowMs + 4000,
+        begin: (_group, vm) => vm.pausedUntilMs = Infinity,
         end: (_group, vm) => vm.pausedUntilMs = 0,
     },
     { name: "cut off", begin: cutOff, end: group => group.cutLinks.clear() },
@@ -87,7 +87,8 @@
         t.is(listMembers(group).length, group.vms.length, `seed ${seed}`);
         for (const lostVm of [spare, voters[0]]) {
             group.removeVm(lostVm);
-            group.run(catchUpMs);
+            // An election, and then the replacement of the lost voter.
+            group.run(catchUpMs + limits.maxElectionMs);
             t.truthy(findLeader(group), `seed ${seed}: a leader after the loss of ${lostVm.name}`);
         }
     }
--- a/src/control/replicaHost.ts
+++ b/src/control/replicaHost.ts
@@ -95,6 +95,11 @@
         return !this.isSuspended && this.replica.isLed(this.options.clock.monotonicMs());
     }
 
+    /** Whether the member list that this VM knows is committed. */
+    get isSettled(): boolean {
+        return this.replica.isSettled;
+    }
+
     /** Returns whether this VM should ask members to add it to the group. */
     get needsToJoin(): boolean {
         return !this.isSuspended && this.replica.needsToJoin(this.options.clock.monotonicMs());
--- a/src/control/testing/fakeGroup.ts
+++ b/src/control/testing/fakeGroup.ts
@@ -44,6 +44,8 @@
     /** Undefined while the VM is down. */
     replica: Replica | undefined;
     pausedUntilMs: number;
+    /** Whether it no longer asks to join, as while it stops. */
+    isStopping: boolean;
 }
 
 interface Delivery {
@@ -185,6 +187,7 @@
             store: new ControlStore(disk),
             replica: undefined,
             pausedUntilMs: 0,
+            isStopping: false,
         };
         this.open(vm);
         return vm;
@@ -209,7 +212,8 @@
             return;
         }
         this.perform(vm, vm.replica?.tick(this.nowMs) ?? []);
-        if (vm.replica?.needsToJoin(this.nowMs) === true && this.nowMs % joinIntervalMs === 0) {
+        const isJoining = !vm.isStopping && vm.replica?.needsToJoin(this.nowMs) === true;
+        if (isJoining && this.nowMs % joinIntervalMs === 0) {
             const member: Member = { id: vm.id, peerAddress: vm.name };
             this.vms.filter(other => other !== vm && this.isRunning(other) && !this.isCut(vm, other)).forEach(other =>
                 this.submit(other, { kind: "join", member })
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -27,9 +27,11 @@
 
 const identitySuffixBytes = 6;
 const maintenanceIntervalMs = 1000;
-/** Longest wait for another VM to replace a stopping one as a voter. */
-const handoverTimeoutMs = 1500;
+/** Longest wait for another VM to replace a stopping one as a voter, if the options set none. */
+const defaultHandoverTimeoutMs = 1500;
 const handoverPollIntervalMs = 50;
+/** The notice of a stop is repeated, since it can be lost, and a new leader does not know it. */
+const leavingNoticeIntervalMs = 250;
 
 /**
  * Timing of the group. Each heartbeat and its answer cross availability zones for each follower, so the interval is
@@ -67,6 +69,8 @@
     readonly heartbeatIntervalMs: number;
     /** Bounds of the quotas of organisations. */
     readonly quotaBounds?: QuotaBounds;
+    /** Longest wait for another VM to replace this one as a voter before it stops. */
+    readonly handoverTimeoutMs?: number;
     readonly logger: ControlLogger;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -97,6 +101,7 @@
     private readonly links: PeerLinks;
     private readonly peerServer: ChannelServer;
     private readonly formation: GroupFormation;
+    private readonly votersWanted: number;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: DirectoryOptions) {
@@ -112,7 +117,8 @@
         this.self = { id: selfId, peerAddress };
         const channel = { selfId, secret: options.clusterSecret };
         this.links = new PeerLinks(channel);
-        const limits = { ...directoryReplicaLimits, votersWanted: 2 * toleratedLosses + 1 };
+        this.votersWanted = Math.max(2 * toleratedLosses + 1, seeds.length);
+        const limits = { ...directoryReplicaLimits, votersWanted: this.votersWanted };
         const { links } = this;
         const machine = new DirectoryState();
         const onFailed = (error: Error) => {
@@ -147,19 +153,41 @@
     }
 
     async drain(): Promise<void> {
-        const { clock, logger } = this.options;
+        const { clock, logger, handoverTimeoutMs = defaultHandoverTimeoutMs } = this.options;
         const { voters, learners } = this.host.members;
-        logger.info("control VM drains", { id: this.self.id, learners: learners.length });
-        const others = [...voters, ...learners].filter(member => member.id !== this.self.id);
-        others.forEach(member => this.links.notify(member.peerAddress, DirectoryMethod.leaving, this.self));
-        this.host.submit({ kind: "leaving", memberId: this.self.id });
-        const untilMs = clock.monotonicMs() + handoverTimeoutMs;
-        while (learners.length > 0 && this.host.isMember && clock.monotonicMs() < untilMs) {
+        const canHandOver = this.host.isMember && (learners.length > 0 || voters.length > this.votersWanted);
+        logger.info("control VM drains", { id: this.self.id, learners: learners.length, canHandOver });
+        // A request to join would withdraw the notice.
+        this.formation.close();
+        this.announceLeaving();
+        const startMs = clock.monotonicMs();
+        let announcedAtMs = startMs;
+        while (canHandOver && !this.isRemoved() && clock.monotonicMs() - startMs < handoverTimeoutMs) {
             await new Promise(resolve => setTimeout(resolve, handoverPollIntervalMs));
+            if (clock.monotonicMs() - announcedAtMs >= leavingNoticeIntervalMs) {
+                announcedAtMs = clock.monotonicMs();
+                this.announceLeaving();
+            }
         }
+        logger.info("control VM drained", {
+            isRemoved: this.isRemoved(),
+            afterMs: Math.round(clock.monotonicMs() - startMs),
+        });
         await this.close();
     }
 
+    private announceLeaving(): void {
+        const { voters, learners } = this.host.members;
+        const others = [...voters, ...learners].filter(member => member.id !== this.self.id);
+        others.forEach(member => this.links.notify(member.peerAddress, DirectoryMethod.leaving, this.self));
+        this.host.submit({ kind: "leaving", memberId: this.self.id });
+    }
+
+    /** Until the removal is committed, a majority may still need this VM. */
+    private isRemoved(): boolean {
+        return !this.host.isMember && this.host.isSettled;
+    }
+
     async close(): Promise<void> {
         clearInterval(this.timer);
         this.formation.close();
