Use late answers to load probes, and send fewer probes while none are answered

Callers saw: 503 for all requests to a large system that had just started, although all its processes ran and its configuration was confirmed; the users' report says "the system didn't start". Cause: a probe was given up after 40 ms and its connection closed, and requests that found nothing probed more upstreams in each round. Once machines were too busy to answer in 40 ms, the probes and new connections kept them so. An entry that was held up took answers that waited to be read for missing ones. Ruled out: processes that end, the group, descriptors (40 and 80 under 150 connections to each port). Change: an answer within 400 ms is used and keeps its connection; rounds without an answer in time halve the probes of the next ones, to a sixteenth at most; timeouts read first what has arrived. Why it works: late answers place requests and end the churn of connections, and fewer probes leave time to answer.

--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -16,10 +16,15 @@
     type UpstreamStateTable,
 } from "./upstreamStateTable.js";
 
-/** Timeout for the response; a later one is useless because the load has changed by then. */
+/** Time after which a round goes on without the response. */
 const probeTimeoutMs = 40;
-/** Timeout until the probe is sent; a new connection takes a round trip and time for the upstream to accept it. */
+/** The same until the probe is sent; a new connection takes a round trip and time for the upstream to accept it. */
 const connectTimeoutMs = 120;
+/**
+ * Time after which a probe is given up. On a busy machine all responses are late; if they were not used, and their
+ * connections closed, the probes alone would keep the machine busy.
+ */
+const lateTimeoutMs = 400;
 
 /**
  * A connection without a load probe is reused only if one was leased within this time; an older one may have been closed
@@ -59,10 +64,17 @@
         return this.options.connections.hasIdle(upstreamState.registration.address);
     }
 
-    /** Probes all candidates in parallel; returns the healthy ones, with `load` updated if it was reported. */
-    async probeAll(candidates: readonly UpstreamState[], healthPath: string): Promise<readonly ProbeResult[]> {
+    /**
+     * Probes all candidates in parallel; returns the healthy ones that answered in time, with `load` updated if it was
+     * reported. `onLate` is called with those that answer later.
+     */
+    async probeAll(
+        candidates: readonly UpstreamState[],
+        healthPath: string,
+        onLate: (probeResult: ProbeResult) => void,
+    ): Promise<readonly ProbeResult[]> {
         const probeResults = await Promise.all(
-            candidates.map(upstreamState => this.probeOne(upstreamState, healthPath)),
+            candidates.map(upstreamState => this.probeOne(upstreamState, healthPath, onLate)),
         );
         return probeResults.filter(probeResult => probeResult !== undefined);
     }
@@ -81,62 +93,121 @@
         return connection === undefined ? undefined : { upstreamState, connection };
     }
 
-    private async probeOne(upstreamState: UpstreamState, healthPath: string): Promise<ProbeResult | undefined> {
-        const {
-            upstreamTable,
-            upstreamLimits,
-            upstreamStatements,
-            connections,
-            dialect,
-            clock,
-            metrics,
-            overloadControl,
-        } = this.options;
-        const probedAtMs = clock.monotonicMs();
-        const { address, id } = upstreamState.registration;
+    private probeOne(
+        upstreamState: UpstreamState,
+        healthPath: string,
+        onLate: (probeResult: ProbeResult) => void,
+    ): Promise<ProbeResult | undefined> {
+        const { upstreamLimits, connections, clock } = this.options;
+        const sentAtMs = clock.monotonicMs();
+        const { address } = upstreamState.registration;
         const isNewConnection = !connections.hasIdle(address);
-        const connection = connections.lease(address, probedAtMs);
+        const connection = connections.lease(address, sentAtMs);
         if (connection === undefined) {
-            return undefined;
+            return Promise.resolve(undefined);
         }
+        const probe: Probe = { upstreamState, connection, isNewConnection, sentAtMs };
         upstreamLimits.recordSent(upstreamState, MessageKind.probe);
-        const { head, isConnectionError, isReset } = await fetchHead(connection.dispatcher, healthPath);
-        if (head === undefined) {
-            this.options.relay?.recordFailure(id, isNewConnection && isConnectionError);
+        return new Promise(resolve => {
+            let isLate = false;
+            const onDue = (isSent: boolean) => {
+                isLate = true;
+                this.recordFailure(probe, { head: undefined, isConnectionError: !isSent, isReset: false });
+                resolve(undefined);
+            };
+            void fetchHead(connection.dispatcher, healthPath, onDue).then(fetched => {
+                if (!isLate) {
+                    resolve(this.recordResult(probe, fetched));
+                    return;
+                }
+                const probeResult = this.recordLateResult(probe, fetched);
+                if (probeResult !== undefined) {
+                    onLate(probeResult);
+                }
+            });
+        });
+    }
+
+    private recordResult(probe: Probe, fetched: FetchResult): ProbeResult | undefined {
+        const { head } = fetched;
+        if (head === undefined || !this.isUsable(probe, head)) {
+            this.recordFailure(probe, fetched);
+            probe.connection.discard();
+            return undefined;
         }
-        else {
-            this.options.relay?.recordResponse(isNewConnection);
+        this.options.metrics.loadProbes.inc({ end: "answered" });
+        return this.recordAnswer(probe, head);
+    }
+
+    /** Records the result of a probe that was counted as a failure when it was due. */
+    private recordLateResult(probe: Probe, { head }: FetchResult): ProbeResult | undefined {
+        const { metrics, upstreamTable } = this.options;
+        if (head === undefined || !this.isUsable(probe, head)) {
+            probe.connection.discard();
+            return undefined;
         }
+        metrics.loadProbes.inc({ end: "late" });
+        upstreamTable.withdrawFailure(probe.upstreamState);
+        return this.recordAnswer(probe, head);
+    }
+
+    /** Returns whether a head is the successful response of this upstream to a probe. */
+    private isUsable({ upstreamState }: Probe, head: ResponseHead): boolean {
+        const { dialect, upstreamStatements } = this.options;
+        const { id } = upstreamState.registration;
         // A duplicate of an earlier response on the connection states the id of its request.
-        const isMatchingResponse = head !== undefined && dialect.readAnsweredRequestId(head) === undefined &&
+        const isMatchingResponse = dialect.readAnsweredRequestId(head) === undefined &&
             (dialect.readUpstreamId(head) ?? id) === id;
         if (isMatchingResponse) {
             upstreamStatements.recordHead(upstreamState, head, MessageKind.probe);
         }
-        if (!isMatchingResponse || head.status !== 200) {
-            connection.discard();
-            metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
-            const nowMs = clock.monotonicMs();
-            const wasFull = isReset && overloadControl?.recordReset(upstreamState, nowMs) === true;
-            upstreamTable.recordOutcome(
-                upstreamState,
-                wasFull ? UpstreamOutcome.refused : UpstreamOutcome.broken,
-                nowMs,
-            );
-            return undefined;
+        return isMatchingResponse && head.status === 200;
+    }
+
+    private recordFailure({ upstreamState, isNewConnection }: Probe, fetched: FetchResult): void {
+        const { relay, metrics, overloadControl, upstreamTable, clock } = this.options;
+        const { head, isConnectionError, isReset } = fetched;
+        if (head === undefined) {
+            relay?.recordFailure(upstreamState.registration.id, isNewConnection && isConnectionError);
+        }
+        else {
+            relay?.recordResponse(isNewConnection);
         }
-        metrics.loadProbes.inc({ end: "answered" });
+        metrics.loadProbes.inc({ end: head === undefined ? "silent" : "unwell" });
+        const nowMs = clock.monotonicMs();
+        const wasFull = isReset && overloadControl?.recordReset(upstreamState, nowMs) === true;
+        upstreamTable.recordOutcome(
+            upstreamState,
+            wasFull ? UpstreamOutcome.refused : UpstreamOutcome.broken,
+            nowMs,
+        );
+    }
+
+    private recordAnswer(
+        { upstreamState, connection, isNewConnection, sentAtMs }: Probe,
+        head: ResponseHead,
+    ): ProbeResult {
+        const { relay, upstreamLimits, dialect } = this.options;
+        relay?.recordResponse(isNewConnection);
         // Instances need not name their limit in answers to probes, so such an answer does not withdraw it.
         upstreamLimits.recordStatement(upstreamState, dialect.readRateLimit(head), MessageKind.probe, false);
         upstreamLimits.cold.recordProbe(upstreamState, dialect.readWarmupMs(head));
         const load = dialect.readLoad(head);
         if (load !== undefined) {
-            recordReportedLoad(upstreamState, load, probedAtMs);
+            recordReportedLoad(upstreamState, load, sentAtMs);
         }
         return { upstreamState, connection };
     }
 }
 
+/** A probe that was sent or waits for its connection. */
+interface Probe {
+    readonly upstreamState: UpstreamState;
+    readonly connection: LeasedConnection;
+    readonly isNewConnection: boolean;
+    readonly sentAtMs: number;
+}
+
 interface FetchResult {
     /** Undefined when the request failed or timed out. */
     readonly head: ResponseHead | undefined;
@@ -146,21 +217,33 @@
     readonly isReset: boolean;
 }
 
-function fetchHead(dispatcher: Dispatcher, path: string): Promise<FetchResult> {
+/** Sends a probe. `onDue` is called if it has no response in time; a late one still settles the promise. */
+function fetchHead(dispatcher: Dispatcher, path: string, onDue: (isSent: boolean) => void): Promise<FetchResult> {
     return new Promise(resolve => {
         let controller: Dispatcher.DispatchController | undefined;
         let head: ResponseHead | undefined;
+        let isDue = false;
         let isFinished = false;
         const finish = (result: ResponseHead | undefined, isConnectionError: boolean, isReset = false) => {
             isFinished = true;
-            clearTimeout(timer);
+            clearTimeout(dueTimer);
+            clearTimeout(lateTimer);
             resolve({ head: result, isConnectionError, isReset });
         };
-        const onProbeTimeout = () => {
-            finish(undefined, controller === undefined);
-            controller?.abort(new Error("load probe timed out"));
-        };
-        let timer = setTimeout(onProbeTimeout, connectTimeoutMs);
+        // After a pause of the event loop, timers run before what has arrived meanwhile is read.
+        const afterReading = (action: () => void) => () => void setImmediate(() => isFinished || action());
+        const reportDue = afterReading(() => {
+            isDue = true;
+            onDue(controller !== undefined);
+        });
+        let dueTimer = setTimeout(reportDue, connectTimeoutMs);
+        const lateTimer = setTimeout(
+            afterReading(() => {
+                finish(undefined, controller === undefined);
+                controller?.abort(new Error("load probe timed out"));
+            }),
+            lateTimeoutMs,
+        );
         const handler: Dispatcher.DispatchHandler = {
             onRequestStart(requestController) {
                 controller = requestController;
@@ -168,8 +251,10 @@
                     requestController.abort(new Error("load probe has already finished"));
                     return;
                 }
-                clearTimeout(timer);
-                timer = setTimeout(onProbeTimeout, probeTimeoutMs);
+                if (!isDue) {
+                    clearTimeout(dueTimer);
+                    dueTimer = setTimeout(reportDue, probeTimeoutMs);
+                }
             },
             onResponseStart(requestController, status) {
                 head = { status, headers: toHeaderFields((requestController.rawHeaders ?? []) as (string | Buffer)[]) };
--- a/src/gateway/placer.test.ts
+++ b/src/gateway/placer.test.ts
@@ -20,6 +20,8 @@
     readonly placer: Placer;
     probeCount = 0;
     readonly probedIds = new Set<string>();
+    /** Whether probes are answered. */
+    isAnswering = true;
     private readonly clock = new SystemClock();
     private readonly loads = new Map<string, InstanceLoad>();
 
@@ -76,7 +78,7 @@
 
     private answerProbes(candidates: readonly UpstreamState[]): readonly ProbeResult[] {
         this.probeCount += candidates.length;
-        return candidates.map(upstreamState => {
+        return (this.isAnswering ? candidates : []).map(upstreamState => {
             this.probedIds.add(upstreamState.registration.id);
             upstreamState.load = this.loads.get(upstreamState.registration.id);
             upstreamState.loadAskedAtMs = this.clock.monotonicMs();
@@ -160,3 +162,21 @@
     t.deepEqual(shed, ["shortage", "shed"]);
     t.is(await kept, undefined);
 });
+
+test("guards against load probes that keep machines too busy to answer them", async t => {
+    const upstreamCount = 30;
+    const setup = new PlacerSetup(Array.from({ length: upstreamCount }, () => idle));
+    setup.isAnswering = false;
+    const firstWaitMs = 200;
+    t.is(await setup.place(firstWaitMs), undefined);
+    setup.probeCount = 0;
+    const waitMs = 500;
+    t.is(await setup.place(waitMs), undefined);
+    // Each round has up to three steps, one every 25 ms; unreduced, a round probes all upstreams.
+    t.true(setup.probeCount <= 3 * waitMs / 25, `${setup.probeCount} probes`);
+    setup.isAnswering = true;
+    t.truthy(await setup.place(longWaitMs), "answers end the reduction");
+    setup.probeCount = 0;
+    await setup.place(longWaitMs);
+    t.is(setup.probeCount, 4);
+});
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -12,6 +12,7 @@
     type UpstreamSnapshot,
     type WaitingRequest,
 } from "./placement.js";
+import { ProbeThrottle } from "./probeThrottle.js";
 import { countAhead, PriorityQueuePolicy, type QueuePolicy } from "./queuePolicy.js";
 import type { PreferredUpstreams, UpstreamAffinity } from "./upstreamAffinity.js";
 import type { LeasedConnection } from "./upstreamConnections.js";
@@ -151,6 +152,7 @@
 class ServicePlacer {
     private readonly waiting = new Set<WaitingPlacement>();
     private readonly budget = new LoadProbeBudget();
+    private readonly throttle = new ProbeThrottle();
     private isProbing = false;
     /** Whether a request arrived during the current round of probes. */
     private hasNewRequest = false;
@@ -321,7 +323,8 @@
             isWorthProbing(upstreamState, this.waiting, nowMs)
         );
         const rate = probeBudgetShare * this.options.probesPerSecond() * this.listUnlimited().length;
-        const allowed = this.budget.take(Math.min(count, worthProbing.length), rate, nowMs);
+        const wanted = this.throttle.limit(Math.min(count, worthProbing.length));
+        const allowed = this.budget.take(Math.min(wanted, worthProbing.length), rate, nowMs);
         // Any request supplies the health path, since all are for the same service.
         const [firstWaiting] = this.waiting;
         if (allowed === 0 || firstWaiting === undefined) {
@@ -330,7 +333,12 @@
         const probeResults = await this.options.prober.probeAll(
             this.sample(worthProbing, allowed),
             firstWaiting.service.healthPath,
+            late => {
+                this.throttle.recordLateAnswer();
+                this.match([late]).forEach(unused => unused.connection.release());
+            },
         );
+        this.throttle.recordRound(probeResults.length);
         this.match(probeResults).forEach(probeResult => probeResult.connection.release());
     }
 
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -140,19 +140,21 @@
     load = "0,3,1";
     /** Header fields that it adds to answers to load probes. */
     probeFields: Record<string, string> = {};
-    /** Number of load probes that it received. */
     /** Rest of the warmup that it states in answers to load probes. */
     warmupMs: number | undefined;
+    /** Time that it takes to answer a load probe. */
+    probeDelayMs = 0;
+    /** Number of load probes that it received. */
     probeCount = 0;
+    /** Number of connections that it accepted. */
+    connectionCount = 0;
     answer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) =>
         response.end("done");
     private readonly server = http.createServer((request, response) => {
         if (request.url === "/healthz") {
             this.probeCount++;
             if (this.isAnsweringProbes) {
-                const warmup = this.warmupMs === undefined ? {} : { "Warmup-Ms": this.warmupMs };
-                response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...warmup, ...this.probeFields });
-                response.end();
+                setTimeout(() => this.answerProbe(response), this.probeDelayMs);
             }
             return;
         }
@@ -165,6 +167,7 @@
     constructor(readonly id: string) {}
 
     start(): Promise<string> {
+        this.server.on("connection", () => this.connectionCount++);
         return listenOnLoopback(this.server);
     }
 
@@ -172,6 +175,12 @@
         this.server.close();
         this.server.closeAllConnections();
     }
+
+    private answerProbe(response: http.ServerResponse): void {
+        const warmup = this.warmupMs === undefined ? {} : { "Warmup-Ms": this.warmupMs };
+        response.writeHead(200, { "Load": this.load, "Upstream-Id": this.id, ...warmup, ...this.probeFields });
+        response.end();
+    }
 }
 
 /** A caller's connection to which the test writes raw bytes. */
--- a/src/gateway/upstreamStateTable.ts
+++ b/src/gateway/upstreamStateTable.ts
@@ -246,6 +246,14 @@
         return true;
     }
 
+    /** Withdraws a failure that was recorded for a probe whose answer was only late. */
+    withdrawFailure(upstreamState: UpstreamState): void {
+        upstreamState.failuresInRow = Math.max(0, upstreamState.failuresInRow - 1);
+        if (upstreamState.failuresInRow < failuresToEject) {
+            upstreamState.ejectedUntilMs = -Infinity;
+        }
+    }
+
     private isOutlier(upstreamState: UpstreamState): boolean {
         const serviceStates = this.list().filter(other =>
             other.registration.service === upstreamState.registration.service
