End only the request in whose callbacks an exception is thrown

Callers saw: all connections of an entry reset, when the code for one request threw in a timer or after its caller had left; with an exception in a callback of the HTTP client, a 502 or no answer until the timeout, and nothing in the log. Cause: only the promise of a request's handler caught exceptions. What runs outside it ended the process, or was caught by the client library. Change: Exchange.contain runs the callbacks that concern one exchange and everything that is written to its caller. An exception resets this caller, cancels the attempt, is logged with its stack and counted. Why it works: what these callbacks share with other requests are counters and logs. Exceptions of shared state, in the directory, placing, the group and storage, are not caught and still end the process.

--- a/src/entry/entryShell.ts
+++ b/src/entry/entryShell.ts
@@ -76,6 +76,13 @@
             endedExchange => this.onExchangeEnded(endedExchange),
         );
         exchange.mustClose = this.isClosingConnections;
+        exchange.onError = error => {
+            this.options.metrics.increment("internal.errors", 1, {});
+            this.options.logger.error("internal error while handling a request", {
+                requestId: id,
+                reason: error.stack ?? error.message,
+            });
+        };
         this.exchanges.set(id, exchange);
         incoming.on("error", () => undefined);
         outgoing.on("error", () => undefined);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -38,6 +38,8 @@
     mustClose = false;
     /** Arrival time of the request head, in monotonic milliseconds. */
     receivedAtMs = 0;
+    /** Called with an exception that ended this exchange. */
+    onError: (error: Error) => void = () => undefined;
     protected isOver = false;
     private fields: readonly HeaderField[] | undefined;
     private isWaitingForDrain = false;
@@ -78,10 +80,29 @@
         return headers;
     }
 
+    /**
+     * Runs an action that concerns only this exchange, such as that of a timer. An exception ends the exchange instead of the
+     * process with all its others; returns whether there was none.
+     */
+    contain(action: () => void): boolean {
+        try {
+            action();
+            return true;
+        }
+        catch (error) {
+            this.onError(error as Error);
+            this.destroyCaller();
+            return false;
+        }
+    }
+
     writeHead(head: ResponseHead, isBodyComplete: boolean): void {
-        if (!this.canStartResponse()) {
-            return;
+        if (this.canStartResponse()) {
+            this.contain(() => this.writeResponseHead(head, isBodyComplete));
         }
+    }
+
+    private writeResponseHead(head: ResponseHead, isBodyComplete: boolean): void {
         const headers: string[] = [];
         const areTrailersAllowed = this.areTrailersAllowed(head);
         for (const [name, value] of head.headers) {
@@ -142,18 +163,23 @@
         if (this.isOver) {
             return;
         }
-        if (trailers.length > 0 && this.outgoing.chunkedEncoding) {
-            this.outgoing.addTrailers(trailers.map(([name, value]) => [name, value] as [string, string]));
-        }
-        this.outgoing.end();
-        this.finish();
+        this.contain(() => {
+            if (trailers.length > 0 && this.outgoing.chunkedEncoding) {
+                this.outgoing.addTrailers(trailers.map(([name, value]) => [name, value] as [string, string]));
+            }
+            this.outgoing.end();
+            this.finish();
+        });
     }
 
     /** Ends the request with a generated answer. */
     answer(answer: GeneratedAnswer): void {
-        if (!this.canStartResponse()) {
-            return;
+        if (this.canStartResponse()) {
+            this.contain(() => this.writeAnswer(answer));
         }
+    }
+
+    private writeAnswer(answer: GeneratedAnswer): void {
         const { headers, body } = formatProblem(answer, this.id);
         if (answer.retryAfterMs !== undefined) {
             headers["Retry-After"] = this.formatRetryAfter(answer.retryAfterMs);
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -343,15 +343,21 @@
         // A connection error is always followed by a close event, which is handled.
         incoming.on("error", () => undefined);
         outgoing.on("error", () => undefined);
+        exchange.onError = error => this.recordInternalError(id, error);
         this.requestHandler.handleRequest(exchange).catch((error: Error) => {
-            this.options.logger.error("internal error while handling a request", {
-                id,
-                reason: error.stack ?? error.message,
-            });
+            this.recordInternalError(id, error);
             exchange.destroyCaller();
         });
     }
 
+    private recordInternalError(id: string, error: Error): void {
+        this.metrics.internalErrors.inc();
+        this.options.logger.error("internal error while handling a request", {
+            id,
+            reason: error.stack ?? error.message,
+        });
+    }
+
     private onEnd(exchange: GatewayExchange): void {
         this.exchanges.delete(exchange);
         const { outgoing, source } = exchange;
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -54,13 +54,20 @@
         };
         this.attempt = new Attempt(request, {
             onSent: () => this.isSent = true,
-            onHead: head => this.onHead(head),
-            onOverflow: () => this.onOverflow(),
-            onComplete: () => this.onComplete(),
-            onFailed: failure => this.onFailed(failure),
+            onHead: head => this.contain(() => this.onHead(head)),
+            onOverflow: () => this.contain(() => this.onOverflow()),
+            onComplete: () => this.contain(() => this.onComplete()),
+            onFailed: failure => this.contain(() => this.onFailed(failure)),
         }, budget);
     }
 
+    /** Ends the attempt after an exception, which also ends its exchange. */
+    private contain(action: () => void): void {
+        if (!this.context.exchange.contain(action)) {
+            this.cancel();
+        }
+    }
+
     /** Whether the upstream may have run the request, even partly. */
     get mayHaveRun(): boolean {
         return this.isSent && !this.isNotRun;
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -428,7 +428,7 @@
     }
 
     private onTimeout(): void {
-        this.answerTimeout();
+        this.context.exchange.contain(() => this.answerTimeout());
         // Otherwise an upstream that keeps sending after its deadline would never be stopped.
         this.attempt?.cancel();
     }
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -96,7 +96,7 @@
         exchange.outgoing.on("close", () => {
             if (!exchange.isEnded) {
                 exchange.finish();
-                request?.onCallerDisconnect();
+                exchange.contain(() => request?.onCallerDisconnect());
             }
         });
         if (exchange.isRelayed && this.options.dependencies.relay?.isCutOff === true) {
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -222,6 +222,7 @@
 export interface TestEntryOptions {
     readonly quotaGate?: QuotaGate;
     readonly isOverloadControlled?: boolean;
+    readonly dialect?: Dialect;
 }
 
 /** An entry without control VMs; the test sets its routes and upstreams. */
@@ -235,6 +236,8 @@
     readonly upstreamStatements: UpstreamStatements;
     /** How often an upstream announced that it leaves. */
     leavingReportCount = 0;
+    /** Exceptions that ended requests. */
+    readonly internalErrors: Error[] = [];
     /** Called when a request waits for the directory. */
     onDirectoryWait: () => void = () => undefined;
     /** Whether the directory is confirmed to be up to date. */
@@ -253,13 +256,21 @@
         const exchange = new GatewayExchange("x", "", incoming.url ?? "/", incoming, outgoing, stallTimeoutMs, () => 0);
         exchange.dialect = this.dialect;
         exchange.receivedAtMs = this.clock.monotonicMs();
+        exchange.onError = error => this.internalErrors.push(error);
         incoming.on("error", () => undefined);
         void this.requestHandler.handleRequest(exchange);
     });
-    private readonly dialect = new TestDialect();
-
-    constructor({ quotaGate = new UnlimitedQuotaGate(), isOverloadControlled = false }: TestEntryOptions = {}) {
-        const { upstreamTable, dialect, clock, metrics } = this;
+    private readonly dialect: Dialect;
+
+    constructor(
+        {
+            quotaGate = new UnlimitedQuotaGate(),
+            isOverloadControlled = false,
+            dialect = new TestDialect(),
+        }: TestEntryOptions = {},
+    ) {
+        this.dialect = dialect;
+        const { upstreamTable, clock, metrics } = this;
         const random = new SeededRandom(1);
         const limits = defaultEntryLimits;
         const logger = this.makeLogger();
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -58,6 +58,11 @@
         ["service"],
     );
     readonly callerDisconnects = this.addCounter("figwharf_callers_gone_total", "Requests whose caller left early", []);
+    readonly internalErrors = this.addCounter(
+        "figwharf_internal_errors_total",
+        "Requests that ended with an exception in the entry",
+        [],
+    );
     readonly ejections = this.addCounter("figwharf_ejections_total", "Upstreams left out after failures", ["service"]);
     readonly loadProbes = this.addCounter("figwharf_load_questions_total", "Questions for the load of upstreams", [
         "end",
