Wait for a port that is still in use instead of ending

Callers saw: a process that ended with status 1 when it was started before the one that it replaces had released its ports, again and again until it had; also for the metrics port, which nobody needs who is served. Cause: each server rejected at once when its address was in use, and the process ended. A control VM opened its data folder before it bound a port, so a second process could truncate a record that the first was writing. Why it works: the port is free once the earlier process has ended, and only then the folder is opened.

--- a/src/control/operatorServer.ts
+++ b/src/control/operatorServer.ts
@@ -1,9 +1,9 @@
 import { type JSONRPCErrorResponse, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import { createHash, timingSafeEqual } from "node:crypto";
 import http from "node:http";
-import type net from "node:net";
 import polka from "polka";
 import { FigwharfError } from "../core/errors.js";
+import { listenOn } from "../transport/listen.js";
 import type { OperatorCaller } from "./catalogueService.js";
 import type { ListenAddress, OperatorToken } from "./options.js";
 
@@ -35,12 +35,9 @@
 
     /** Listens and returns the port. */
     listen(address: ListenAddress): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            const onListening = () => resolve((this.server.address() as net.AddressInfo).port);
-            // polka attaches its request handler only in its own listen.
-            this.app.listen({ port: address.port, host: address.host }, onListening);
-        });
+        // polka attaches its request handler only in its own listen.
+        this.server.on("request", this.app.handler);
+        return listenOn(this.server, address);
     }
 
     async close(): Promise<void> {
--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import net from "node:net";
 import type { Member } from "../control/messages.js";
 import type { ControlLogger, ListenAddress } from "../control/options.js";
 import { type AddressedMessage, messageMethod, PeerLinks } from "../control/peerLinks.js";
@@ -12,6 +13,7 @@
 import { ControlStore } from "../storage/controlStore.js";
 import { FileDisk } from "../storage/fileDisk.js";
 import { ChannelServer } from "../transport/channel.js";
+import { listenOn } from "../transport/listen.js";
 import { DirectoryService } from "./directoryService.js";
 import { DirectoryState } from "./directoryState.js";
 import { type DirectoryHost, foundingIdentity, GroupFormation } from "./groupFormation.js";
@@ -89,8 +91,11 @@
 
 /** Starts a control VM. Rejects with StorageError when its data folder is damaged. */
 export async function startDirectory(options: DirectoryOptions): Promise<RunningDirectory> {
-    const daemon = new DirectoryDaemon(options);
-    await daemon.start();
+    // The port is bound before the data folder is opened: until it is free, another process may write to the folder.
+    const peerSocketServer = net.createServer();
+    await listenOn(peerSocketServer, options.peerListen);
+    const daemon = new DirectoryDaemon(options, peerSocketServer);
+    daemon.start();
     return daemon;
 }
 
@@ -104,7 +109,7 @@
     private readonly votersWanted: number;
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly options: DirectoryOptions) {
+    constructor(private readonly options: DirectoryOptions, peerSocketServer: net.Server) {
         const { peerListen, seeds, isFirstStart, toleratedLosses, logger, clock, random } = options;
         const peerAddress = `${peerListen.host}:${peerListen.port}`;
         const store = new ControlStore(new FileDisk(options.dataFolder));
@@ -137,14 +142,17 @@
             self: { peerAddress, availabilityZone: options.availabilityZone },
         });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
-        this.peerServer = new ChannelServer(channel, (method, params, from) => this.handleCall(method, params, from));
+        this.peerServer = new ChannelServer(
+            channel,
+            (method, params, from) => this.handleCall(method, params, from),
+            peerSocketServer,
+        );
     }
 
-    async start(): Promise<void> {
-        const { peerListen, metricsListen, logger } = this.options;
-        await this.peerServer.listen(peerListen.host, peerListen.port);
+    start(): void {
+        const { metricsListen, logger } = this.options;
         if (metricsListen !== undefined) {
-            await serveMetrics(metricsListen, this.service.metrics.registry);
+            serveMetrics(metricsListen, this.service.metrics.registry, logger);
         }
         this.links.connectAll();
         this.formation.start();
--- a/src/entry/frontendServer.ts
+++ b/src/entry/frontendServer.ts
@@ -1,11 +1,12 @@
 import { randomUUID } from "node:crypto";
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import polka from "polka";
 import type { ServiceName } from "../core/ids.js";
 import { limitVerdictToSubmission } from "../requests/answers.js";
 import type { GeneratedAnswer } from "../requests/model.js";
 import { isKeyed } from "../requests/verdicts.js";
+import { listenOn } from "../transport/listen.js";
 import type { AddressAnswer } from "./addressAnswer.js";
 import { maxAnnouncementBytes } from "./announcements.js";
 import { refuse } from "./answers.js";
@@ -59,11 +60,8 @@
         app.use((request, response, next) => this.routeByHost(request, response) || next());
         app.get("/v1/entries", (request, response) => this.answerEntries(request, response));
         app.post("/v1/upstreams", (request, response) => this.readAnnouncement(request, response));
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            app.listen(address.port, address.host);
-            this.server.once("listening", () => resolve((this.server.address() as AddressInfo).port));
-        });
+        this.server.on("request", app.handler);
+        return listenOn(this.server, address);
     }
 
     /** Counts a request on its connection until the response is closed. */
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -6,6 +6,7 @@
 import { findAmbiguity } from "../entry/framing.js";
 import type { EntryLimits } from "../entry/options.js";
 import { formatProblem } from "../entry/problem.js";
+import { listenOn } from "../transport/listen.js";
 
 const connectionCheckIntervalMs = 1000;
 
@@ -34,11 +35,9 @@
         this.server.on("clientError", (_error, socket) => this.onClientError(socket as Socket));
     }
 
-    listen({ host, port }: ListenAddress): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => resolve());
-        });
+    /** Rejects when the address cannot be bound. */
+    async listen(address: ListenAddress): Promise<void> {
+        await listenOn(this.server, address);
     }
 
     /** Port that the server listens on. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -199,7 +199,7 @@
         const { listen, metricsListen } = this.options;
         await this.server.listen(listen);
         if (metricsListen !== undefined) {
-            await serveMetrics(metricsListen, this.metrics.registry);
+            serveMetrics(metricsListen, this.metrics.registry, this.options.logger);
         }
         void this.watch.run();
         this.connectionCleanupTimer = setInterval(
--- a/src/metrics/metricsServer.ts
+++ b/src/metrics/metricsServer.ts
@@ -1,9 +1,13 @@
 import http from "node:http";
 import type { Registry } from "prom-client";
-import type { ListenAddress } from "../control/options.js";
+import type { ControlLogger, ListenAddress } from "../control/options.js";
+import { listenOn } from "../transport/listen.js";
 
-/** Serves metrics in the Prometheus text format at `/metrics`. Rejects when it cannot listen on the address. */
-export function serveMetrics({ host, port }: ListenAddress, registry: Registry): Promise<http.Server> {
+/**
+ * Serves metrics in the Prometheus text format at `/metrics`. The process works without them, so that an address that
+ * cannot be bound is only logged.
+ */
+export function serveMetrics(address: ListenAddress, registry: Registry, logger: Pick<ControlLogger, "error">): void {
     const server = http.createServer((request, response) => {
         if (request.url?.split("?")[0] !== "/metrics") {
             response.writeHead(404, { "Content-Length": 0 }).end();
@@ -14,8 +18,7 @@
             (error: Error) => response.writeHead(500).end(error.message),
         );
     });
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => resolve(server));
+    listenOn(server, address).catch((error: Error) => {
+        logger.error("metrics are not served", { ...address, reason: error.message });
     });
 }
--- a/src/transport/channel.ts
+++ b/src/transport/channel.ts
@@ -3,6 +3,7 @@
 import net from "node:net";
 import { ChannelError } from "../core/errors.js";
 import { encodeFrame, FrameDecoder, maxFrameBytes } from "./framing.js";
+import { listenOn } from "./listen.js";
 
 const pingIntervalMs = 500;
 const peerTimeoutMs = 1500;
@@ -212,11 +213,11 @@
 export class ChannelServer {
     /** Connections closed because the peer failed to authenticate. */
     authenticationFailureCount = 0;
-    private readonly server: net.Server;
     private readonly sockets = new Set<net.Socket>();
 
-    constructor(options: ChannelOptions, handler: CallHandler) {
-        this.server = net.createServer(socket => {
+    /** `server` may listen already, as long as it has not accepted a connection. */
+    constructor(options: ChannelOptions, handler: CallHandler, private readonly server = net.createServer()) {
+        this.server.on("connection", socket => {
             this.sockets.add(socket);
             socket.on("close", () => this.sockets.delete(socket));
             new Connection(
@@ -232,10 +233,7 @@
 
     /** Starts listening and resolves with the port. Rejects when the address cannot be bound. */
     listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => resolve((this.server.address() as net.AddressInfo).port));
-        });
+        return listenOn(this.server, { host, port });
     }
 
     async close(): Promise<void> {
