Replace the program as a whole when it is built, and run only its own compiled code

Callers saw: nothing certain. Cause: the build rewrote the program and its compiled code in place. A process that starts meanwhile can read a part of either. V8 compares only the length of the source, so compiled code of another build with the same length would be run. Change: both files are written beside their place and renamed; the program ends with its digest, and compiled code must begin with it.

--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -1,8 +1,9 @@
 import { build, type Plugin } from "esbuild";
+import { createHash } from "node:crypto";
 import fs from "node:fs";
 import path from "node:path";
 import v8 from "node:v8";
-import { compileProgram, getProgramFiles } from "./program.cjs";
+import { compileProgram, getProgramFiles, readProgram } from "./program.cjs";
 
 /**
  * Parts of libraries that the deployed program uses. The libraries' index files load many more modules, and loading each
@@ -40,12 +41,15 @@
     },
 };
 
-/** Bundles the program into one file and writes its V8 code cache, so that startup compiles nothing. */
+/**
+ * Bundles the program into one file and writes its V8 code cache, so that startup compiles nothing. Both are replaced as a
+ * whole, since processes may start meanwhile.
+ */
 async function bundleProgram(entryFile: string, folder: string): Promise<void> {
     const { scriptFile, cacheFile } = getProgramFiles(folder);
-    await build({
+    const { outputFiles: [bundle] } = await build({
         entryPoints: [entryFile],
-        outfile: scriptFile,
+        write: false,
         bundle: true,
         platform: "node",
         target: "node20",
@@ -53,12 +57,20 @@
         minifyWhitespace: true,
         plugins: [useLibraryParts],
     });
+    const digest = createHash("sha256").update(bundle.contents).digest("hex");
+    replaceFile(scriptFile, `${bundle.text}\n//${digest}`);
     // Functions that startup does not call are compiled too, since the first requests call them. The flag is reset
     // because V8 rejects a code cache created with flags that differ from those of the process that loads it.
     v8.setFlagsFromString("--no-lazy");
-    const script = compileProgram(folder, undefined);
+    const script = compileProgram(folder, readProgram(folder), undefined);
     v8.setFlagsFromString("--lazy");
-    fs.writeFileSync(cacheFile, script.createCachedData());
+    replaceFile(cacheFile, Buffer.concat([Buffer.from(digest), script.createCachedData()]));
+}
+
+function replaceFile(file: string, content: string | Buffer): void {
+    const temporaryFile = `${file}.${process.pid}.tmp`;
+    fs.writeFileSync(temporaryFile, content);
+    fs.renameSync(temporaryFile, file);
 }
 
 const [entryFile, folder] = process.argv.slice(2);
