Log and measure the digest of the routes in force, and the use of the retry budget

Control VMs now log each table that they apply, with a digest of its content that does not depend on the order; entries log the same for theirs, and both have it as figwharf_routes_digest. A retry, and one that the budget denies, is logged with the retries of the window, the limit and the number of entries by which the slack is divided.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -39,6 +39,7 @@
 import type { ControlNode, Registration, RouteTable } from "./model.js";
 import { RelayPeers } from "./relayPeers.js";
 import { resolveUpdate } from "./repeatedHosts.js";
+import { digestRouteTable, digestToNumber } from "./routeDigest.js";
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
@@ -100,6 +101,8 @@
     /** Time since which a control VM in the directory has not been a member of the group, by peer address. */
     private readonly nonMemberSinceMs = new Map<string, number>();
     private loggedEvacuatedZones = "";
+    private loggedRoutesVersion = 0;
+    private routesDigest = "";
     /** Settled once the route change that this VM proposed last has its outcome. */
     private lastRouteProposal: Promise<unknown> = Promise.resolve();
     readonly metrics: DirectoryMetrics;
@@ -154,6 +157,7 @@
             isLed: () => log.isLed,
             version: () => log.state.revision,
             routesVersion: () => log.state.routes.version,
+            routesDigest: () => digestToNumber(this.routesDigest),
             voters: () => log.members.voters.length,
             learners: () => log.members.learners.length,
             registrations: () => log.state.registrations.size,
@@ -402,7 +406,16 @@
     }
 
     private onStateChange(): void {
-        const { evacuatedZones, revision } = this.state;
+        const { evacuatedZones, revision, routes: { version: routesVersion } } = this.state;
+        if (routesVersion !== this.loggedRoutesVersion) {
+            this.loggedRoutesVersion = routesVersion;
+            this.routesDigest = digestRouteTable(this.state.entryRoutes);
+            this.options.logger.info("applied routes", {
+                routesVersion,
+                version: revision,
+                digest: this.routesDigest,
+            });
+        }
         if (evacuatedZones.join() !== this.loggedEvacuatedZones) {
             this.loggedEvacuatedZones = evacuatedZones.join();
             this.options.logger.info("evacuated zones changed", { evacuatedZones, version: revision });
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -166,6 +166,12 @@
         return this.table;
     }
 
+    /** The current routes as entries get them: with digests instead of keys. */
+    get entryRoutes(): RouteTable {
+        this.cachedEntryTable ??= concealKeysInTable(this.table);
+        return this.cachedEntryTable;
+    }
+
     get nodes(): readonly ControlNode[] {
         return [...this.nodesByAddress.values()];
     }
@@ -230,7 +236,7 @@
         return {
             version: this.stateRevision,
             isFull,
-            table: isTableChanged && tableUpdate === undefined ? this.getEntryTable() : undefined,
+            table: isTableChanged && tableUpdate === undefined ? this.entryRoutes : undefined,
             tableUpdate,
             registrations: this.registrations.list().filter(registered =>
                 (this.registrationRevisions.get(registered.id) ?? 0) > since
@@ -335,11 +341,6 @@
         return accepted;
     }
 
-    private getEntryTable(): RouteTable {
-        this.cachedEntryTable ??= concealKeysInTable(this.table);
-        return this.cachedEntryTable;
-    }
-
     private findTableUpdate(heldRevision: number): TableUpdate | undefined {
         const base = this.recentTables.findLast(installed => installed.atRevision <= heldRevision);
         // Entries of earlier versions drop routes when they update a table with repeated hosts.
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -3,6 +3,7 @@
 import type { DirectoryDelta } from "../directory/directoryState.js";
 import type { EntryReport } from "../directory/messages.js";
 import { isUsableRegistration, type Registration, type RouteTable } from "../directory/model.js";
+import { digestRouteTable, digestToNumber } from "../directory/routeDigest.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
@@ -52,6 +53,7 @@
 class GatewayDaemon implements RunningGateway {
     private isDraining = false;
     private nextRequestNumber = 1;
+    private routesDigest = "";
     private readonly idPrefix = randomBytes(idPrefixBytes).toString("hex");
     private readonly exchanges = new Set<GatewayExchange>();
     private readonly upstreamTable = new UpstreamStateTable();
@@ -76,6 +78,7 @@
             inFlight: () => this.exchanges.size,
             directoryVersion: () => this.watch.version,
             routesVersion: () => this.requestHandler.routesVersion,
+            routesDigest: () => digestToNumber(this.routesDigest),
             isConfirmed: () => this.watch.isConfirmed,
             upstreams: () => this.upstreamTable.list().length,
             ejectedUpstreams: () => this.upstreamTable.countEjected(this.nowMs()),
@@ -307,7 +310,12 @@
             this.requestHandler.setRoutes(table);
             this.upstreamLimits.cold.setServices(table.services);
             this.server.setIdleTimeoutMs(table.limits.idleTimeoutMs ?? this.options.limits.keepAliveTimeoutMs);
-            this.options.logger.info("applied routes", { routesVersion: table.version, version });
+            this.routesDigest = digestRouteTable(table);
+            this.options.logger.info("applied routes", {
+                routesVersion: table.version,
+                version,
+                digest: this.routesDigest,
+            });
         }
         this.watch.report();
     }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -404,6 +404,10 @@
         }
         const isWithinBudget = retryBudget.take(service.name, this.nowMs());
         (isWithinBudget ? metrics.retries : metrics.retriesDenied).inc({ service: service.name });
+        this.log(isWithinBudget ? "sent again" : "not sent again, as the retry budget is used", {
+            attempts: this.attemptCount,
+            ...retryBudget.describe(service.name, this.nowMs()),
+        });
         return isWithinBudget;
     }
 
--- a/src/gateway/sharedRetryBudget.ts
+++ b/src/gateway/sharedRetryBudget.ts
@@ -26,6 +26,15 @@
     readonly startedAtMs: number;
 }
 
+/** What an entry's retries of a service are limited by at a moment. */
+export interface RetryAllowance {
+    /** Retries in the current window. */
+    readonly retries: number;
+    readonly allowedRetries: number;
+    /** Number of entries by which the slack is divided; undefined while this entry has no share of it. */
+    readonly slackEntries: number | undefined;
+}
+
 interface Bucket {
     readonly startMs: number;
     /** Highest number of entries that were known to share the slack. */
@@ -53,6 +62,16 @@
     /** Takes one retry from the budget; returns false when it is exhausted. */
     take(service: ServiceName, nowMs: number): boolean {
         const bucket = this.getBucket(service, nowMs);
+        const { retries, allowedRetries } = this.describe(service, nowMs);
+        if (retries + 1 > allowedRetries) {
+            return false;
+        }
+        bucket.retries++;
+        return true;
+    }
+
+    /** Returns the current use and limit of a service's retries. */
+    describe(service: ServiceName, nowMs: number): RetryAllowance {
         const { limits: { ratio, slack, windowMs }, isCounted, startedAtMs } = this.options;
         const window = this.windows.get(service) ?? [];
         // The oldest bucket is only partly inside the window: its retries count, its requests do not.
@@ -62,12 +81,8 @@
         const maxEntries = Math.max(1, ...window.map(windowBucket => windowBucket.maxEntries));
         const hasSlackShare = isCounted() && nowMs - startedAtMs >= windowMs + entryCountLagMs;
         const slackShare = hasSlackShare ? slack / maxEntries : 0;
-        const allowed = usableShare * (ratio * requests + slackShare);
-        if (retries + 1 > allowed) {
-            return false;
-        }
-        bucket.retries++;
-        return true;
+        const allowedRetries = usableShare * (ratio * requests + slackShare);
+        return { retries, allowedRetries, slackEntries: hasSlackShare ? maxEntries : undefined };
     }
 
     private getBucket(service: ServiceName, nowMs: number): Bucket {
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -7,6 +7,7 @@
     readonly isLed: () => boolean;
     readonly version: () => number;
     readonly routesVersion: () => number;
+    readonly routesDigest?: () => number;
     readonly voters: () => number;
     readonly learners: () => number;
     readonly registrations: () => number;
@@ -45,6 +46,11 @@
         this.addGauge("figwharf_control_is_led", "1 while this VM hears the leader", () => gauges.isLed() ? 1 : 0);
         this.addGauge("figwharf_directory_version", "Version of the directory that is applied", gauges.version);
         this.addGauge("figwharf_routes_version", "Version of the routes that is applied", gauges.routesVersion);
+        this.addGauge(
+            "figwharf_routes_digest",
+            "Digest of the routes that is applied; the same where the routes are",
+            gauges.routesDigest ?? (() => 0),
+        );
         this.addGauge("figwharf_control_voters", "Control VMs that vote", gauges.voters);
         this.addGauge("figwharf_control_learners", "Control VMs that only receive the log", gauges.learners);
         this.addGauge("figwharf_registrations", "Instances that are registered", gauges.registrations);
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -11,6 +11,7 @@
     readonly inFlight: () => number;
     readonly directoryVersion: () => number;
     readonly routesVersion: () => number;
+    readonly routesDigest?: () => number;
     readonly isConfirmed: () => boolean;
     readonly upstreams: () => number;
     readonly ejectedUpstreams: () => number;
@@ -108,6 +109,11 @@
         this.addGauge("figwharf_requests_in_flight", "Requests in flight", gauges.inFlight);
         this.addGauge("figwharf_directory_version", "Version of the directory that is held", gauges.directoryVersion);
         this.addGauge("figwharf_routes_version", "Version of the routes in force", gauges.routesVersion);
+        this.addGauge(
+            "figwharf_routes_digest",
+            "Digest of the routes in force; the same where the routes are",
+            gauges.routesDigest ?? (() => 0),
+        );
         this.addGauge(
             "figwharf_directory_confirmed",
             "1 while the directory is confirmed",
