Confirm no state before the leader has committed a record of its term

An entry takes the word of its control VM that the directory is current; with a wrong one, an entry that has just started serves old routes, and one that holds old routes answers 404 for new ones.

Cause: a new leader stamped the answers of its members as confirmed as soon as a quorum had answered its first rounds. A member that has as little compared its index with that one and counted as current. The leader itself waited for that record (Leader.confirmedAtMs), its word to the others did not. The class: a freshness that is given on without the condition under which it holds.

Evidence: confirmation.test restarts VMs after a minority has missed changes.

Why it works: the leader stamps nothing until the record of its term is committed, and a follower takes a confirmation only if the leader's commit index is a record of that leader's term, which it has in its own log.

--- a/src/control/confirmation.test.ts
+++ b/src/control/confirmation.test.ts
@@ -10,6 +10,9 @@
 const settleMs = 3000;
 const partitionMs = 8000;
 const proposalIntervalMs = 100;
+const lagMs = 2000;
+const downMs = 300;
+const recoveryMs = 6000;
 
 const groups = [
     { names: ["a", "b", "c"], minority: 1 },
@@ -73,6 +76,58 @@
     return acknowledged.length === 0 ? ["no change was acknowledged"] : violations;
 }
 
+/** Proposes changes to the leader until time has passed; calls `onChange` when one is acknowledged. */
+function proposeFor(group: FakeGroup, durationMs: number, onChange: (revision: number) => void): void {
+    let changeCount = 0;
+    group.run(durationMs, () => {
+        const current = group.vms.find(vm => vm.replica?.role === "leader");
+        if (current !== undefined && group.nowMs % proposalIntervalMs === 0) {
+            group.proposeChange(current, makeChange(changeCount++), (answer, vm) => {
+                if (answer.kind === "applied") {
+                    onChange(vm.machine.revision);
+                }
+            });
+        }
+    });
+}
+
+/** Lets a minority miss changes, restarts VMs, and returns which VM confirmed a state without an acknowledged change. */
+function findConfirmationsAfterRestart(
+    seed: number,
+    { names, minority }: typeof groups[number],
+    isGroupRestarted: boolean,
+    extraDelayMs: number,
+): readonly string[] {
+    const group = new FakeGroup(seed, names, { ...directoryReplicaLimits, compactAfterRecords: 24, keepRecords: 6 });
+    group.run(settleMs + group.random.nextInt(500));
+    const leader = group.vms.find(vm => vm.replica?.role === "leader");
+    const lagging = group.vms.filter(vm => vm !== leader).slice(0, minority);
+    for (const vm of lagging) {
+        group.vms.forEach(other => group.cutLinks.add(`${other.name}>${vm.name}`));
+    }
+    let acknowledgedRevision = 0;
+    proposeFor(group, lagMs, revision => acknowledgedRevision = Math.max(acknowledgedRevision, revision));
+    const restarted = group.vms.filter(vm => isGroupRestarted || vm === leader);
+    restarted.forEach(vm => group.crash(vm));
+    group.cutLinks.clear();
+    group.extraDelayMs = extraDelayMs;
+    const restartedAtMs = group.nowMs;
+    const violations: string[] = [];
+    const check = (vm: FakeVm) => {
+        const confirmedAtMs = vm.replica?.confirmedAtMs ?? -Infinity;
+        if (confirmedAtMs >= restartedAtMs && vm.machine.revision < acknowledgedRevision) {
+            violations.push(
+                `${vm.name} confirms revision ${vm.machine.revision} of ${acknowledgedRevision}, ` +
+                    `${group.nowMs - restartedAtMs} ms after the restart`,
+            );
+        }
+    };
+    group.run(downMs, () => group.vms.forEach(check));
+    restarted.forEach(vm => group.restart(vm));
+    group.run(recoveryMs, () => group.vms.forEach(check));
+    return acknowledgedRevision === 0 ? ["no change was acknowledged"] : violations;
+}
+
 for (const { names, minority } of groups) {
     test(
         `guards against a partitioned control VM that confirms a configuration after the majority changed it: ${names.length} VMs`,
@@ -92,3 +147,17 @@
         }
     });
 }
+
+for (const group of groups) {
+    for (const isGroupRestarted of [true, false]) {
+        const restarted = isGroupRestarted ? "all VMs restart" : "the leader restarts";
+        test(`guards against a new leader that confirms an old state before it has committed: ${group.names.length} VMs, ${restarted}`, t => {
+            for (let seed = 1; seed <= 20; seed++) {
+                for (const extraDelayMs of [0, 100, 400]) {
+                    const violations = findConfirmationsAfterRestart(seed, group, isGroupRestarted, extraDelayMs);
+                    t.deepEqual(violations.slice(0, 1), [], `seed ${seed}, messages up to ${extraDelayMs} ms late`);
+                }
+            }
+        });
+    }
+}
--- a/src/control/follower.ts
+++ b/src/control/follower.ts
@@ -64,9 +64,13 @@
         });
     }
 
-    /** Ignores a confirmation while committed records are missing. */
-    private recordConfirmation({ commitIndex, confirmedAtMs }: AppendMessage): void {
-        if (this.state.commitIndex < commitIndex) {
+    /**
+     * Ignores a confirmation while committed records are missing, and while the leader has committed no record of its
+     * term: until then, the index in the message may not cover what earlier leaders committed. Leaders of earlier
+     * versions confirm that, too.
+     */
+    private recordConfirmation({ term, commitIndex, confirmedAtMs }: AppendMessage): void {
+        if (this.state.commitIndex < commitIndex || this.state.log.termAt(commitIndex) !== term) {
             return;
         }
         // The codec between processes may decode an undefined field as null.
--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -71,7 +71,12 @@
 
     /** Time as of which the state of this VM is confirmed to be current; -Infinity if it is not. */
     get confirmedAtMs(): number {
-        return this.state.commitIndex >= this.termStartIndex ? this.rounds.confirmedAtMs : -Infinity;
+        return this.hasCommittedInTerm ? this.rounds.confirmedAtMs : -Infinity;
+    }
+
+    /** Until then, `commitIndex` may not cover the records that earlier leaders committed. */
+    private get hasCommittedInTerm(): boolean {
+        return this.state.commitIndex >= this.termStartIndex;
     }
 
     tick(nowMs: number): void {
@@ -188,6 +193,9 @@
 
     /** Returns `confirmedAtMs` of a member after the answers that the latest complete round confirmed. */
     private confirmAnswers(progress: Progress): number {
+        if (!this.hasCommittedInTerm) {
+            return progress.confirmedAtMs;
+        }
         const { completedRound } = this.rounds;
         const latest = progress.unconfirmed.findLast(answer => answer.round < completedRound);
         progress.confirmedAtMs = latest?.sentAtMs ?? progress.confirmedAtMs;
@@ -309,7 +317,7 @@
         while (this.rounds.advance(hasAnswered => this.state.isQuorum(hasAnswered), this.nowMs)) {
             this.broadcast();
         }
-        if (this.state.commitIndex >= this.termStartIndex) {
+        if (this.hasCommittedInTerm) {
             this.rounds.takeConfirmed().forEach(requestId =>
                 this.state.emit({ kind: "answer", requestId, answer: { kind: "confirmed" } })
             );
@@ -341,7 +349,7 @@
 
     private canChangeMembers(members: GroupMembers): boolean {
         const { commitIndex, membersIndex } = this.state;
-        const isMembershipCommitted = commitIndex >= this.termStartIndex && commitIndex >= membersIndex;
+        const isMembershipCommitted = this.hasCommittedInTerm && commitIndex >= membersIndex;
         return isMembershipCommitted && isSingleVoterChange(this.state.members, members);
     }
 
--- a/src/control/replica.test.ts
+++ b/src/control/replica.test.ts
@@ -180,3 +180,39 @@
     );
     t.is(group.replica.confirmedAtMs, 5010, "the second round was started then");
 });
+
+test("guards against a follower that believes a leader of an earlier version, which confirms before it has committed", t => {
+    const { replica, receive } = makeReplica([changeRecord(1, 1), changeRecord(2, 1)], 1);
+    const message = {
+        kind: "append" as const,
+        term: 2,
+        previousIndex: 2,
+        previousTerm: 1,
+        records: [],
+        commitIndex: 0,
+        round: 1,
+        confirmedAtMs: -1,
+    };
+    const [answer] = listSent(receive("b", message, 5000), "append-answer");
+    t.like(answer, { sentAtMs: 5000 });
+    receive("b", { ...message, round: 2, confirmedAtMs: 5000 }, 5010);
+    t.false(replica.isLed(5010), "the leader has committed nothing in its term");
+    const records: LogRecord[] = [{ index: 3, term: 2, command: { kind: "no-op" } }];
+    receive("b", { ...message, records, commitIndex: 3, round: 3, confirmedAtMs: 5000 }, 5020);
+    t.true(replica.isLed(5020));
+    t.is(replica.confirmedAtMs, 5000);
+});
+
+test("guards against a leader that confirms to followers of an earlier version before it has committed", t => {
+    const group = makeReplica([changeRecord(1, 1), changeRecord(2, 1)], 1);
+    elect(group);
+    const { replica, receive } = group;
+    const term = replica.term;
+    const answer = { kind: "append-answer" as const, term, isMatch: false, matchIndex: 0, revision: 0, round: 0 };
+    const confirmations = [1, 2, 3].flatMap(round => {
+        const effects = receive("b", { ...answer, round, sentAtMs: 100 * round }, 5000 + round);
+        return listSent(effects, "append").map(sent => sent.kind === "append" ? sent.confirmedAtMs : undefined);
+    });
+    t.true(confirmations.length > 0);
+    t.deepEqual(confirmations.filter(confirmedAtMs => confirmedAtMs !== -1), []);
+});
