Refuse requests that have crashed three instances, over all entries

What callers saw: a request that crashes the instances that run it, and that comes again, took an instance with each attempt, and with the instance the requests of other callers.

Cause: on the platform nothing remembered which request an instance was lost with. takeRetry decided by route, attempts, time and budget alone, so each client attempt was passed on maxAttempts times for ever, at any number of entries. The product's own entries have had crash suspects since the first landing; the path of the platform was built beside them.

Change: an entry that gets no response checks whether the instance still accepts connections; one that does not was lost with the request's fingerprint. After two losses a request is not repeated, after three it is refused with a 503 that is true. An instance that answers it clears it.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -8,6 +8,7 @@
 import { DemandTable } from "../overload/demand.js";
 import { defaultQuotaBounds, type QuotaBounds } from "../quotas/quotaBounds.js";
 import { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
+import { SuspectExchange } from "../suspects/suspectExchange.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type {
     DirectoryChange,
@@ -89,6 +90,7 @@
     private readonly demandTable = new DemandTable();
     private readonly limits: LimitCoordinator;
     private readonly quotas: QuotaCoordinator;
+    private readonly suspects: SuspectExchange;
     private readonly leaderReports: LeaderReports;
     private readonly relayPeers: RelayPeers;
     private readonly leavingInstances: LeavingInstances;
@@ -129,6 +131,13 @@
             onChanged: () => this.notifyChange(),
             onUrgent: () => this.leaderReports.sendNews(),
         });
+        this.suspects = new SuspectExchange({
+            log,
+            clock: options.clock,
+            logger: options.logger,
+            onChanged: () => this.notifyChange(),
+            onNews: () => this.leaderReports.sendNews(),
+        });
         this.leaderReports = new LeaderReports({
             log,
             links: options.links,
@@ -136,6 +145,7 @@
             logger: options.logger,
             limits: this.limits,
             quotas: this.quotas,
+            suspects: this.suspects,
             countAttached: () => this.attachedEntries.count(this.nowMs()),
             onEntryTotal: total => this.entryCounts.recordTotal(total, this.nowMs()),
         });
@@ -282,11 +292,11 @@
      * for its first leader.
      */
     async watch(params: WatchParams): Promise<WatchAnswer> {
-        const { entry, version, canUpdate, limitsVersion, quotasVersion, wantsPeers, waitMs } = params;
+        const { entry, version, canUpdate, limitsVersion, quotasVersion, suspectsVersion, wantsPeers, waitMs } = params;
         const receivedAtMs = this.nowMs();
         this.recordEntry(entry);
         const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
-            this.quotas.hasNews(quotasVersion ?? undefined);
+            this.quotas.hasNews(quotasVersion ?? undefined) || this.suspects.hasNews(suspectsVersion ?? undefined);
         const isWaitUseful = this.options.log.isLed || version === 0;
         if (version === this.state.revision && !hasNews && isWaitUseful) {
             await this.waitForChange(waitMs);
@@ -298,6 +308,7 @@
         const delta = isDeltaNeeded ? this.diffSince(version, canUpdate) : undefined;
         const nowMs = this.nowMs();
         const demand = this.demandTable.describe(nowMs);
+        const suspects = this.suspects.describe(suspectsVersion ?? undefined);
         return {
             isLed: log.isLed,
             ...(log.isLed ? { confirmedAgeMs: receivedAtMs - log.confirmedAtMs } : {}),
@@ -309,6 +320,7 @@
             ...(peers === undefined ? {} : { peers }),
             // Absent while nothing is rejected, so that the answer is that of the version before.
             ...(demand === undefined ? {} : { demand }),
+            ...(suspects === undefined ? {} : { suspects }),
         };
     }
 
@@ -340,6 +352,7 @@
         this.limits.recordEntryReport(entry);
         this.leavingInstances.recordReport(entry);
         this.quotas.recordEntryReport(entry.quotas);
+        this.suspects.recordEntryReport(entry.suspects ?? undefined);
         const { id, availabilityZone, demand } = entry;
         if (this.demandTable.record(id, availabilityZone, demand, this.nowMs())) {
             this.notifyChange();
@@ -375,7 +388,13 @@
         const limits = await this.limits.handleReport(report, memberId);
         const entryTotal = this.options.log.isLeader ? this.entryCounts.getTotal(nowMs) : undefined;
         const quotas = this.quotas.handleReport(report.quotas, memberId);
-        return quotas === undefined ? { entryTotal, limits } : { entryTotal, limits, quotas };
+        const suspects = this.suspects.handleReport(report.suspects ?? undefined);
+        return {
+            entryTotal,
+            limits,
+            ...quotas === undefined ? {} : { quotas },
+            ...suspects === undefined ? {} : { suspects },
+        };
     }
 
     /**
@@ -387,6 +406,7 @@
         this.limits.runMaintenance();
         this.entryListExchange?.refresh();
         this.quotas.runMaintenance();
+        this.suspects.runMaintenance();
         if (log.isLeader) {
             this.leaderSinceMs ??= this.nowMs();
             this.expireInstances(this.leaderSinceMs);
--- a/src/directory/leaderReports.ts
+++ b/src/directory/leaderReports.ts
@@ -4,6 +4,8 @@
 import type { UpstreamId } from "../core/ids.js";
 import type { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
 import type { QuotaReport } from "../quotas/quotaMessages.js";
+import type { SuspectExchange } from "../suspects/suspectExchange.js";
+import type { SuspectReport } from "../suspects/suspectMessages.js";
 import type { LimitCoordinator } from "./limitCoordinator.js";
 import { DirectoryMethod, type HeartbeatReport, type HeartbeatReportAnswer } from "./messages.js";
 
@@ -18,15 +20,19 @@
     readonly logger: ControlLogger;
     readonly limits: Pick<LimitCoordinator, "buildReport" | "applyAnswer">;
     readonly quotas: Pick<QuotaCoordinator, "buildReport" | "applyAnswer">;
+    readonly suspects: Pick<SuspectExchange, "buildReport" | "applyAnswer">;
     /** Returns the number of entries attached to this control VM. */
     readonly countAttached: () => number;
     /** Receives the number of entries attached to all control VMs; undefined if the leader does not know it. */
     readonly onEntryTotal: (total: number | undefined) => void;
 }
 
-/** Omits the field without quotas, since an undefined one takes bytes. */
-function toField(quotas: QuotaReport | undefined): Pick<HeartbeatReport, "quotas"> {
-    return quotas === undefined ? {} : { quotas };
+/** Omits absent fields, since an undefined one takes bytes. */
+function toFields(
+    quotas: QuotaReport | undefined,
+    suspects: SuspectReport | undefined,
+): Pick<HeartbeatReport, "quotas" | "suspects"> {
+    return { ...quotas === undefined ? {} : { quotas }, ...suspects === undefined ? {} : { suspects } };
 }
 
 /** Reports of a control VM to the leader: received heartbeats, attached entries, and the rate limits that they saw. */
@@ -40,14 +46,20 @@
 
     /** Reports to the leader, if it is another VM; `ids` are instances that sent heartbeats since the last report. */
     async send(ids: readonly UpstreamId[]): Promise<void> {
-        const { log: { leaderAddress }, links, clock, logger, limits, quotas, countAttached, onEntryTotal } =
+        const { log: { leaderAddress }, links, clock, logger, limits, quotas, suspects, countAttached, onEntryTotal } =
             this.options;
         if (leaderAddress === undefined) {
             return;
         }
         const limitReport = limits.buildReport();
         const quotaReport = quotas.buildReport();
-        const params: HeartbeatReport = { ids, entryCount: countAttached(), ...limitReport, ...toField(quotaReport) };
+        const suspectReport = suspects.buildReport();
+        const params: HeartbeatReport = {
+            ids,
+            entryCount: countAttached(),
+            ...limitReport,
+            ...toFields(quotaReport, suspectReport),
+        };
         const sentAt = readInstant(clock);
         try {
             const answer = await links.call(leaderAddress, DirectoryMethod.reportHeartbeats, params, reportTimeoutMs) as
@@ -56,6 +68,7 @@
             onEntryTotal(answer?.entryTotal ?? undefined);
             limits.applyAnswer(limitReport, answer?.limits ?? undefined, sentAt);
             quotas.applyAnswer(quotaReport, answer?.quotas ?? undefined, sentAt);
+            suspects.applyAnswer(suspectReport, answer?.suspects ?? undefined);
             this.hasLastSucceeded = true;
         }
         catch (error) {
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -152,6 +152,9 @@
     Array.isArray(value) && value.length === 2 && isString(value[0]) && isNumber(value[1]);
 const isRate: Check = value => isNumber(value) && Number(value) >= 0;
 const isDemandRow: Check = value => Array.isArray(value) && value.length === 4 && value.every(isRate);
+const isLossRow: Check = value =>
+    Array.isArray(value) && value.length === 3 && isString(value[0]) && isString(value[1]) && isNumber(value[2]);
+const suspectReport = optional(objectWith({ losses: arrayOf(isLossRow), survived: arrayOf(isString) }));
 const entryReportFields = {
     id: isString,
     address: isString,
@@ -164,6 +167,7 @@
     cold: coldReports,
     quotas: optional(arrayOf(isQuotaUse)),
     demand: optional(arrayOf(objectWith({ service: isString, rows: arrayOf(isDemandRow) }))),
+    suspects: suspectReport,
 };
 
 const parameterChecks: Readonly<Record<string, Check>> = {
@@ -174,6 +178,7 @@
         canUpdate: optional(isBoolean),
         limitsVersion: optional(isNumber),
         quotasVersion: optional(isNumber),
+        suspectsVersion: optional(isNumber),
         waitMs: isNumber,
         wantsPeers: optional(isBoolean),
     }),
@@ -190,6 +195,7 @@
         limits: limitReports,
         cold: coldReports,
         quotas: optional(objectWith({ uses: arrayOf(isQuotaUse), levels: optional(arrayOf(isQuotaLevel)) })),
+        suspects: suspectReport,
     }),
     [DirectoryMethod.entryList]: objectWith({ version: isNumber, waitMs: isNumber }),
     [DirectoryMethod.join]: objectWith(memberFields),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -2,6 +2,7 @@
 import type { EntryId, ServiceName, UpstreamId } from "../core/ids.js";
 import type { ServiceDemand, ZoneDemand } from "../overload/demand.js";
 import type { EntryQuotas, MemberQuotas, QuotaReport, QuotaUse } from "../quotas/quotaMessages.js";
+import type { EntrySuspects, SuspectReport, SuspectRow } from "../suspects/suspectMessages.js";
 import type { DirectoryChange, DirectoryDelta, DirectoryResult } from "./directoryState.js";
 import type { ColdReport, EntryDemand, EntryLimits, LimitReport, MemberColdRow } from "./rateLimits.js";
 
@@ -55,6 +56,8 @@
     readonly isCutOff?: boolean;
     /** Recent demand for the services of which requests were rejected; undefined while there are none. */
     readonly demand?: readonly ServiceDemand[] | undefined;
+    /** Instances that were lost with requests, and suspects that survived; undefined if there are none. */
+    readonly suspects?: SuspectReport;
 }
 
 /** A serving entry through which another one can relay requests. */
@@ -75,6 +78,8 @@
     readonly limitsVersion?: number;
     /** Version of the quotas that the entry has; undefined if no organisation has one. */
     readonly quotasVersion?: number;
+    /** Version of the suspects that the entry has; undefined from versions without them. */
+    readonly suspectsVersion?: number;
     /** Whether the entry asks for peers through which it can relay requests; undefined if not. */
     readonly wantsPeers?: boolean;
     /** Longest wait for a change in milliseconds. */
@@ -104,6 +109,8 @@
     readonly peers?: readonly RelayPeer[];
     /** Recent demand for the services of which requests were rejected, by zone; undefined while there are none. */
     readonly demand?: readonly ZoneDemand[] | undefined;
+    /** Requests suspected of crashing instances; undefined if the entry has them or named no version. */
+    readonly suspects?: EntrySuspects;
 }
 
 /** Answer of `directory.propose`: outcome of the forwarded change. */
@@ -134,6 +141,8 @@
     readonly cold?: readonly ColdReport[];
     /** Undefined unless organisations have quotas. */
     readonly quotas?: QuotaReport;
+    /** What entries saw of crashes since the last report; undefined if nothing. */
+    readonly suspects?: SuspectReport;
 }
 
 /** Answer of `directory.heard`. */
@@ -144,6 +153,8 @@
     readonly limits?: MemberLimits;
     /** Undefined unless the answering VM leads and organisations have quotas. */
     readonly quotas?: MemberQuotas;
+    /** Requests suspected of crashing instances; undefined unless the answering VM leads, and from versions without them. */
+    readonly suspects?: readonly SuspectRow[];
 }
 
 /** Rate limits with the shares of the entries that a control VM reported. */
--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -5,12 +5,14 @@
 import { isUsableRegistration, type Registration, type RouteTable } from "../directory/model.js";
 import { digestRouteTable, digestToNumber } from "../directory/routeDigest.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
+import { checkConnection } from "../entry/connectionCheck.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { serveMetrics } from "../metrics/metricsServer.js";
 import { EntryQuotas } from "../quotas/entryQuotas.js";
 import { defaultQuotaBounds } from "../quotas/quotaBounds.js";
 import { EntryRelay } from "../relay/entryRelay.js";
 import { CallerServer } from "./callerServer.js";
+import { CrashSuspects } from "./crashSuspects.js";
 import { DirectoryWatch } from "./directoryWatch.js";
 import { DurationEstimates } from "./durationEstimates.js";
 import { GatewayExchange } from "./gatewayExchange.js";
@@ -60,6 +62,7 @@
     private readonly upstreamLimits: UpstreamLimits;
     private readonly upstreamStatements: UpstreamStatements;
     private readonly quotas: EntryQuotas;
+    private readonly crashSuspects: CrashSuspects;
     private readonly relay: EntryRelay | undefined;
     private readonly peerConnections: UpstreamConnections;
     private readonly overloadControl: OverloadControl | undefined;
@@ -112,6 +115,15 @@
             onLeaving: () => this.watch.report(),
         });
         const { upstreamStatements } = this;
+        this.crashSuspects = new CrashSuspects({
+            clock,
+            logger,
+            metrics,
+            checkConnection,
+            isPartitionSuspected: () => this.relay?.wantsPeers === true,
+            onNews: () => this.watch.report(),
+        });
+        const { crashSuspects } = this;
         this.relay = options.canRelay === true ? this.createRelay() : undefined;
         const { relay } = this;
         this.overloadControl = options.isOverloadControlled === true
@@ -149,6 +161,7 @@
             onDelta: (delta, table) => this.onDelta(delta, table),
             limits: upstreamLimits,
             quotas: this.quotas,
+            suspects: crashSuspects,
             peers: relay,
             onDemand: overloadControl && ((demand, sentAt) => overloadControl.applyDemand(demand, sentAt)),
         });
@@ -179,6 +192,7 @@
             durationEstimates: new DurationEstimates(),
             bufferBudget: new BufferBudget(limits.bufferedBytes),
             overloadControl,
+            crashSuspects,
             dialect,
             metrics,
             logger,
@@ -280,6 +294,7 @@
         const { id, listen, availabilityZone } = this.options;
         const leaving = this.upstreamStatements.listUnreported();
         const demand = this.overloadControl?.describeDemand();
+        const suspects = this.crashSuspects.describe();
         return {
             id,
             address: `${listen.host}:${listen.port}`,
@@ -292,6 +307,7 @@
             ...this.quotas.takeReport(),
             ...(this.relay?.isRelaying === true ? { isCutOff: true } : {}),
             ...(demand === undefined ? {} : { demand }),
+            ...(suspects === undefined ? {} : { suspects }),
         };
     }
 
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -16,6 +16,7 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { ZoneDemand } from "../overload/demand.js";
 import type { EntryQuotas, QuotaUse } from "../quotas/quotaMessages.js";
+import type { EntrySuspects } from "../suspects/suspectMessages.js";
 import { ChannelClient, type ChannelOptions, computeBackoffMs } from "../transport/channel.js";
 import { rankControlVms } from "./controlVmRanking.js";
 import type { GatewayLogger } from "./options.js";
@@ -57,6 +58,14 @@
     returnUses(uses: readonly QuotaUse[] | undefined): void;
 }
 
+/** Receives requests suspected of crashing instances from the control VM in use. */
+export interface SuspectsReceiver {
+    /** Version of the suspects that are held; 0 if none. */
+    readonly version: number;
+    apply(suspects: EntrySuspects): void;
+    resetVersion(): void;
+}
+
 /** Receives entries through which requests can be relayed. */
 export interface PeersReceiver {
     readonly wantsPeers: boolean;
@@ -81,6 +90,8 @@
     readonly limits: LimitsReceiver;
     /** Receives the quotas of organisations; undefined if they are not supported. */
     readonly quotas?: QuotasReceiver;
+    /** Receives requests suspected of crashing instances; undefined if they are not supported. */
+    readonly suspects?: SuspectsReceiver;
     /** Receives peers while it asks for them; undefined if the entry does not relay. */
     readonly peers?: PeersReceiver | undefined;
     /** Receives the demand for services that are short of capacity; undefined if there are none. */
@@ -182,10 +193,11 @@
         return this.client;
     }
 
-    /** Each control VM has its own versions of limits and quotas. */
+    /** Each control VM has its own versions of limits, quotas and suspects. */
     private resetVersions(): void {
         this.options.limits.resetVersion();
         this.options.quotas?.resetVersion();
+        this.options.suspects?.resetVersion();
     }
 
     private detach(): void {
@@ -266,9 +278,10 @@
         try {
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
-            const { peers, quotas } = this.options;
+            const { peers, quotas, suspects } = this.options;
             const quotasVersion = quotas?.version;
             const quotasField = quotasVersion === undefined ? {} : { quotasVersion };
+            const suspectsField = suspects === undefined ? {} : { suspectsVersion: suspects.version };
             const peersQuery = peers?.wantsPeers === true ? { wantsPeers: true } : {};
             // An entry without peers serves nothing until it gets some.
             const isUrgent = peers?.wantsPeers === true && !peers.hasPeers;
@@ -279,6 +292,7 @@
                 limitsVersion,
                 waitMs: Math.min(maxWaitMs, isUrgent ? urgentWaitMs : waitMs),
                 ...quotasField,
+                ...suspectsField,
                 ...peersQuery,
             };
             const sentAt = readInstant(this.options.clock);
@@ -327,7 +341,7 @@
 
     /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
     private applyAnswer(answer: WatchAnswer, sentAt: Instant, address: string): boolean {
-        const { isLed, delta, entryCount, entryTotal, limits, quotas, peers, demand } = answer;
+        const { isLed, delta, entryCount, entryTotal, limits, quotas, peers, demand, suspects } = answer;
         const isStale = delta !== undefined && delta !== null && delta.version < this.version;
         if (!isLed || isStale) {
             this.options.logger.info("control VM may be behind", { address, isLed, held: this.version, isStale });
@@ -355,6 +369,9 @@
         if (peers !== undefined && peers !== null) {
             this.options.peers?.setPeers(peers);
         }
+        if (suspects !== undefined && suspects !== null) {
+            this.options.suspects?.apply(suspects);
+        }
         this.options.onDemand?.(demand ?? undefined, sentAt);
         this.reportedAt = sentAt;
         this.recordConfirmation(sentAt, answer.confirmedAgeMs ?? 0);
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -9,6 +9,7 @@
 import type { EntryRelay } from "../relay/entryRelay.js";
 import { RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
 import { AttemptFailure, type GeneratedAnswer, type ResponseHead } from "../requests/model.js";
+import { type CrashSuspects, type SuspectableRequest, SuspectTreatment } from "./crashSuspects.js";
 import type { Dialect } from "./dialect.js";
 import type { DurationEstimates } from "./durationEstimates.js";
 import { type AttemptResult, GatewayAttempt, isConnectionReusable, toUpstreamOutcome } from "./gatewayAttempt.js";
@@ -53,6 +54,7 @@
     readonly bufferBudget: BufferBudget;
     /** Undefined where the settings do not ask for it. */
     readonly overloadControl?: OverloadControl | undefined;
+    readonly crashSuspects: CrashSuspects;
     readonly dialect: Dialect;
     readonly metrics: GatewayMetrics;
     readonly logger: GatewayLogger;
@@ -87,6 +89,10 @@
     /** Whether the unit taken last from the organisation's quota was used by an attempt that may have run. */
     private isQuotaUnitUsed = false;
     private attemptCount = 0;
+    private attemptSentAtMs = -Infinity;
+    private hasTimedOut = false;
+    /** Whether it was refused because instances ended while they ran requests like it. */
+    private isCrashSuspect = false;
     /** Time until a limited upstream may get a request; undefined unless the request was refused for the limits. */
     private permitDelayMs: number | undefined;
     /** Time until an upstream accepts requests again; undefined unless the request was refused as all back off. */
@@ -108,7 +114,7 @@
             this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
         }
         try {
-            let shouldContinue = true;
+            let shouldContinue = !this.refuseIfSuspect();
             while (shouldContinue && !this.context.exchange.isEnded) {
                 shouldContinue = await this.runAttempt();
             }
@@ -119,6 +125,30 @@
         }
     }
 
+    /** Refuses a request that has ended several instances; returns whether it did. */
+    private refuseIfSuspect(): boolean {
+        const isRefused = this.treatAsSuspect() === SuspectTreatment.refused;
+        if (isRefused) {
+            this.isCrashSuspect = true;
+            this.answer(503, "crash-suspect", "Instances ended while they ran requests like this one.");
+        }
+        return isRefused;
+    }
+
+    private treatAsSuspect(): SuspectTreatment {
+        return this.dependencies.crashSuspects.treat(this.describeForSuspicion());
+    }
+
+    private describeForSuspicion(): SuspectableRequest {
+        const { exchange, service } = this.context;
+        return {
+            service: service.name,
+            method: exchange.incoming.method ?? "GET",
+            path: exchange.path,
+            body: exchange.body.buffer,
+        };
+    }
+
     private returnUnusedQuota(): void {
         const { organisation, exchange } = this.context;
         if (organisation !== undefined && !exchange.isRelayed && !this.isQuotaUnitUsed) {
@@ -288,6 +318,7 @@
         };
         const attempt = new GatewayAttempt({ exchange, requestId, headers, onHead }, dialect, bufferBudget);
         this.attempt = attempt;
+        this.attemptSentAtMs = sentAtMs;
         this.attemptCount++;
         if (this.attemptCount === 1) {
             this.dependencies.metrics.placementSeconds.observe((sentAtMs - exchange.receivedAtMs) / msPerSecond);
@@ -365,6 +396,7 @@
         if ("failure" in attemptResult && !isIgnoredForHealth && this.attempt?.responseHead === undefined) {
             this.dependencies.relay?.recordFailure(upstreamState.registration.id, attemptResult.kind === "not-sent");
         }
+        this.recordForSuspicion(upstreamState, attemptResult);
         if (attemptResult.kind === "delivered" || exchange.isEnded) {
             return false;
         }
@@ -392,6 +424,21 @@
         return false;
     }
 
+    /** An instance that answers has survived the request; one that sent nothing may have been lost with it. */
+    private recordForSuspicion(upstreamState: UpstreamState, attemptResult: AttemptResult): void {
+        const { crashSuspects } = this.dependencies;
+        if (attemptResult.kind === "delivered" || attemptResult.kind === "failed-answer") {
+            crashSuspects.recordSurvived(this.describeForSuspicion());
+        }
+        else if (attemptResult.kind === "lost" && this.attempt?.responseHead === undefined) {
+            const wasReset = attemptResult.failure !== AttemptFailure.cancelled;
+            const isUnheard = this.hasTimedOut && upstreamState.loadAskedAtMs < this.attemptSentAtMs;
+            if (wasReset || isUnheard) {
+                void crashSuspects.recordNoResponse(this.describeForSuspicion(), upstreamState);
+            }
+        }
+    }
+
     /** Takes a retry from the budget if the request can be retried; returns whether it did. */
     private takeRetry(): boolean {
         const { route, service } = this.context;
@@ -399,7 +446,7 @@
         const isSafeToRetry = route.isIdempotent || !this.mayHaveRun;
         const isRetryPossible = isSafeToRetry && this.attemptCount < route.maxAttempts && this.canReplayBody() &&
             this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
-        if (!isRetryPossible || !this.takeQuotaForRetry()) {
+        if (!isRetryPossible || this.treatAsSuspect() !== SuspectTreatment.normal || !this.takeQuotaForRetry()) {
             return false;
         }
         const isWithinBudget = retryBudget.take(service.name, this.nowMs());
@@ -432,6 +479,7 @@
     }
 
     private onTimeout(): void {
+        this.hasTimedOut = true;
         this.context.exchange.contain(() => this.answerTimeout());
         // Otherwise an upstream that keeps sending after its deadline would never be stopped.
         this.attempt?.cancel();
@@ -488,6 +536,9 @@
     }
 
     private findRefusalCause(): RefusalCause {
+        if (this.isCrashSuspect) {
+            return RefusalCause.crashSuspect;
+        }
         if (this.backOffDelayMs !== undefined) {
             return RefusalCause.backingOff;
         }
--- a/src/gateway/refusals.ts
+++ b/src/gateway/refusals.ts
@@ -10,6 +10,8 @@
     limited: "limited",
     /** All upstreams of the service have asked this entry for a pause. */
     backingOff: "backing-off",
+    /** Instances ended while they ran requests like this one. */
+    crashSuspect: "crash-suspect",
 } as const;
 
 export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause];
@@ -29,6 +31,8 @@
     readonly backOffDelayMs?: number | undefined;
 }
 
+/** Delay before the retry of a request that crashes instances; it stays refused for minutes. */
+const suspectRetryAfterMs = 60_000;
 /** Minimum and jitter of a caller's delay before an immediate retry; jitter separates callers refused together. */
 const immediateRetryAfterMs = 1;
 const immediateJitterMs = 10;
@@ -56,6 +60,9 @@
  */
 export function drawRetryAfterMs(request: RefusedRequest, random: RandomSource): number {
     const { cause, untilTargetMs, baselineMs, untilDeadlineMs, permitDelayMs = Infinity, backOffDelayMs = 0 } = request;
+    if (cause === RefusalCause.crashSuspect) {
+        return suspectRetryAfterMs;
+    }
     const canBeOnTime = untilTargetMs > callerRetryTripMs + baselineMs;
     if (cause === RefusalCause.shed && canBeOnTime) {
         return immediateRetryAfterMs + random.nextUnit() * immediateJitterMs;
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -6,12 +6,14 @@
 import type { RouteTable } from "../directory/model.js";
 import { makeRegistration } from "../directory/testing.js";
 import { BufferBudget } from "../entry/bufferBudget.js";
+import { checkConnection } from "../entry/connectionCheck.js";
 import { findHeader } from "../entry/headers.js";
 import { defaultEntryLimits } from "../entry/options.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { type QuotaGate, UnlimitedQuotaGate } from "../organisations/quotaGate.js";
 import type { ResponseHead } from "../requests/model.js";
 import { CallerServer } from "./callerServer.js";
+import { CrashSuspects } from "./crashSuspects.js";
 import { Dialect, type InstanceLoad, type RateLimitStatement } from "./dialect.js";
 import { DurationEstimates } from "./durationEstimates.js";
 import { GatewayExchange } from "./gatewayExchange.js";
@@ -236,6 +238,8 @@
     readonly upstreamStatements: UpstreamStatements;
     /** How often an upstream announced that it leaves. */
     leavingReportCount = 0;
+    /** How often the control VM would have been told about crash suspects. */
+    suspectNewsCount = 0;
     /** Exceptions that ended requests. */
     readonly internalErrors: Error[] = [];
     /** Called when a request waits for the directory. */
@@ -324,6 +328,14 @@
             durationEstimates: new DurationEstimates(),
             bufferBudget: new BufferBudget(limits.bufferedBytes),
             overloadControl,
+            crashSuspects: new CrashSuspects({
+                clock,
+                logger,
+                metrics,
+                checkConnection,
+                isPartitionSuspected: () => false,
+                onNews: () => this.suspectNewsCount++,
+            }),
             dialect,
             metrics,
             logger,
--- a/src/metrics/gatewayMetrics.ts
+++ b/src/metrics/gatewayMetrics.ts
@@ -59,6 +59,11 @@
         ["service"],
     );
     readonly callerDisconnects = this.addCounter("figwharf_callers_gone_total", "Requests whose caller left early", []);
+    readonly suspectedCrashes = this.addCounter(
+        "figwharf_suspected_crashes_total",
+        "Instances lost while a request of this entry was in flight on them",
+        ["service"],
+    );
     readonly internalErrors = this.addCounter(
         "figwharf_internal_errors_total",
         "Requests that ended with an exception in the entry",
--- a/src/requests/suspectTable.ts
+++ b/src/requests/suspectTable.ts
@@ -2,7 +2,8 @@
 import type { ServiceName, UpstreamId } from "../core/ids.js";
 import type { RequestMetadata } from "./model.js";
 
-const lossWindowMs = 10 * 60_000;
+/** Time for which the loss of an instance counts. */
+export const lossWindowMs = 10 * 60_000;
 const maxSuspects = 10_000;
 const maxLosses = 2;
 const expiryIntervalMs = 1000;
@@ -61,17 +62,33 @@
         return true;
     }
 
+    /** Returns the number of instances that were recently lost with a fingerprint. */
+    countLosses(fingerprint: Fingerprint, nowMs: number): number {
+        return this.listRecent(fingerprint, nowMs).length;
+    }
+
+    /** Returns the recent losses of all fingerprints. */
+    listLosses(nowMs: number): readonly Loss[] {
+        return [...this.losses.keys()].flatMap(fingerprint => this.listRecent(fingerprint, nowMs));
+    }
+
     /** Removes the losses of a fingerprint that an instance has survived; false if there were none. */
     clear(fingerprint: Fingerprint): boolean {
         return this.losses.delete(fingerprint);
     }
 
     suspectStatusOf(fingerprint: Fingerprint, nowMs: number): SuspectStatus {
-        const recent = (this.losses.get(fingerprint) ?? []).filter(timedLoss => nowMs - timedLoss.atMs < lossWindowMs);
-        if (recent.length === 0) {
+        const lossCount = this.countLosses(fingerprint, nowMs);
+        if (lossCount === 0) {
             return SuspectStatus.clear;
         }
-        return recent.length < maxLosses ? SuspectStatus.suspect : SuspectStatus.refused;
+        return lossCount < maxLosses ? SuspectStatus.suspect : SuspectStatus.refused;
+    }
+
+    private listRecent(fingerprint: Fingerprint, nowMs: number): readonly Loss[] {
+        return (this.losses.get(fingerprint) ?? [])
+            .filter(timedLoss => nowMs - timedLoss.atMs < lossWindowMs)
+            .map(timedLoss => timedLoss.loss);
     }
 
     tick(nowMs: number): void {
@@ -88,7 +105,9 @@
 }
 
 /** Returns the fingerprint of a request. */
-export function fingerprintOf(request: RequestMetadata): Fingerprint {
+export function fingerprintOf(
+    request: Pick<RequestMetadata, "service" | "method" | "path" | "bodyHash">,
+): Fingerprint {
     const { service, method, path, bodyHash } = request;
     return createHash("sha256").update(JSON.stringify([service, method, path, bodyHash ?? ""])).digest("base64");
 }
