Tell a relaying entry's peer how many attempts are left, and count all of them if the peer is lost

Cause: an entry that reaches no instance relays a request to a peer, which makes all attempts that the route allows. If the connection to that peer broke, the entry counted one attempt and sent the request to the next peer, which made all attempts again.

Evidence: relaying.test 'guards against more attempts than the route allows when a peer is lost after it has made some' on the code before: 3 runs, 2 allowed, in both of two runs.

Change: the relayed request says how many attempts are left; after a lost peer all of them count as made, so the caller gets 502 with may-have-run and decides itself.

--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -36,8 +36,10 @@
     abstract listAttemptHeaders(upstreamId: UpstreamId, remainingMs: number): readonly string[];
     /** Returns the token with which an entry relayed the request; undefined when it is absent. */
     abstract readRelayToken(headers: IncomingHttpHeaders): string | undefined;
+    /** Returns how many attempts the relaying entry leaves to this one; undefined from versions that do not state it. */
+    abstract readRelayedAttempts(headers: IncomingHttpHeaders): number | undefined;
     /** Returns the headers that replace the caller's own when the entry relays its request to another entry. */
-    abstract listRelayHeaders(remainingMs: number, token: string): readonly string[];
+    abstract listRelayHeaders(remainingMs: number, attemptsLeft: number, token: string): readonly string[];
     /** Returns the id of the request that a response answers; undefined when it states none. */
     abstract readAnsweredRequestId(head: ResponseHead): string | undefined;
     /** Returns whether the upstream states that it did not run the request; true for status 421. */
--- a/src/gateway/gatewayExchange.ts
+++ b/src/gateway/gatewayExchange.ts
@@ -16,6 +16,8 @@
     organisation: string | undefined;
     /** Whether another entry relayed the request, which then has counted it and charged the quota of its caller. */
     isRelayed = false;
+    /** Attempts that the entry which relayed the request leaves to this one; undefined without a limit of its own. */
+    relayedAttempts: number | undefined;
     /** Whether this entry may relay the request; false for one that was relayed or claims to be. */
     isRelayAllowed = true;
 
@@ -42,8 +44,8 @@
     }
 
     /** Returns the headers of a request to another entry: the caller's headers as they came, with the relay's own. */
-    buildRelayHeaders(remainingMs: number, token: string): string[] {
-        const added = this.dialect.listRelayHeaders(remainingMs, token);
+    buildRelayHeaders(remainingMs: number, attemptsLeft: number, token: string): string[] {
+        const added = this.dialect.listRelayHeaders(remainingMs, attemptsLeft, token);
         const addedNames = added.filter((_text, index) => index % 2 === 0).map(name => name.toLowerCase());
         return this.buildHeaders(new Set(addedNames), added);
     }
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -187,9 +187,8 @@
     private async runAttempt(): Promise<boolean> {
         const { relay } = this.dependencies;
         if (relay?.isCutOff === true && relay.hasPeers) {
-            const shouldContinue = await this.relayIfPossible();
-            if (shouldContinue !== undefined) {
-                return shouldContinue;
+            if (await this.relayIfPossible()) {
+                return false;
             }
         }
         const placement = await this.findPlacement();
@@ -201,24 +200,23 @@
             return false;
         }
         if (placement === undefined) {
-            const shouldContinue = await this.relayIfPossible();
-            if (shouldContinue === undefined) {
+            if (!await this.relayIfPossible()) {
                 this.answerUnplaced();
             }
-            return shouldContinue ?? false;
+            return false;
         }
         const attemptResult = await this.sendAttempt(placement);
         return this.handleAttemptResult(placement, attemptResult);
     }
 
-    /** Relays the request while the entry is cut off; returns whether an attempt follows, undefined if none took it. */
-    private async relayIfPossible(): Promise<boolean | undefined> {
+    /** Relays the request while the entry is cut off; returns whether the request has ended, false if no peer took it. */
+    private async relayIfPossible(): Promise<boolean> {
         const { exchange, requestId, deadlineAtMs } = this.context;
         const { relay, dialect, bufferBudget, metrics } = this.dependencies;
         const isSafe = this.context.route.isIdempotent || !this.mayHaveRun;
         const isFirst = this.attemptCount === 0;
         if (relay?.isRelaying !== true || !exchange.isRelayAllowed || !isSafe || !(isFirst || this.canReplayBody())) {
-            return undefined;
+            return false;
         }
         let hasTriedPeer = false;
         const outcome = await relayRequest({
@@ -229,6 +227,7 @@
             bufferBudget,
             metrics,
             computeRemainingMs: () => Math.min(deadlineAtMs, this.times.timeoutAtMs) - this.nowMs(),
+            attemptsLeft: this.attemptsLeft,
             canReplayBody: () => this.canReplayBody(),
             mayHaveRun: this.mayHaveRun,
             onAttempt: attempt => {
@@ -240,20 +239,18 @@
         this.isQuotaUnitUsed ||= hasTriedPeer && outcome !== RelayOutcome.unavailable;
         if (outcome === RelayOutcome.lost) {
             this.mayHaveRun = true;
-            this.attemptCount++;
-            if (this.takeRetry()) {
-                return true;
-            }
+            // The peer may have made all attempts that were left to it.
+            this.attemptCount += this.attemptsLeft;
         }
         if (outcome === RelayOutcome.lost || outcome === RelayOutcome.failed) {
             this.answerFailure("attempt-failed", "The entry to which the request was relayed failed.");
-            return false;
+            return true;
         }
         if (outcome === RelayOutcome.unavailable && hasTriedPeer && !this.canReplayBody()) {
             this.answerFailure("relay-failed", "No entry took the request, and its body cannot be sent again.");
-            return false;
+            return true;
         }
-        return outcome === RelayOutcome.unavailable ? undefined : false;
+        return outcome !== RelayOutcome.unavailable;
     }
 
     private answerUnplaced(): void {
@@ -439,12 +436,17 @@
         }
     }
 
+    private get attemptsLeft(): number {
+        const { route, exchange } = this.context;
+        return Math.min(route.maxAttempts, exchange.relayedAttempts ?? Infinity) - this.attemptCount;
+    }
+
     /** Takes a retry from the budget if the request can be retried; returns whether it did. */
     private takeRetry(): boolean {
         const { route, service } = this.context;
         const { retryBudget, metrics } = this.dependencies;
         const isSafeToRetry = route.isIdempotent || !this.mayHaveRun;
-        const isRetryPossible = isSafeToRetry && this.attemptCount < route.maxAttempts && this.canReplayBody() &&
+        const isRetryPossible = isSafeToRetry && this.attemptsLeft > 0 && this.canReplayBody() &&
             this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
         if (!isRetryPossible || this.treatAsSuspect() !== SuspectTreatment.normal || !this.takeQuotaForRetry()) {
             return false;
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -136,6 +136,7 @@
         exchange.isRelayAllowed = false;
         exchange.isRelayed = relay.isTokenValid({ requestId, method: incoming.method ?? "GET", path }, token);
         if (exchange.isRelayed) {
+            exchange.relayedAttempts = dialect.readRelayedAttempts(incoming.headers);
             metrics.acceptedRelayedRequests.inc();
         }
         else {
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -52,7 +52,7 @@
 
 /** Headers of tests: deadline, request id, not-run statement, load and upstream id. */
 export class TestDialect extends Dialect {
-    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key", "relay"]);
+    readonly replacedHeaders: ReadonlySet<string> = new Set(["deadline-ms", "key", "relay", "relay-attempts"]);
     readonly organisationHeaders: ReadonlySet<string> = new Set(["organisation"]);
 
     readDeadlineMs(headers: IncomingHttpHeaders): number | undefined {
@@ -79,8 +79,12 @@
         return headers["relay"] === undefined ? undefined : String(headers["relay"]);
     }
 
-    listRelayHeaders(remainingMs: number, token: string): readonly string[] {
-        return ["Deadline-Ms", String(remainingMs), "Relay", token];
+    readRelayedAttempts(headers: IncomingHttpHeaders): number | undefined {
+        return headers["relay-attempts"] === undefined ? undefined : Number(headers["relay-attempts"]);
+    }
+
+    listRelayHeaders(remainingMs: number, attemptsLeft: number, token: string): readonly string[] {
+        return ["Deadline-Ms", String(remainingMs), "Relay-Attempts", String(attemptsLeft), "Relay", token];
     }
 
     readAnsweredRequestId({ headers }: ResponseHead): string | undefined {
--- a/src/relay/relayedRequest.ts
+++ b/src/relay/relayedRequest.ts
@@ -37,6 +37,8 @@
     readonly metrics: Pick<GatewayMetrics, "relayedRequests">;
     /** Returns the time that the peer may take at most. */
     readonly computeRemainingMs: () => number;
+    /** Attempts at instances that the peer may make. */
+    readonly attemptsLeft: number;
     /** Returns whether the same body can be sent again. */
     readonly canReplayBody: () => boolean;
     /** Whether an earlier attempt may have run the request; a peer does not know it and could state the opposite. */
@@ -78,11 +80,11 @@
 }
 
 function makeAttempt(context: RelayedRequestContext): GatewayAttempt {
-    const { exchange, requestId, relay, dialect, bufferBudget, computeRemainingMs, onAttempt } = context;
+    const { exchange, requestId, relay, dialect, bufferBudget, computeRemainingMs, onAttempt, attemptsLeft } = context;
     const remainingMs = Math.floor(computeRemainingMs() - relayMarginMs);
     const method = exchange.incoming.method ?? "GET";
     const token = relay.sign({ requestId, method, path: exchange.path });
-    const headers = exchange.buildRelayHeaders(remainingMs, token);
+    const headers = exchange.buildRelayHeaders(remainingMs, attemptsLeft, token);
     const attempt = new GatewayAttempt(
         { exchange, requestId, headers, isRelayed: true, onHead: () => undefined },
         dialect,
--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -5,7 +5,7 @@
 import { SeededRandom } from "../src/core/random.js";
 import { AttachedEntries } from "../src/directory/attachedEntries.js";
 import { DirectoryMethod, type EntryReport, type WatchAnswer, type WatchParams } from "../src/directory/messages.js";
-import type { Registration } from "../src/directory/model.js";
+import type { Registration, Route, RouteTable } from "../src/directory/model.js";
 import { RelayPeers } from "../src/directory/relayPeers.js";
 import { makeRegistration, makeRoute, makeTable } from "../src/directory/testing.js";
 import { defaultEntryLimits } from "../src/entry/options.js";
@@ -30,12 +30,17 @@
         links: { call: () => Promise.reject(new Error("there are no other control VMs")) },
         clock,
     });
-    /** Tables of routes; a non-idempotent request must run at most once. */
-    readonly table = makeTable(1, [makeRoute({ isIdempotent: false, targetLatencyMs: 800, timeoutMs: 2500 })]);
+    /** Table of routes; unless they are changed, requests must run at most once. */
+    readonly table: RouteTable;
 
     /** `usedCount` is the number of instances of the service that callers use; the others belong to another one. */
-    static async start(zones: readonly string[], canRelay: boolean, usedCount: number): Promise<RelayingSystem> {
-        const system = new RelayingSystem(usedCount);
+    static async start(
+        zones: readonly string[],
+        canRelay: boolean,
+        usedCount: number,
+        route: Partial<Route>,
+    ): Promise<RelayingSystem> {
+        const system = new RelayingSystem(usedCount, route);
         for (let index = 0; index < 6; index++) {
             const upstream = new TestUpstream(`i-${index}`);
             system.upstreams.push(upstream);
@@ -51,7 +56,11 @@
 
     readonly addresses: string[] = [];
 
-    private constructor(readonly usedCount: number) {}
+    private constructor(readonly usedCount: number, route: Partial<Route>) {
+        this.table = makeTable(1, [
+            makeRoute({ isIdempotent: false, targetLatencyMs: 800, timeoutMs: 2500, ...route }),
+        ]);
+    }
 
     get runCount(): number {
         return this.upstreams.reduce((sum, upstream) => sum + upstream.receivedIds.length, 0);
@@ -67,11 +76,14 @@
 class RelayingEntry {
     readonly lines: { readonly text: string; readonly fields: Record<string, unknown>; }[] = [];
     readonly proxies: TcpRelay[] = [];
+    /** Through which other entries reach this one. */
+    peerProxy!: TcpRelay;
     gateway!: RunningGateway;
     lastReport: EntryReport | undefined;
     port = 0;
     private requestNumber = 0;
     private registrations: readonly Registration[] = [];
+    private peerAddress = "";
     private readonly control: ChannelServer;
 
     static async start(system: RelayingSystem, zone: string, canRelay: boolean): Promise<RelayingEntry> {
@@ -89,6 +101,8 @@
         }));
         entry.registrations = proxied;
         entry.port = await findFreePort();
+        entry.peerProxy = new TcpRelay("127.0.0.1", entry.port);
+        entry.peerAddress = `127.0.0.1:${await entry.peerProxy.listen()}`;
         const controlPort = await entry.control.listen("127.0.0.1", 0);
         const write = (text: string, fields = {}) => entry.lines.push({ text, fields });
         entry.gateway = await startGateway({
@@ -158,12 +172,13 @@
     async close(): Promise<void> {
         await this.gateway.drain();
         await this.control.close();
-        await Promise.all(this.proxies.map(proxy => proxy.close()));
+        await Promise.all([...this.proxies, this.peerProxy].map(proxy => proxy.close()));
     }
 
     private async answer(method: string, params: unknown): Promise<WatchAnswer | undefined> {
         this.lastReport = method === DirectoryMethod.watch ? (params as WatchParams).entry : params as EntryReport;
-        this.system.attached.recordReport(this.lastReport, clock.monotonicMs());
+        const attachedReport = { ...this.lastReport, address: this.peerAddress };
+        this.system.attached.recordReport(attachedReport, clock.monotonicMs());
         if (method !== DirectoryMethod.watch) {
             return undefined;
         }
@@ -172,13 +187,14 @@
             await new Promise(resolve => setTimeout(resolve, waitMs));
         }
         const { table } = this.system;
+        const describedEntry = { ...entry, address: this.peerAddress };
         return {
             isLed: true,
             delta: version === 1
                 ? undefined
                 : { version: 1, isFull: true, table, registrations: this.registrations, ended: [], nodes: [] },
             entryCount: 1,
-            ...(wantsPeers === true ? { peers: await this.system.relayPeers.find(entry) } : {}),
+            ...(wantsPeers === true ? { peers: await this.system.relayPeers.find(describedEntry) } : {}),
         };
     }
 }
@@ -188,8 +204,9 @@
     zones: readonly string[],
     canRelay = true,
     usedCount = 6,
+    route: Partial<Route> = {},
 ): Promise<RelayingSystem> {
-    const system = await RelayingSystem.start(zones, canRelay, usedCount);
+    const system = await RelayingSystem.start(zones, canRelay, usedCount, route);
     t.teardown(() => system.close());
     // On a busy machine, load probes can time out at first.
     for (const entry of system.entries) {
@@ -360,3 +377,38 @@
         t.is(system.runCount - runsBefore, 1);
     });
 }
+
+test.serial("guards against more attempts than the route allows when a peer is lost after it has made some", async t => {
+    const route = { isIdempotent: true, maxAttempts: 2 };
+    const system = await startSystem(t, ["az-1", "az-2", "az-3"], true, 6, route);
+    const [entry, ...peers] = system.entries;
+    entry.proxies.forEach(proxy => proxy.cut());
+    await entry.sendUntilServed();
+    // Requests allow retries.
+    for (const peer of peers) {
+        await Promise.all(Array.from({ length: 5 }, () => peer.send()));
+    }
+    const runsBefore = system.runCount;
+    for (const upstream of system.upstreams) {
+        upstream.answer = (_request, response) => {
+            const runs = system.runCount - runsBefore;
+            if (runs === 1) {
+                response.socket?.resetAndDestroy();
+            }
+            else if (runs === 2) {
+                peers.forEach(({ peerProxy }) => peerProxy.cut());
+                peers.forEach(({ peerProxy }) => peerProxy.restore());
+            }
+            else {
+                response.end("done");
+            }
+        };
+    }
+    let status = 503;
+    // On a busy machine, load probes can time out, and the request is refused.
+    while (status === 503) {
+        status = await entry.send();
+    }
+    t.is(system.runCount - runsBefore, 2);
+    t.is(status, 502);
+});
