Ask again for a change of the directory that an entry could not apply

Cause: the watch recorded the version of a change before the change was applied. An exception in between (a registration or a service that some part does not expect) left the old routes with the new version: the control VM then had nothing to send, the entry's view counted as confirmed, and the old routes stayed until the next change.

Evidence: directoryWatch.test 'guards against an entry that believes it has applied a change which it could not apply' on the code before: the calls after the exception name version 2, not 1.

Change: an exception keeps the version, is logged as an error with its stack, and the next call asks for the whole table. Nothing changes on the wire.

--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -295,3 +295,23 @@
     t.deepEqual(warnings, [], "the entry stays connected to the control VM in use");
     await Promise.all(controls.map(control => control.close()));
 });
+
+test("guards against an entry that believes it has applied a change which it could not apply", async t => {
+    const control = new FakeControl();
+    const appliedVersions: number[] = [];
+    const watch = makeWatch([await control.start()], ({ version }) => {
+        if (version === 2 && control.watchCalls.length < 4) {
+            throw new Error("the change cannot be applied");
+        }
+        appliedVersions.push(version);
+        if (version === 2) {
+            watch.close();
+        }
+        control.version = 2;
+    });
+    await watch.run();
+    t.deepEqual(appliedVersions, [1, 2]);
+    t.deepEqual(control.watchCalls.map(({ version }) => version), [0, 1, 1, 1], "the change is asked for again");
+    t.false(control.watchCalls.at(-1)?.canUpdate, "the whole state is asked for, as a part may have been applied");
+    await control.close();
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -331,6 +331,26 @@
         return updateRoutes(this.table, tableUpdate.update);
     }
 
+    /** Keeps the version and asks for the whole table if an exception is thrown, since a part may have been applied. */
+    private applyDelta(delta: DirectoryDelta, table: RouteTable | undefined): void {
+        const { version } = this;
+        // The report that is sent meanwhile depends on it.
+        this.version = delta.version;
+        try {
+            this.options.onDelta(delta, table);
+        }
+        catch (error) {
+            const reason = (error as Error).stack;
+            this.options.logger.error("cannot apply the directory", { held: version, version: delta.version, reason });
+            this.version = version;
+            this.canUpdate = false;
+            throw error;
+        }
+        this.nodes = delta.nodes ?? this.nodes;
+        this.table = table ?? this.table;
+        this.canUpdate = true;
+    }
+
     /** The control VM received the call after `sentAt`, so that subtracting the age makes the confirmation no newer. */
     private recordConfirmation({ monotonicMs, wallMs }: Instant, confirmationAgeMs: number): void {
         const confirmedAt = { monotonicMs: monotonicMs - confirmationAgeMs, wallMs: wallMs - confirmationAgeMs };
@@ -353,12 +373,7 @@
             this.options.logger.info("received the directory for the first time", { version: delta?.version });
         }
         if (delta !== undefined && delta !== null) {
-            const table = this.resolveTable(delta);
-            this.version = delta.version;
-            this.nodes = delta.nodes ?? this.nodes;
-            this.table = table ?? this.table;
-            this.canUpdate = true;
-            this.options.onDelta(delta, table);
+            this.applyDelta(delta, this.resolveTable(delta));
         }
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
