Look for a control VM side by side when the one in use is lost, and ask it again first

Cause: an entry that lost its control VM tried the others one after the other, each with 400 ms to connect and a pause. Replaced control VMs stay in the entry's settings for ever and in the directory for 5 s, so up to five addresses that give no answer came before or between the live ones. And a control VM that heard no leader for a moment counted as failed for 2 s like one that is down: at the election of a leader every entry left its live control VM, 8 ms before it led in one trace. The class: a wait that adds up over dead addresses, and one mark for 'down' and 'not now'.

Change: candidates are asked side by side, the next one after 100 ms or as soon as one declines, and all again until one confirms the directory; connections are kept meanwhile; the VM in use goes first, seeds that the directory does not list go last. While the first one can be used there is no further connection. An entry that starts still waits at one control VM for the first leader. Nothing changes on the wire.

Looked for elsewhere: instances and operators look for control VMs by the platform's rules, not ours; GroupFormation asks all addresses at once; moveToPreferred tries one address for at most 0.9 s each 2.5 s, which stays.

--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -315,3 +315,48 @@
     t.false(control.watchCalls.at(-1)?.canUpdate, "the whole state is asked for, as a part may have been applied");
     await control.close();
 });
+
+test("guards against an entry that tries replaced control VMs of its settings before those that it knows", async t => {
+    const controls = [new FakeControl(), new FakeControl(), new FakeControl()];
+    const addresses = await Promise.all(controls.map(control => control.start()));
+    const nodes = addresses.map((address, index) => makeNode(address, `az-${index + 1}`));
+    controls.forEach(control => control.nodes = nodes);
+    const goneSeeds = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
+    for (let seed = 1; seed <= 5; seed++) {
+        const lostAddresses: unknown[] = [];
+        const warn = (_text: string, fields?: object) => lostAddresses.push((fields as { address?: string; }).address);
+        const isTried = () => controls.slice(1).some(control => control.watchCalls.length > 0);
+        const random = new SeededRandom(seed);
+        const logger = { ...silentLogger, warn };
+        const watch = makeWatch([addresses[0]], () => isTried() && watch.close(), new SystemClock(), "entry", {
+            random,
+            logger,
+            seeds: [addresses[0], ...goneSeeds],
+        });
+        controls.forEach(control => control.watchCalls.length = 0);
+        controls[0].isLed = true;
+        controls[0].onWatchCall = () => controls[0].isLed = controls[0].watchCalls.length < 2;
+        await watch.run();
+        t.deepEqual(lostAddresses.slice(lostAddresses.indexOf(addresses[0]) + 1), [], `seed ${seed}`);
+    }
+    await Promise.all(controls.map(control => control.close()));
+});
+
+test("guards against an entry that leaves the control VM of its zone while another leader is elected", async t => {
+    const controls = [new FakeControl(), new FakeControl()];
+    const addresses = await Promise.all(controls.map(control => control.start()));
+    const [local, remote] = controls;
+    controls.forEach(control =>
+        control.nodes = addresses.map((address, index) => makeNode(address, `az-${index + 1}`))
+    );
+    const watch = makeWatch([addresses[0]], () => undefined);
+    local.onWatchCall = () => {
+        local.isLed = local.watchCalls.length !== 3;
+        if (local.watchCalls.length === 6) {
+            watch.close();
+        }
+    };
+    await watch.run();
+    t.is(remote.watchCalls.length, 0);
+    await Promise.all(controls.map(control => control.close()));
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -19,6 +19,7 @@
 import type { EntrySuspects } from "../suspects/suspectMessages.js";
 import { ChannelClient, type ChannelOptions, computeBackoffMs } from "../transport/channel.js";
 import { rankControlVms } from "./controlVmRanking.js";
+import { ControlVmSearch } from "./controlVmSearch.js";
 import type { GatewayLogger } from "./options.js";
 
 /** Time for which a control VM may hold a watch call while the directory does not change. */
@@ -98,6 +99,13 @@
     readonly onDemand?: ((demand: readonly ZoneDemand[] | undefined, sentAt: Instant) => void) | undefined;
 }
 
+/** Answer of a control VM that is certain not to be behind. */
+interface CurrentAnswer {
+    readonly answer: WatchAnswer;
+    readonly sentAt: Instant;
+    readonly address: string;
+}
+
 /** Watches the directory through one control VM at a time, preferably of the local availability zone. */
 export class DirectoryWatch {
     /** Entries attached to the same control VM. */
@@ -141,7 +149,10 @@
         while (!this.isClosed) {
             const client = this.client ?? this.attach();
             const isUsable = client !== undefined && await this.poll(client);
-            if (!isUsable && !this.isClosed) {
+            if (!isUsable && !this.isClosed && this.version > 0) {
+                await this.search();
+            }
+            else if (!isUsable && !this.isClosed) {
                 this.detach();
                 const pauseMs = computeBackoffMs(retryPauseMs, maxRetryPauseMs, failureCount);
                 failureCount++;
@@ -193,6 +204,29 @@
         return this.client;
     }
 
+    /** Replaces the control VM in use, which gave no answer or cannot confirm the directory. */
+    private async search(): Promise<void> {
+        const { client } = this;
+        this.logLoss();
+        this.client = undefined;
+        const search = new ControlVmSearch<ChannelClient, CurrentAnswer>({
+            connect: address => new ChannelClient(address, this.options.channel),
+            ask: candidate => this.askForCurrent(candidate),
+        }, client);
+        this.resetVersions();
+        for (let roundCount = 0; this.client === undefined && !this.isClosed; roundCount++) {
+            const found = await search.runRound(this.listCandidates());
+            search.listSilent().forEach(address => this.failedAtMs.set(address, this.nowMs()));
+            if (found !== undefined && this.applyAnswer(found.answer)) {
+                this.client = found.client;
+                break;
+            }
+            const pauseMs = computeBackoffMs(retryPauseMs, maxRetryPauseMs, roundCount);
+            await new Promise(resolve => setTimeout(resolve, pauseMs));
+        }
+        search.close(this.isClosed ? undefined : this.client);
+    }
+
     /** Each control VM has its own versions of limits, quotas and suspects. */
     private resetVersions(): void {
         this.options.limits.resetVersion();
@@ -201,6 +235,15 @@
     }
 
     private detach(): void {
+        this.logLoss();
+        if (this.client !== undefined) {
+            this.failedAtMs.set(this.client.address, this.nowMs());
+            this.client.close();
+            this.client = undefined;
+        }
+    }
+
+    private logLoss(): void {
         if (this.client !== undefined) {
             this.options.metrics.controlVmLosses.inc();
             this.options.logger.warn("disconnected from a control VM", {
@@ -208,15 +251,12 @@
                 version: this.version,
                 confirmedAgeMs: Math.round(this.confirmedAgeMs),
             });
-            this.failedAtMs.set(this.client.address, this.nowMs());
-            this.client.close();
-            this.client = undefined;
         }
     }
 
     /**
-     * Lists the local availability zone first, in order of preference, then the others in random order; recently failed
-     * control VMs last.
+     * Lists the local availability zone first, in order of preference, then the others in random order, then the
+     * configured ones that the directory does not list, which may have been replaced; recently failed control VMs last.
      */
     private listCandidates(): readonly string[] {
         const { seeds, random } = this.options;
@@ -225,10 +265,10 @@
         const preferences = rankControlVms(this.options.channel.selfId, nodeAddresses);
         const rank = (address: string) => {
             const sinceFailureMs = this.nowMs() - (this.failedAtMs.get(address) ?? -Infinity);
-            return (sinceFailureMs < failureCooldownMs ? 4 - sinceFailureMs / failureCooldownMs : 0) +
+            return (sinceFailureMs < failureCooldownMs ? 5 - sinceFailureMs / failureCooldownMs : 0) +
                 (this.isInLocalZone(address)
                     ? preferences.indexOf(address) / (2 * preferences.length)
-                    : 1 + random.nextUnit() / 2);
+                    : (preferences.includes(address) ? 1 : 2) + random.nextUnit() / 2);
         };
         return [...addresses].map(address => ({ address, rank: rank(address) }))
             .sort((first, second) => first.rank - second.rank)
@@ -270,11 +310,16 @@
     }
 
     private async poll(client: ChannelClient, maxWaitMs = waitMs): Promise<boolean> {
+        const current = await this.askForCurrent(client, maxWaitMs);
+        return current !== undefined && this.applyAnswer(current);
+    }
+
+    /** Asks for the directory; resolves with undefined if the control VM does not answer or may be behind. */
+    private async askForCurrent(client: ChannelClient, maxWaitMs = 0): Promise<CurrentAnswer | undefined> {
         if (!await client.waitConnected(connectTimeoutMs)) {
-            return false;
+            return undefined;
         }
         const entry = this.options.describeEntry();
-        let isAnswered = false;
         try {
             const { version, canUpdate } = this;
             const limitsVersion = this.options.limits.version;
@@ -301,19 +346,26 @@
                 params,
                 params.waitMs + answerTimeoutMs,
             ) as WatchAnswer;
-            isAnswered = true;
-            return this.applyAnswer(answer, sentAt, client.address);
+            return this.isCurrent(answer, client.address) ? { answer, sentAt, address: client.address } : undefined;
         }
         catch (error) {
-            if (!isAnswered) {
-                this.options.quotas?.returnUses(entry.quotas);
-            }
-            this.options.logger.info("watch call to a control VM failed", {
-                address: client.address,
-                reason: (error as Error).message,
-            });
-            return false;
+            this.options.quotas?.returnUses(entry.quotas);
+            this.logFailure(client.address, error as Error);
+            return undefined;
+        }
+    }
+
+    private logFailure(address: string, { message }: Error): void {
+        this.options.logger.info("watch call to a control VM failed", { address, reason: message });
+    }
+
+    /** Whether an answer is certain not to be outdated: with contact to the leader and no older than what is held. */
+    private isCurrent({ isLed, delta }: WatchAnswer, address: string): boolean {
+        const isStale = delta !== undefined && delta !== null && delta.version < this.version;
+        if (!isLed || isStale) {
+            this.options.logger.info("control VM may be behind", { address, isLed, held: this.version, isStale });
         }
+        return isLed && !isStale;
     }
 
     /**
@@ -359,14 +411,20 @@
         }
     }
 
-    /** Returns false for an answer that may be stale: without contact to the leader or with an older version. */
-    private applyAnswer(answer: WatchAnswer, sentAt: Instant, address: string): boolean {
-        const { isLed, delta, entryCount, entryTotal, limits, quotas, peers, demand, suspects } = answer;
-        const isStale = delta !== undefined && delta !== null && delta.version < this.version;
-        if (!isLed || isStale) {
-            this.options.logger.info("control VM may be behind", { address, isLed, held: this.version, isStale });
+    /** Applies an answer; returns whether that succeeded. */
+    private applyAnswer(current: CurrentAnswer): boolean {
+        try {
+            this.applyContent(current);
+            return true;
+        }
+        catch (error) {
+            this.logFailure(current.address, error as Error);
             return false;
         }
+    }
+
+    private applyContent({ answer, sentAt }: CurrentAnswer): void {
+        const { delta, entryCount, entryTotal, limits, quotas, peers, demand, suspects } = answer;
         this.entryCount = entryCount;
         this.entryTotal = entryTotal ?? this.entryTotal;
         if (this.version === 0) {
@@ -391,6 +449,5 @@
         this.reportedAt = sentAt;
         this.recordConfirmation(sentAt, answer.confirmedAgeMs ?? 0);
         this.pendingWaits.forEach(settle => settle());
-        return true;
     }
 }
