--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -83,7 +83,7 @@
     port = 0;
     private requestNumber = 0;
     private registrations: readonly Registration[] = [];
-    private peerAddress = "";
+    private peerAddress: string | undefined;
     private readonly control: ChannelServer;
 
     static async start(system: RelayingSystem, zone: string, canRelay: boolean): Promise<RelayingEntry> {
@@ -100,10 +100,8 @@
             });
         }));
         entry.registrations = proxied;
-        entry.port = await findFreePort();
-        entry.peerProxy = new TcpRelay("127.0.0.1", entry.port);
-        entry.peerAddress = `127.0.0.1:${await entry.peerProxy.listen()}`;
         const controlPort = await entry.control.listen("127.0.0.1", 0);
+        entry.port = await findFreePort();
         const write = (text: string, fields = {}) => entry.lines.push({ text, fields });
         entry.gateway = await startGateway({
             id: `edge-${entry.port}`,
@@ -124,6 +122,9 @@
             clock,
             random: new SeededRandom(entry.port),
         });
+        // Listens after the gateway, whose port it could get otherwise.
+        entry.peerProxy = new TcpRelay("127.0.0.1", entry.port);
+        entry.peerAddress = `127.0.0.1:${await entry.peerProxy.listen()}`;
         return entry;
     }
 
@@ -177,7 +178,7 @@
 
     private async answer(method: string, params: unknown): Promise<WatchAnswer | undefined> {
         this.lastReport = method === DirectoryMethod.watch ? (params as WatchParams).entry : params as EntryReport;
-        const attachedReport = { ...this.lastReport, address: this.peerAddress };
+        const attachedReport = { ...this.lastReport, address: this.peerAddress ?? this.lastReport.address };
         this.system.attached.recordReport(attachedReport, clock.monotonicMs());
         if (method !== DirectoryMethod.watch) {
             return undefined;
@@ -187,7 +188,7 @@
             await new Promise(resolve => setTimeout(resolve, waitMs));
         }
         const { table } = this.system;
-        const describedEntry = { ...entry, address: this.peerAddress };
+        const describedEntry = { ...entry, address: this.peerAddress ?? entry.address };
         return {
             isLed: true,
             delta: version === 1
