Review case 8: add the path of a request that crashes after the head of its answer

With BEGINS_ANSWER=1 the instance sends the head of its answer before it crashes. The default of the case is unchanged.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -11,6 +11,8 @@
 const marker = "crash-row";
 /** Whether other callers upload their own files to the same path; not part of the rule, to find the cause. */
 const hasOthers = process.env.OTHERS !== "0";
+/** Whether the request crashes an instance only after that has begun to answer; another path to the same fault. */
+const beginsAnswer = process.env.BEGINS_ANSWER === "1";
 /** A kind of route and a size of a body; an upload is streamed whatever its size, others above 256 KiB. */
 const routeType = process.env.ROUTE_TYPE ?? "upload";
 const bodyBytes = Number(process.env.BODY_BYTES ?? 20_000);
@@ -34,7 +36,7 @@
                         // A sound operator starts a crashed instance again.
                         setTimeout(() => void startInstance(index, instance.port), downMs);
                     }
-                    return { workMs: isCrash ? 20 : 100, isCrash, text: "stored" };
+                    return { workMs: isCrash ? 20 : 100, isCrash, beginsAnswer, text: "stored" };
                 },
             }),
         );
--- a/review/lib-2/instance.mjs
+++ b/review/lib-2/instance.mjs
@@ -129,9 +129,16 @@
         };
         this.arrivals.push(arrival);
         const treatment = this.work({ incoming, attempt, body, instance: this });
-        const { workMs = 20, status = 200, text = "done", isCrash = false } = treatment;
+        const { workMs = 20, status = 200, text = "done", isCrash = false, beginsAnswer = false } = treatment;
         this.record.write(`${this.id} (${this.service}) runs ${attempt} ${incoming.method} ${incoming.url}`);
         if (isCrash) {
+            if (beginsAnswer) {
+                outgoing.writeHead(200, {
+                    "X-Figwharf-Attempt-Id": attempt,
+                    "X-Figwharf-Upstream-Signature": `${this.id}.${attempt}`,
+                });
+                outgoing.write("begin");
+            }
             await sleep(workMs);
             this.crash();
             return;
