Measure the bytes that wait for the peers of a control VM, and the routes sent

Three hypotheses fit: whole tables are sent for each change, calls are given up before the answer has passed the link, or answers that nobody reads stay in memory. Nothing told them apart.

Control VMs now log and measure the bytes that wait to be sent, by peer, connections that close before the peer has read everything, and whether routes went out as a whole table or as an update.

--- a/src/directory/daemon.ts
+++ b/src/directory/daemon.ts
@@ -140,6 +140,7 @@
             heartbeatIntervalMs,
             quotaBounds,
             self: { peerAddress, availabilityZone: options.availabilityZone },
+            readQueuedBytes: () => this.peerServer.queuedBytes,
         });
         this.formation = new GroupFormation({ host: this.host, links, logger, self: this.self, seeds, isFirstStart });
         this.peerServer = new ChannelServer(
@@ -147,6 +148,7 @@
             (method, params, from) => this.handleCall(method, params, from),
             peerSocketServer,
         );
+        this.peerServer.onUnreadAtClose = (peerId, unreadBytes) => this.service.recordUnread(peerId, unreadBytes);
     }
 
     start(): void {
--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -9,6 +9,7 @@
 import { defaultQuotaBounds, type QuotaBounds } from "../quotas/quotaBounds.js";
 import { QuotaCoordinator } from "../quotas/quotaCoordinator.js";
 import { SuspectExchange } from "../suspects/suspectExchange.js";
+import type { QueuedBytes } from "../transport/channel.js";
 import { AttachedEntries } from "./attachedEntries.js";
 import type {
     DirectoryChange,
@@ -46,6 +47,8 @@
 const forwardTimeoutMs = 2500;
 /** Longest wait for the leader's confirmation of a read, and then for this VM to reach the confirmed revision. */
 const readTimeoutMs = 900;
+/** Fewer bytes that wait to be sent are usual on slow links and are not logged. */
+const minLoggedQueuedBytes = 64 * 1024;
 /** An instance expires after this many heartbeat intervals in which no control VM received a heartbeat. */
 const maxMissedHeartbeats = 20;
 
@@ -77,6 +80,8 @@
     readonly self?: Pick<ControlNode, "peerAddress" | "availabilityZone">;
     /** Bounds of the quotas of organisations. */
     readonly quotaBounds?: QuotaBounds;
+    /** Bytes that wait to be sent to the peers of this VM. */
+    readonly readQueuedBytes?: () => QueuedBytes;
 }
 
 /** Handles requests to one control VM from operators, instances, entries and other control VMs. */
@@ -177,6 +182,8 @@
             evacuatedZones: () => this.state.evacuatedZones.length,
             limitedOrganisations: () => this.quotas.limitedCount,
             coldInstances: () => this.limits.cold.coldCount,
+            queuedBytes: () => this.options.readQueuedBytes?.().total ?? 0,
+            maxQueuedBytes: () => this.options.readQueuedBytes?.().max ?? 0,
         });
         this.entryListHistory = new EntryListHistory(options.clock.now().getTime());
         const { self, links, clock, logger } = options;
@@ -419,6 +426,26 @@
             void this.leaderReports.send([...this.unreportedHeartbeatIds]);
         }
         this.unreportedHeartbeatIds = new Set();
+        this.logQueuedBytes();
+    }
+
+    /** Records that a peer closed its connection before it had read everything. */
+    recordUnread(peerId: string, unreadBytes: number): void {
+        this.metrics.unreadConnections.inc();
+        if (unreadBytes >= minLoggedQueuedBytes) {
+            this.options.logger.info("a connection closed with unread bytes", { peer: peerId, unreadBytes });
+        }
+    }
+
+    private logQueuedBytes(): void {
+        const queued = this.options.readQueuedBytes?.();
+        if (queued !== undefined && queued.total >= minLoggedQueuedBytes) {
+            this.options.logger.info("bytes wait to be sent", {
+                totalBytes: queued.total,
+                maxBytes: queued.max,
+                maxPeer: queued.maxPeer,
+            });
+        }
     }
 
     private get state(): DirectoryState {
@@ -446,6 +473,9 @@
 
     private diffSince(version: number, canUpdate: boolean | undefined): DirectoryDelta {
         const delta = this.state.diffSince(version, canUpdate);
+        if (delta.table !== undefined || delta.tableUpdate !== undefined) {
+            this.metrics.routeAnswers.inc({ form: delta.table === undefined ? "update" : "table" });
+        }
         return {
             ...delta,
             registrations: delta.registrations.map(registration => this.limits.cold.adjust(registration)),
--- a/src/metrics/directoryMetrics.ts
+++ b/src/metrics/directoryMetrics.ts
@@ -17,6 +17,10 @@
     readonly evacuatedZones?: () => number;
     readonly limitedOrganisations: () => number;
     readonly coldInstances: () => number;
+    /** Bytes that wait to be sent to all peers of this VM. */
+    readonly queuedBytes?: () => number;
+    /** Those of the peer with the most. */
+    readonly maxQueuedBytes?: () => number;
 }
 
 /** Metrics of a control VM that serves the directory. */
@@ -41,6 +45,18 @@
         registers: [this.registry],
     });
 
+    readonly routeAnswers = new Counter({
+        name: "figwharf_route_answers_total",
+        help: "Answers to entries that carry routes, by whether they carry the whole table or an update",
+        labelNames: ["form"] as const,
+        registers: [this.registry],
+    });
+    readonly unreadConnections = new Counter({
+        name: "figwharf_unread_connections_total",
+        help: "Connections of peers that closed before they had read everything",
+        registers: [this.registry],
+    });
+
     constructor(gauges: DirectoryGauges) {
         this.addGauge("figwharf_control_is_leader", "1 while this VM leads", () => gauges.isLeader() ? 1 : 0);
         this.addGauge("figwharf_control_is_led", "1 while this VM hears the leader", () => gauges.isLed() ? 1 : 0);
@@ -84,6 +100,16 @@
             "Instances whose rate is limited by a warmup, as this VM knows them",
             gauges.coldInstances,
         );
+        this.addGauge(
+            "figwharf_channel_queued_bytes",
+            "Bytes that wait to be sent to other processes",
+            gauges.queuedBytes ?? (() => 0),
+        );
+        this.addGauge(
+            "figwharf_channel_queued_max_bytes",
+            "Bytes that wait to be sent to the process for which most wait",
+            gauges.maxQueuedBytes ?? (() => 0),
+        );
     }
 
     private addGauge(name: string, help: string, readValue: () => number): void {
--- a/src/transport/channel.test.ts
+++ b/src/transport/channel.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import net from "node:net";
 import { ChannelClient, ChannelServer, computeBackoffMs } from "./channel.js";
+import { TcpRelay } from "./relay.js";
 
 const secret = "test-secret";
 
@@ -115,3 +116,24 @@
         1200,
     ]);
 });
+
+test("guards against bytes that pile up unseen for a peer that reads slowly", async t => {
+    const unread: [string, number][] = [];
+    const server = new ChannelServer({ selfId: "server", secret }, () => Buffer.alloc(12 * 1024 * 1024));
+    server.onUnreadAtClose = (peerId, unreadBytes) => unread.push([peerId, unreadBytes]);
+    const relay = new TcpRelay("127.0.0.1", await server.listen("127.0.0.1", 0));
+    const client = new ChannelClient(`127.0.0.1:${await relay.listen()}`, { selfId: "client", secret });
+    await client.waitConnected(60_000);
+    t.deepEqual(server.queuedBytes, { total: 0, max: 0, maxPeer: "" });
+    relay.throttle(64 * 1024);
+    client.call("table", {}, 60_000).catch(() => undefined);
+    await waitUntil(() => server.queuedBytes.total > 1024 * 1024);
+    t.is(server.queuedBytes.maxPeer, "client");
+    t.is(server.queuedBytes.max, server.queuedBytes.total);
+    client.close();
+    await waitUntil(() => unread.length > 0);
+    t.is(unread[0]?.[0], "client");
+    t.true(unread[0][1] > 1024 * 1024);
+    await server.close();
+    await relay.close();
+});
--- a/src/transport/channel.ts
+++ b/src/transport/channel.ts
@@ -65,6 +65,8 @@
     private readonly server = new JSONRPCServer<string>({ errorListener: () => undefined });
     private readonly client: JSONRPCClient;
     private outgoing: Buffer[] = [];
+    /** Size of the frames that the operating system has not taken completely. */
+    private unsentBytes = 0;
 
     constructor(
         readonly socket: net.Socket,
@@ -103,6 +105,11 @@
         this.client.notify(method, params as never);
     }
 
+    /** Size of the frames that wait to be sent; after the end of the connection, of those that were not sent. */
+    get queuedBytes(): number {
+        return this.unsentBytes;
+    }
+
     private send(message: unknown): void {
         if (this.socket.destroyed) {
             throw new ChannelError("channel-closed", { peer: this.peerId });
@@ -111,7 +118,9 @@
             setImmediate(() => this.flush());
         }
         this.lastSentAtMs = performance.now();
-        this.outgoing.push(encodeFrame(message));
+        const frame = encodeFrame(message);
+        this.outgoing.push(frame);
+        this.unsentBytes += frame.length;
     }
 
     /** Writes all frames queued in one turn of the event loop with a single call. */
@@ -119,7 +128,9 @@
         const frames = this.outgoing;
         this.outgoing = [];
         if (!this.socket.destroyed) {
-            this.socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames));
+            const bytes = frames.length === 1 ? frames[0] : Buffer.concat(frames);
+            // A write that the end of the connection has interrupted completes without an error.
+            this.socket.write(bytes, error => this.unsentBytes -= error || this.socket.destroyed ? 0 : bytes.length);
         }
     }
 
@@ -209,18 +220,27 @@
     }
 }
 
+/** Bytes that wait to be sent to the peers of a channel server. */
+export interface QueuedBytes {
+    readonly total: number;
+    /** Those of the peer with the most. */
+    readonly max: number;
+    /** Id of that peer; empty if none wait. */
+    readonly maxPeer: string;
+}
+
 /** Server side of a channel: accepts connections from other processes. */
 export class ChannelServer {
     /** Connections closed because the peer failed to authenticate. */
     authenticationFailureCount = 0;
-    private readonly sockets = new Set<net.Socket>();
+    /** Called when a connection has closed before the peer had read everything. */
+    onUnreadAtClose: (peerId: string, unreadBytes: number) => void = () => undefined;
+    private readonly connections = new Set<Connection>();
 
     /** `server` may listen already, as long as it has not accepted a connection. */
     constructor(options: ChannelOptions, handler: CallHandler, private readonly server = net.createServer()) {
         this.server.on("connection", socket => {
-            this.sockets.add(socket);
-            socket.on("close", () => this.sockets.delete(socket));
-            new Connection(
+            const connection = new Connection(
                 socket,
                 ChannelRole.acceptor,
                 options,
@@ -228,9 +248,25 @@
                 () => undefined,
                 () => this.authenticationFailureCount++,
             );
+            this.connections.add(connection);
+            socket.on("close", () => this.onConnectionClosed(connection));
         });
     }
 
+    /** Returns the bytes that wait to be sent. */
+    get queuedBytes(): QueuedBytes {
+        let queued: QueuedBytes = { total: 0, max: 0, maxPeer: "" };
+        for (const { queuedBytes, peerId } of this.connections) {
+            const isMax = queuedBytes > queued.max;
+            queued = {
+                total: queued.total + queuedBytes,
+                max: isMax ? queuedBytes : queued.max,
+                maxPeer: isMax ? peerId : queued.maxPeer,
+            };
+        }
+        return queued;
+    }
+
     /** Starts listening and resolves with the port. Rejects when the address cannot be bound. */
     listen(host: string, port: number): Promise<number> {
         return listenOn(this.server, { host, port });
@@ -238,9 +274,16 @@
 
     async close(): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        this.sockets.forEach(socket => socket.destroy());
+        this.connections.forEach(({ socket }) => socket.destroy());
         await closed;
     }
+
+    private onConnectionClosed(connection: Connection): void {
+        this.connections.delete(connection);
+        if (connection.queuedBytes > 0) {
+            this.onUnreadAtClose(connection.peerId, connection.queuedBytes);
+        }
+    }
 }
 
 /** Client side of a channel to one other process; reconnects automatically. It is connected once authenticated. */
--- a/src/transport/relay.ts
+++ b/src/transport/relay.ts
@@ -1,5 +1,7 @@
 import net from "node:net";
 
+const msPerSecond = 1000;
+
 /** Direction in which a relay silently discards bytes. */
 export const BlackholeDirection = {
     none: "none",
@@ -25,6 +27,7 @@
     private readonly relayedConnections = new Set<RelayedConnection>();
     private isCut = false;
     private delayMs = 0;
+    private bytesPerSecond = Infinity;
     private newConnectionBlackhole: BlackholeDirection = BlackholeDirection.none;
 
     constructor(private readonly targetHost: string, private targetPort: number) {
@@ -71,10 +74,16 @@
         this.delayMs = durationMs;
     }
 
-    /** Ends `cut`, `delay` and the discarding of bytes on new connections. */
+    /** Limits the rate of each connection in each direction; Infinity ends the limit. */
+    throttle(bytesPerSecond: number): void {
+        this.bytesPerSecond = bytesPerSecond;
+    }
+
+    /** Ends `cut`, `delay`, `throttle` and the discarding of bytes on new connections. */
     restore(): void {
         this.isCut = false;
         this.delayMs = 0;
+        this.bytesPerSecond = Infinity;
         this.newConnectionBlackhole = BlackholeDirection.none;
     }
 
@@ -127,7 +136,15 @@
 
     private write(from: net.Socket, to: net.Socket, chunk: Buffer): void {
         this.forwardedBytes += chunk.length;
-        if (!to.destroyed && !to.write(chunk)) {
+        if (to.destroyed) {
+            return;
+        }
+        const isFull = !to.write(chunk);
+        if (Number.isFinite(this.bytesPerSecond)) {
+            from.pause();
+            setTimeout(() => from.resume(), chunk.length / this.bytesPerSecond * msPerSecond);
+        }
+        else if (isFull) {
             from.pause();
             to.once("drain", () => from.resume());
         }
