Bound the log of a control VM in bytes, and keep its records encoded

Cause: the log was bounded by a count of 1024 records, and held them decoded. A start decodes the same log again.

Records stay encoded until they are applied or sent, so that a log that an earlier version has left loads as well: a test gives 40 MB of heap to a log of 50 MB. The stored form and the messages are unchanged; the limits bind only this process. A leader that cannot commit refuses further changes, which callers may send again.

--- a/src/control/leader.ts
+++ b/src/control/leader.ts
@@ -25,6 +25,8 @@
 interface Progress {
     matchIndex: number;
     nextIndex: number;
+    /** Index after which records have been sent since the last mismatch; those up to `matchIndex` are acknowledged. */
+    sentAfterIndex: number;
     lastContactAtMs: number;
     snapshot: { readonly source: Snapshot; offset: number; sentAtMs: number; } | undefined;
     /** Times of the member's answers that no quorum round has confirmed yet, one for each round. */
@@ -100,6 +102,10 @@
         if (command.kind === "members" && !this.canChangeMembers(command.members)) {
             return false;
         }
+        const { log, commitIndex, limits } = this.state;
+        if (command.kind === "change" && log.sizeBetween(commitIndex, log.lastIndex) >= limits.maxUncommittedBytes) {
+            return false;
+        }
         this.proposals.set(this.state.appendCommand(command), requestId);
         this.broadcast();
         this.advance();
@@ -148,6 +154,7 @@
                 progress.matchIndex + 1,
                 Math.min(progress.nextIndex - 1, answer.matchIndex + 1),
             );
+            progress.sentAfterIndex = progress.nextIndex - 1;
         }
         this.advance();
         if (isNewAnswer && progress.nextIndex <= this.state.log.lastIndex) {
@@ -217,6 +224,7 @@
             {
                 matchIndex: 0,
                 nextIndex,
+                sentAfterIndex: nextIndex - 1,
                 lastContactAtMs: this.nowMs,
                 snapshot: undefined,
                 unconfirmed: [],
@@ -252,7 +260,9 @@
             this.continueSnapshot(id, progress);
             return;
         }
-        const isWindowFull = progress.nextIndex - progress.matchIndex > maxUnacknowledgedRecords;
+        const acknowledgedIndex = Math.max(progress.matchIndex, progress.sentAfterIndex);
+        const isWindowFull = progress.nextIndex - acknowledgedIndex > maxUnacknowledgedRecords ||
+            log.sizeBetween(acknowledgedIndex, progress.nextIndex - 1) >= limits.maxUnacknowledgedBytes;
         const limit = isWindowFull ? 0 : limits.maxRecordsPerMessage;
         const records = log.sliceMessage(progress.nextIndex, limit, limits.maxMessageBytes);
         const previousIndex = progress.nextIndex - 1;
@@ -324,11 +334,11 @@
         }
     }
 
-    private answerProposal({ record, result }: AppliedRecord): void {
-        const requestId = this.proposals.get(record.index);
+    private answerProposal({ index, result }: AppliedRecord): void {
+        const requestId = this.proposals.get(index);
         if (requestId !== undefined) {
-            this.proposals.delete(record.index);
-            this.state.emit({ kind: "answer", requestId, answer: { kind: "applied", index: record.index, result } });
+            this.proposals.delete(index);
+            this.state.emit({ kind: "answer", requestId, answer: { kind: "applied", index, result } });
         }
     }
 
--- a/src/control/replicaState.ts
+++ b/src/control/replicaState.ts
@@ -31,8 +31,16 @@
     readonly quorumLossMs: number;
     /** A snapshot is made once this many records were committed after the previous one. */
     readonly compactAfterRecords: number;
-    /** Records retained up to a snapshot's index, so that slightly lagging followers need no snapshot. */
+    /** A snapshot is also made once the records that were committed after the previous one have this size. */
+    readonly compactAfterBytes: number;
+    /** Maximum number of records retained up to a snapshot's index, so that slightly lagging followers need no snapshot. */
     readonly keepRecords: number;
+    /** Maximum size of these records. */
+    readonly keepBytes: number;
+    /** A leader refuses further changes while the records that are not committed have this size. */
+    readonly maxUncommittedBytes: number;
+    /** A leader sends a member no further records while those that the member has not acknowledged have this size. */
+    readonly maxUnacknowledgedBytes: number;
     readonly maxRecordsPerMessage: number;
     /**
      * Maximum size of the records in a message; a larger record is sent alone. Must be below the frame limit of the
@@ -53,7 +61,11 @@
     maxCandidacyMs: 1400,
     quorumLossMs: 1200,
     compactAfterRecords: 1024,
+    compactAfterBytes: 4 * 1024 * 1024,
     keepRecords: 256,
+    keepBytes: 2 * 1024 * 1024,
+    maxUncommittedBytes: 16 * 1024 * 1024,
+    maxUnacknowledgedBytes: 4 * 1024 * 1024,
     maxRecordsPerMessage: 64,
     maxMessageBytes: 2 * 1024 * 1024,
     snapshotChunkBytes: 256 * 1024,
@@ -61,7 +73,7 @@
 
 /**
  * During a snapshot transfer, the records after that snapshot are retained, but at most this many times
- * `compactAfterRecords`. After a longer transfer, the member needs a newer snapshot.
+ * `compactAfterRecords` and `compactAfterBytes`. After a longer transfer, the member needs a newer snapshot.
  */
 const transferRetentionFactor = 8;
 
@@ -72,9 +84,9 @@
     readonly members: GroupMembers;
 }
 
-/** A committed record with the result of its change. */
+/** The index of a committed record with the result of its change. */
 export interface AppliedRecord {
-    readonly record: LogRecord;
+    readonly index: number;
     readonly result: unknown;
 }
 
@@ -191,9 +203,9 @@
             }
             const { command } = record;
             const result = command.kind === "change" ? this.machine.apply(command.change) : undefined;
-            applied.push({ record, result });
+            applied.push({ index: this.commitIndex, result });
         }
-        if (this.commitIndex - (this.snapshot?.index ?? 0) >= this.limits.compactAfterRecords) {
+        if (this.isSnapshotDue()) {
             this.compact();
         }
         return applied;
@@ -229,6 +241,13 @@
         return true;
     }
 
+    private isSnapshotDue(): boolean {
+        const { compactAfterRecords, compactAfterBytes } = this.limits;
+        const snapshotIndex = this.snapshot?.index ?? 0;
+        return this.commitIndex - snapshotIndex >= compactAfterRecords ||
+            this.log.sizeBetween(snapshotIndex, this.commitIndex) >= compactAfterBytes;
+    }
+
     private compact(): void {
         const index = this.commitIndex;
         const committedLists = this.memberHistory.filter(memberList => memberList.index <= index);
@@ -238,17 +257,26 @@
             return;
         }
         this.snapshot = { index, term, members, state: this.machine.toBytes() };
-        const { keepRecords, compactAfterRecords } = this.limits;
-        const retainedAfterIndex = Math.max(
-            this.oldestSnapshotTransferIndex,
-            index - transferRetentionFactor * compactAfterRecords,
-        );
-        this.log.dropUpTo(Math.max(this.log.base, Math.min(index - keepRecords, retainedAfterIndex)));
+        this.log.dropUpTo(this.findLastDroppable(index));
         this.memberHistory = this.memberHistory.slice(committedLists.length - 1);
         const records = this.log.slice(this.log.base + 1);
         this.emit({ kind: "save-snapshot", snapshot: this.snapshot, records });
     }
 
+    /** Returns the index up to which records are dropped after a snapshot. */
+    private findLastDroppable(snapshotIndex: number): number {
+        const { keepRecords, keepBytes, compactAfterRecords, compactAfterBytes } = this.limits;
+        const transferStart = Math.max(
+            this.oldestSnapshotTransferIndex,
+            this.log.findTailStart(
+                snapshotIndex,
+                transferRetentionFactor * compactAfterRecords,
+                transferRetentionFactor * compactAfterBytes,
+            ),
+        );
+        return Math.min(this.log.findTailStart(snapshotIndex, keepRecords, keepBytes), transferStart);
+    }
+
     private addToMemberHistory(records: readonly LogRecord[]): void {
         for (const { index, command } of records) {
             if (command.kind === "members") {
--- a/src/storage/controlStore.ts
+++ b/src/storage/controlStore.ts
@@ -1,4 +1,5 @@
 import { Packr } from "msgpackr";
+import { EncodedRecord } from "../control/encodedRecord.js";
 import type { LogRecord, PersistedState, Snapshot } from "../control/messages.js";
 import { StorageError } from "../core/errors.js";
 import type { ControlVmId } from "../core/ids.js";
@@ -103,9 +104,10 @@
             this.disk.truncate(logFile, validBytes);
         }
         const records: LogRecord[] = [];
-        payloads.flatMap(payload => packr.unpack(payload) as LogRecord[]).forEach(logRecord =>
-            appendRecord(records, logRecord)
-        );
+        for (const payload of payloads) {
+            // The decoded records of a whole log may not fit into the memory.
+            (packr.unpack(payload) as LogRecord[]).forEach(record => appendRecord(records, EncodedRecord.from(record)));
+        }
         return records;
     }
 }
