Refuse routes that the control VMs cannot hold, before they are acknowledged

Callers would see: a configuration beyond what a process can hold is acknowledged or never gets a clear answer, and ends control VMs. The platform's calls took bodies of 32 MB, eight at a time, into a heap of 180 MB; a message between processes holds 16 MB, so that a larger change failed at the leader without an answer; and 16 earlier tables were kept whatever their size.

Cause: as for the log, limits by count or none at all where one item may be large.

A leader refuses a change whose resulting table takes more than 4 MiB encoded, and names size and limit; a resend of a change that an earlier version has accepted is still acknowledged. The decision is the leader's alone, so that replicas of both versions apply each record alike. Earlier tables are kept as bases of updates up to 8 MiB.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -11,12 +11,13 @@
 import { SuspectExchange } from "../suspects/suspectExchange.js";
 import type { QueuedBytes } from "../transport/channel.js";
 import { AttachedEntries } from "./attachedEntries.js";
-import type {
-    DirectoryChange,
-    DirectoryDelta,
-    DirectoryResult,
-    DirectoryState,
-    RouteChange,
+import {
+    type DirectoryChange,
+    type DirectoryDelta,
+    type DirectoryResult,
+    type DirectoryState,
+    type RouteChange,
+    RouteOutcome,
 } from "./directoryState.js";
 import { EntryCounts } from "./entryCounts.js";
 import { EntryListExchange } from "./entryListExchange.js";
@@ -42,6 +43,7 @@
 import { RelayPeers } from "./relayPeers.js";
 import { resolveUpdate } from "./repeatedHosts.js";
 import { digestRouteTable, digestToNumber } from "./routeDigest.js";
+import { findSizeProblem } from "./tableSize.js";
 
 /** Timeout of a change forwarded to the leader; instances and operators resend to another VM after about a second. */
 const forwardTimeoutMs = 2500;
@@ -525,7 +527,7 @@
         }
     }
 
-    /** Proposes a change as the leader. */
+    /** Proposes a change as the leader, or refuses routes that the control VMs cannot hold. */
     private async propose(change: DirectoryChange): Promise<ForwardedOutcome> {
         const { log } = this.options;
         if (change.kind !== "routes") {
@@ -535,6 +537,10 @@
             // The base of an update can be a table that is not committed yet.
             await this.lastRouteProposal;
         }
+        const detail = findSizeProblem(this.state.routes, change);
+        if (detail !== undefined && !this.state.wasAccepted(change)) {
+            return { kind: "applied", result: { outcome: RouteOutcome.invalid, detail } };
+        }
         const proposal = log.propose(resolveUpdate(this.state.routes, change));
         this.lastRouteProposal = proposal;
         return proposal;
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -16,6 +16,7 @@
 import { RegistrationTable } from "./registrations.js";
 import { hasRepeatedHost, keepLastEntries } from "./repeatedHosts.js";
 import { digestRouteChange } from "./routeChangeDigest.js";
+import { measureTable } from "./tableSize.js";
 import { updateRoutes } from "./updateRoutes.js";
 import { findRouteProblem } from "./validateRoutes.js";
 
@@ -29,6 +30,8 @@
 const maxAuditRecords = 2000;
 /** Maximum number of route tables kept as bases of updates; a watcher with an older table gets the whole table. */
 const maxRecentTables = 16;
+/** Maximum size of these tables together; the latest one is always kept. */
+const maxRecentTableBytes = 8 * 1024 * 1024;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: false });
 
@@ -116,6 +119,12 @@
     readonly update: RouteUpdate;
 }
 
+interface RecentTable {
+    readonly atRevision: number;
+    readonly table: RouteTable;
+    readonly sizeBytes: number;
+}
+
 interface StateSnapshot {
     /** Revision of the state. */
     readonly version: number;
@@ -145,7 +154,7 @@
     private evacuationChangedAtRevision = -1;
     private tableChangedAtRevision = 0;
     /** Latest route tables with the revisions at which they were installed, oldest first. */
-    private recentTables: { readonly atRevision: number; readonly table: RouteTable; }[] = [];
+    private recentTables: RecentTable[] = [];
     /** Updates from earlier route tables to the current one, by the revision at which the earlier one was installed. */
     private readonly cachedTableUpdates = new Map<number, TableUpdate>();
     /** The current route table as entries get it; undefined until it is asked for. */
@@ -271,7 +280,8 @@
         this.evacuations.restore(snapshot.evacuatedZones);
         this.evacuationChangedAtRevision = this.evacuatedZones.length > 0 ? this.stateRevision : -1;
         this.tableChangedAtRevision = this.stateRevision;
-        this.recentTables = [{ atRevision: this.stateRevision, table: this.table }];
+        this.recentTables = [];
+        this.addRecentTable(this.table);
         this.cachedTableUpdates.clear();
         this.cachedEntryTable = undefined;
         this.nodesChangedAtRevision = this.stateRevision;
@@ -281,6 +291,11 @@
         this.onChange();
     }
 
+    /** Returns whether a route change is a resend of an accepted one. */
+    wasAccepted(change: RouteChange): boolean {
+        return this.acceptedDigests.has(digestRouteChange(change));
+    }
+
     private changeRoutes(change: RouteChange): DirectoryResult {
         const digest = digestRouteChange(change);
         if (this.acceptedDigests.has(digest)) {
@@ -333,14 +348,22 @@
         }
         this.table = newTable;
         this.tableChangedAtRevision = this.incrementRevision();
-        this.recentTables = [...this.recentTables, { atRevision: this.stateRevision, table: newTable }].slice(
-            -maxRecentTables,
-        );
+        this.addRecentTable(newTable);
         this.cachedTableUpdates.clear();
         this.cachedEntryTable = undefined;
         return accepted;
     }
 
+    private addRecentTable(table: RouteTable): void {
+        const installed = { atRevision: this.stateRevision, table, sizeBytes: measureTable(table) };
+        this.recentTables = [...this.recentTables, installed].slice(-maxRecentTables);
+        let totalBytes = this.recentTables.reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
+        while (totalBytes > maxRecentTableBytes && this.recentTables.length > 1) {
+            totalBytes -= this.recentTables[0].sizeBytes;
+            this.recentTables = this.recentTables.slice(1);
+        }
+    }
+
     private findTableUpdate(heldRevision: number): TableUpdate | undefined {
         const base = this.recentTables.findLast(installed => installed.atRevision <= heldRevision);
         // Entries of earlier versions drop routes when they update a table with repeated hosts.
