Queue no more than one large answer for a peer, and wait for an answer that is arriving

Cause: two bounds that did not know the size of an answer. An entry gave a watch call up 0.5 s after its wait, though the answer of 239,270 bytes takes 0.9 s on its link of 2.1 Mbit/s, and asked again on the same connection and at all other control VMs.

Why this works: a call does not time out while parts of a message arrive with pauses below 0.5 s, so that an answer is read however large it is. An answer is encoded once the peer has read the ones before, and not at all if its caller has given up; calls carry their timeout for that. Callers of earlier versions send none, and their calls are kept. What is sent to a peer that does not read at all is bounded as well: notifications are dropped and calls fail beyond 8 MiB. The search for a control VM waits for an answer that it has asked for, instead of asking again in each round. Frames are joined once, when they are complete.

The same cause on related paths: all calls and notifications between processes use the channel, so those of followers, learners and entry lists are bounded alike.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -4,6 +4,7 @@
     "document-invalid": "{field}: expected {expected}, got {actual}",
     "file-missing": "{file}: the file does not exist or cannot be read",
     "channel-closed": "the connection to {peer} closed before the answer arrived",
+    "channel-full": "{peer} has not read {unsentBytes} bytes",
     "channel-timeout": "{peer} did not answer {method} within {timeoutMs} ms",
     "channel-unauthenticated": "{peer} did not prove knowledge of the cluster secret",
     "problems-found": "{count} problems found",
--- a/src/gateway/controlVmSearch.ts
+++ b/src/gateway/controlVmSearch.ts
@@ -28,8 +28,8 @@
  */
 export class ControlVmSearch<Client extends SearchClient, Answer> {
     private readonly clients = new Map<string, Client>();
-    /** Control VMs that were asked and have not answered. */
-    private readonly pendingClients = new Set<Client>();
+    /** Control VMs that were asked and have not answered; a later round waits for the same answer. */
+    private readonly pendingAnswers = new Map<Client, Promise<Answer | undefined>>();
 
     /** `current` is an open connection that the search takes over. */
     constructor(private readonly options: ControlVmSearchOptions<Client, Answer>, current?: Client) {
@@ -59,9 +59,7 @@
                 const client = this.getClient(candidates[askedCount]);
                 askedCount++;
                 timer = setTimeout(askNext, staggerMs);
-                this.pendingClients.add(client);
-                void this.options.ask(client).then(answer => {
-                    this.pendingClients.delete(client);
+                void this.ask(client).then(answer => {
                     answeredCount++;
                     if (isSettled) {
                         return;
@@ -84,7 +82,7 @@
     /** Returns the addresses of control VMs that were asked and give no answer at the moment. */
     listSilent(): readonly string[] {
         return [...this.clients.values()]
-            .filter(client => this.pendingClients.has(client) || !client.isConnected())
+            .filter(client => this.pendingAnswers.has(client) || !client.isConnected())
             .map(client => client.address);
     }
 
@@ -94,6 +92,13 @@
         this.clients.clear();
     }
 
+    private ask(client: Client): Promise<Answer | undefined> {
+        const pendingAnswer = this.pendingAnswers.get(client) ??
+            this.options.ask(client).finally(() => this.pendingAnswers.delete(client));
+        this.pendingAnswers.set(client, pendingAnswer);
+        return pendingAnswer;
+    }
+
     private getClient(address: string): Client {
         const client = this.clients.get(address) ?? this.options.connect(address);
         this.clients.set(address, client);
--- a/src/transport/channel.test.ts
+++ b/src/transport/channel.test.ts
@@ -137,3 +137,69 @@
     await server.close();
     await relay.close();
 });
+
+const mebibyte = 1024 * 1024;
+
+/** Opens a client that reaches a server over a relay; `answerBytes` is the size of each answer. */
+async function openOverRelay(answerBytes: number) {
+    const handled: unknown[] = [];
+    const server = new ChannelServer({ selfId: "server", secret }, (_method, params) => {
+        handled.push(params);
+        return Buffer.alloc(answerBytes);
+    });
+    const relay = new TcpRelay("127.0.0.1", await server.listen("127.0.0.1", 0));
+    const client = new ChannelClient(`127.0.0.1:${await relay.listen()}`, { selfId: "client", secret });
+    await client.waitConnected(60_000);
+    const close = async () => {
+        client.close();
+        await relay.close();
+        await server.close();
+    };
+    return { server, relay, client, handled, close };
+}
+
+test("guards against a call that is given up while its answer arrives over a slow link", async t => {
+    const { relay, client, close } = await openOverRelay(mebibyte);
+    relay.throttle(mebibyte);
+    t.is((await client.call("table", {}, 200) as Buffer).length, mebibyte);
+    await close();
+});
+
+test("guards against answers that pile up for a peer that asks again before it has read them", async t => {
+    const { server, relay, client, handled, close } = await openOverRelay(8 * mebibyte);
+    relay.throttle(256 * 1024);
+    const calls = Array.from({ length: 20 }, (_value, index) => client.call("table", { index }, 300));
+    const allSettled = Promise.allSettled(calls);
+    let maxQueuedBytes = 0;
+    for (let check = 0; check < 50; check++) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+        maxQueuedBytes = Math.max(maxQueuedBytes, server.queuedBytes.max);
+    }
+    t.true(maxQueuedBytes > 0);
+    t.true(maxQueuedBytes <= 9 * mebibyte, `${maxQueuedBytes} bytes`);
+    relay.restore();
+    const ends = await allSettled;
+    t.is(ends[0].status, "fulfilled", "its answer was arriving all the time");
+    const answeredCount = ends.filter(({ status }) => status === "fulfilled").length;
+    t.true(answeredCount < 5, `${answeredCount} calls were answered, though their callers no longer waited`);
+    client.call("table", {}, 300).catch(() => undefined);
+    await waitUntil(() => handled.length > 20);
+    t.is(handled.length, 21, "later calls are handled");
+    await close();
+});
+
+test("guards against messages that pile up for a peer that does not read them", async t => {
+    const { relay, client, close } = await openOverRelay(0);
+    relay.throttle(1024);
+    const params = { bytes: Buffer.alloc(mebibyte) };
+    let refusal: unknown;
+    for (let count = 0; count < 200 && refusal === undefined; count++) {
+        client.notify("note", params);
+        await Promise.race([
+            client.call("echo", params, 60_000).catch((error: unknown) => refusal = error),
+            new Promise(resolve => setImmediate(resolve)),
+        ]);
+    }
+    t.regex((refusal as Error | undefined)?.message ?? "", /has not read \d+ bytes/);
+    await close();
+});
--- a/src/transport/channel.ts
+++ b/src/transport/channel.ts
@@ -1,8 +1,16 @@
-import { JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
+import {
+    createJSONRPCRequest,
+    JSONRPCClient,
+    JSONRPCErrorException,
+    type JSONRPCRequest,
+    type JSONRPCResponse,
+    JSONRPCServer,
+} from "json-rpc-2.0";
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import net from "node:net";
 import { ChannelError } from "../core/errors.js";
 import { encodeFrame, FrameDecoder, maxFrameBytes } from "./framing.js";
+import { HeldWork } from "./heldWork.js";
 import { listenOn } from "./listen.js";
 
 const pingIntervalMs = 500;
@@ -21,6 +29,13 @@
 const maxDoublings = 10;
 const maxHandshakeBytes = 4096;
 const nonceBytes = 16;
+/** While more than this is not sent, answers wait before they are encoded, so that at most one large one is queued. */
+const maxUnsentBytesBeforeAnswer = 64 * 1024;
+/** While more than this is not sent, nothing else is queued. */
+const maxUnsentBytes = 8 * 1024 * 1024;
+/** A call does not time out while parts of a message arrive with shorter pauses. */
+const maxReceivePauseMs = 500;
+const receiveCheckIntervalMs = 50;
 
 /** Handles a call from another process and returns the result. `from` is the authenticated id of that process. */
 export type CallHandler = (method: string, params: unknown, from: string) => Promise<unknown> | unknown;
@@ -43,6 +58,12 @@
     readonly proof: Buffer;
 }
 
+/** A call; callers of earlier versions name no timeout. */
+interface TimedRequest extends JSONRPCRequest {
+    /** Time after which the caller no longer waits. */
+    readonly timeoutMs?: number;
+}
+
 /**
  * Returns the HMAC with which `prover` proves that it knows the secret. It covers the role, so that a proof cannot be
  * reflected to its prover. The acceptor sends its proof only after verifying that of the initiator, so that an
@@ -67,6 +88,8 @@
     private outgoing: Buffer[] = [];
     /** Size of the frames that the operating system has not taken completely. */
     private unsentBytes = 0;
+    private readonly heldWork = new HeldWork();
+    private nextCallId = 1;
 
     constructor(
         readonly socket: net.Socket,
@@ -90,19 +113,54 @@
         this.send({ hello: options.selfId, nonce: this.nonce } satisfies Hello);
     }
 
-    call(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
-        const createTimeoutError = () => new ChannelError("channel-timeout", { peer: this.peerId, method, timeoutMs });
-        return Promise.resolve(
-            this.client.timeout(
-                timeoutMs,
-                id => ({ jsonrpc: "2.0", id, error: { code: 0, message: createTimeoutError().message } }),
-            )
-                .request(method, params as never),
-        );
+    async call(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+        this.checkCapacity();
+        const id = this.nextCallId++;
+        const request = { ...createJSONRPCRequest(id, method, params as never), timeoutMs } satisfies TimedRequest;
+        const timer = this.startCallTimer(timeoutMs, () => {
+            const { message } = new ChannelError("channel-timeout", { peer: this.peerId, method, timeoutMs });
+            this.client.receive({ jsonrpc: "2.0", id, error: { code: 0, message } });
+        });
+        try {
+            const { error, result } = await this.client.requestAdvanced(request);
+            if (error) {
+                throw new JSONRPCErrorException(error.message, error.code, error.data);
+            }
+            return result;
+        }
+        finally {
+            timer.stop();
+        }
     }
 
+    /** Calls `onTimeout` after `timeoutMs`, or later once no message is arriving, since that can be the answer. */
+    private startCallTimer(timeoutMs: number, onTimeout: () => void): { stop(): void; } {
+        const check = () => {
+            const isReceiving = this.decoder.hasPartialFrame &&
+                performance.now() - this.lastReceivedAtMs < maxReceivePauseMs;
+            if (isReceiving) {
+                timer = setTimeout(check, receiveCheckIntervalMs);
+            }
+            else {
+                onTimeout();
+            }
+        };
+        let timer = setTimeout(check, timeoutMs);
+        return { stop: () => clearTimeout(timer) };
+    }
+
+    /** Throws ChannelError while the peer does not read. */
+    private checkCapacity(): void {
+        if (this.unsentBytes > maxUnsentBytes) {
+            throw new ChannelError("channel-full", { peer: this.peerId, unsentBytes: this.unsentBytes });
+        }
+    }
+
+    /** Sends a notification; it is dropped while the peer does not read. */
     notify(method: string, params: unknown): void {
-        this.client.notify(method, params as never);
+        if (this.unsentBytes <= maxUnsentBytes) {
+            this.client.notify(method, params as never);
+        }
     }
 
     /** Size of the frames that wait to be sent; after the end of the connection, of those that were not sent. */
@@ -130,7 +188,36 @@
         if (!this.socket.destroyed) {
             const bytes = frames.length === 1 ? frames[0] : Buffer.concat(frames);
             // A write that the end of the connection has interrupted completes without an error.
-            this.socket.write(bytes, error => this.unsentBytes -= error || this.socket.destroyed ? 0 : bytes.length);
+            this.socket.write(bytes, error => {
+                if (!error && !this.socket.destroyed) {
+                    this.unsentBytes -= bytes.length;
+                    this.runHeldWork();
+                }
+            });
+        }
+    }
+
+    private get hasUnsent(): boolean {
+        return this.unsentBytes > maxUnsentBytesBeforeAnswer;
+    }
+
+    /** Runs an action once the peer has read earlier answers, unless its caller has given up by then. */
+    private runOnceRead(action: () => void, timeoutMs: number | undefined): void {
+        if (this.hasUnsent) {
+            this.heldWork.add(action, timeoutMs, performance.now());
+        }
+        else {
+            action();
+        }
+    }
+
+    private runHeldWork(): void {
+        while (!this.hasUnsent && !this.socket.destroyed) {
+            const action = this.heldWork.takeNext(performance.now());
+            if (action === undefined) {
+                break;
+            }
+            action();
         }
     }
 
@@ -151,18 +238,38 @@
             this.handleHandshake(message);
         }
         else if ("method" in message) {
-            const responsePromise = this.server.receive(message as unknown as JSONRPCRequest, this.peerId);
-            const isCall = message.id !== undefined;
-            responsePromise.then(answer => isCall && answer && this.send(answer), () => undefined).then(
-                undefined,
-                () => this.socket.destroy(),
-            );
+            const request = message as unknown as TimedRequest;
+            if (request.id === undefined) {
+                this.answer(request);
+            }
+            else {
+                this.runOnceRead(() => this.answer(request), request.timeoutMs);
+            }
         }
         else if ("jsonrpc" in message) {
             this.client.receive(message as unknown as JSONRPCResponse);
         }
     }
 
+    /** Handles a call or notification, and sends the answer of a call. */
+    private answer(request: TimedRequest): void {
+        const isCall = request.id !== undefined;
+        this.server.receive(request, this.peerId).then(answer => {
+            if (isCall && answer) {
+                this.runOnceRead(() => this.sendAnswer(answer), request.timeoutMs);
+            }
+        }, () => undefined);
+    }
+
+    private sendAnswer(answer: JSONRPCResponse): void {
+        try {
+            this.send(answer);
+        }
+        catch {
+            this.socket.destroy();
+        }
+    }
+
     private handleHandshake(message: Record<string, unknown>): void {
         if (typeof message.hello === "string" && message.nonce instanceof Uint8Array && this.peerId === "") {
             this.peerId = message.hello;
--- a/src/transport/framing.ts
+++ b/src/transport/framing.ts
@@ -22,10 +22,19 @@
 
 /** Decodes length-prefixed frames from a byte stream. */
 export class FrameDecoder {
-    private pending: Buffer = Buffer.alloc(0);
+    /** Received bytes of the first incomplete frame, not joined until it is complete. */
+    private chunks: Buffer[] = [];
+    private receivedBytes = 0;
+    /** Bytes needed before the next step: those of the length, or of the whole frame. */
+    private neededBytes = lengthBytes;
 
     constructor(private limitBytes = maxFrameBytes) {}
 
+    /** Whether a part of a frame has arrived and the rest has not. */
+    get hasPartialFrame(): boolean {
+        return this.receivedBytes > 0;
+    }
+
     /** Changes the limit; it is raised once the peer is authenticated. */
     setLimitBytes(limitBytes: number): void {
         this.limitBytes = limitBytes;
@@ -33,22 +42,30 @@
 
     /** Appends a chunk and returns the messages now complete. Throws ChannelError when a frame is too large. */
     push(chunk: Buffer): unknown[] {
-        this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+        this.chunks.push(chunk);
+        this.receivedBytes += chunk.length;
+        if (this.receivedBytes < this.neededBytes) {
+            return [];
+        }
         const messages: unknown[] = [];
+        const bytes = this.chunks.length === 1 ? chunk : Buffer.concat(this.chunks);
         let offset = 0;
-        while (this.pending.length - offset >= lengthBytes) {
-            const sizeBytes = this.pending.readUInt32BE(offset);
+        this.neededBytes = lengthBytes;
+        while (bytes.length - offset >= lengthBytes) {
+            const sizeBytes = bytes.readUInt32BE(offset);
             if (sizeBytes > this.limitBytes) {
                 throw new ChannelError("message-too-large", { sizeBytes, limitBytes: this.limitBytes });
             }
             const end = offset + lengthBytes + sizeBytes;
-            if (this.pending.length < end) {
+            if (bytes.length < end) {
+                this.neededBytes = lengthBytes + sizeBytes;
                 break;
             }
-            messages.push(packr.unpack(this.pending.subarray(offset + lengthBytes, end)));
+            messages.push(packr.unpack(bytes.subarray(offset + lengthBytes, end)));
             offset = end;
         }
-        this.pending = this.pending.subarray(offset);
+        this.chunks = offset < bytes.length ? [bytes.subarray(offset)] : [];
+        this.receivedBytes = bytes.length - offset;
         return messages;
     }
 }
