Send routes to entries in compressed form

Cause: a table of 1400 routes takes 239,270 bytes, which is 0.9 s of a link of 2.1 Mbit/s if it carries nothing else, and a change must be in force after 2 s. With answers that are no longer given up, a growth by more routes would still come too late.

Why this works: routes repeat most of their content. An entry says that it can read them, and gets them as before from a control VM of the version before; entries of the version before say nothing and get them as before. An entry that cannot read them asks for the plain form.

--- a/src/directory/directoryService.ts
+++ b/src/directory/directoryService.ts
@@ -40,6 +40,7 @@
     type WatchParams,
 } from "./messages.js";
 import type { ControlNode, Registration, RouteTable } from "./model.js";
+import { RoutePacker } from "./packedRoutes.js";
 import { RelayPeers } from "./relayPeers.js";
 import { resolveUpdate } from "./repeatedHosts.js";
 import { digestRouteTable, digestToNumber } from "./routeDigest.js";
@@ -95,6 +96,7 @@
     /** Called when an attached entry reports another state. */
     private readonly entryListeners = new Set<() => void>();
     private readonly demandTable = new DemandTable();
+    private readonly routePacker = new RoutePacker();
     private readonly limits: LimitCoordinator;
     private readonly quotas: QuotaCoordinator;
     private readonly suspects: SuspectExchange;
@@ -301,7 +303,7 @@
      * for its first leader.
      */
     async watch(params: WatchParams): Promise<WatchAnswer> {
-        const { entry, version, canUpdate, limitsVersion, quotasVersion, suspectsVersion, wantsPeers, waitMs } = params;
+        const { entry, version, limitsVersion, quotasVersion, suspectsVersion, wantsPeers, waitMs } = params;
         const receivedAtMs = this.nowMs();
         this.recordEntry(entry);
         const hasNews = this.limits.hasNews(limitsVersion ?? undefined) ||
@@ -314,7 +316,7 @@
         const peers = wantsPeers === true ? await this.relayPeers.find(entry) : undefined;
         // An entry does not use a state that may be behind.
         const isDeltaNeeded = log.isLed && version !== this.state.revision;
-        const delta = isDeltaNeeded ? this.diffSince(version, canUpdate) : undefined;
+        const delta = isDeltaNeeded ? this.diffSince(params) : undefined;
         const nowMs = this.nowMs();
         const demand = this.demandTable.describe(nowMs);
         const suspects = this.suspects.describe(suspectsVersion ?? undefined);
@@ -473,13 +475,13 @@
         this.notifyChange();
     }
 
-    private diffSince(version: number, canUpdate: boolean | undefined): DirectoryDelta {
+    private diffSince({ version, canUpdate, canUnpack }: WatchParams): DirectoryDelta {
         const delta = this.state.diffSince(version, canUpdate);
         if (delta.table !== undefined || delta.tableUpdate !== undefined) {
             this.metrics.routeAnswers.inc({ form: delta.table === undefined ? "update" : "table" });
         }
         return {
-            ...delta,
+            ...(canUnpack === true ? this.routePacker.pack(delta) : delta),
             registrations: delta.registrations.map(registration => this.limits.cold.adjust(registration)),
         };
     }
--- a/src/directory/directoryState.ts
+++ b/src/directory/directoryState.ts
@@ -104,6 +104,8 @@
     readonly table: RouteTable | undefined;
     /** Replaces `table` for a receiver that has a recent route table and supports updates. */
     readonly tableUpdate?: TableUpdate;
+    /** `table` or `tableUpdate` in compressed form, for a receiver that supports it; both are then undefined. */
+    readonly packedRoutes?: Uint8Array;
     readonly registrations: readonly Registration[];
     /** Removed registrations; empty if `isFull`. */
     readonly ended: readonly UpstreamId[];
--- a/src/directory/messageChecks.ts
+++ b/src/directory/messageChecks.ts
@@ -176,6 +176,7 @@
         entry: objectWith(entryReportFields),
         version: isNumber,
         canUpdate: optional(isBoolean),
+        canUnpack: optional(isBoolean),
         limitsVersion: optional(isNumber),
         quotasVersion: optional(isNumber),
         suspectsVersion: optional(isNumber),
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -74,6 +74,8 @@
     readonly version: number;
     /** Whether the entry accepts updates of its routes instead of whole tables. */
     readonly canUpdate?: boolean;
+    /** Whether the entry accepts compressed routes; undefined from versions without them. */
+    readonly canUnpack?: boolean;
     /** Version of the rate limits that the entry has; undefined from versions without them. */
     readonly limitsVersion?: number;
     /** Version of the quotas that the entry has; undefined if no organisation has one. */
--- a/src/directory/tableSize.test.ts
+++ b/src/directory/tableSize.test.ts
@@ -11,7 +11,8 @@
     const nameBytes = 10_000;
     const routes = Array.from(
         { length: Math.floor(sizeBytes / nameBytes) },
-        (_value, index) => makeRoute({ name: `${version}.${index}`.padEnd(nameBytes, "x"), pathPrefix: `/${version}/${index}/` }),
+        (_value, index) =>
+            makeRoute({ name: `${version}.${index}`.padEnd(nameBytes, "x"), pathPrefix: `/${version}/${index}/` }),
     );
     return makeTable(version, routes);
 }
--- a/src/gateway/directoryWatch.test.ts
+++ b/src/gateway/directoryWatch.test.ts
@@ -5,8 +5,10 @@
 import { DirectoryMethod, type WatchAnswer, type WatchParams } from "../directory/messages.js";
 import type { ControlNode } from "../directory/model.js";
 import { emptyRouteTable, type RouteTable } from "../directory/model.js";
+import { makeRoute, makeTable } from "../directory/testing.js";
 import { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { ChannelServer } from "../transport/channel.js";
+import { TcpRelay } from "../transport/relay.js";
 import { rankControlVms } from "./controlVmRanking.js";
 import { DirectoryWatch, type DirectoryWatchOptions } from "./directoryWatch.js";
 
@@ -22,6 +24,7 @@
     isLed = true;
     table: RouteTable | undefined = emptyRouteTable;
     tableUpdate: TableUpdate | undefined;
+    packedRoutes: Uint8Array | undefined;
     confirmedAgeMs: number | undefined;
     onWatchCall: (watchCall: WatchParams) => void = () => undefined;
     onReport: () => void = () => undefined;
@@ -39,6 +42,7 @@
             isFull: true,
             table: this.tableUpdate === undefined ? this.table : undefined,
             tableUpdate: this.tableUpdate,
+            packedRoutes: this.packedRoutes,
             registrations: [],
             ended: [],
             nodes: this.nodes,
@@ -360,3 +364,49 @@
     t.is(remote.watchCalls.length, 0);
     await Promise.all(controls.map(control => control.close()));
 });
+
+/** A table of about 0.5 MB. */
+function makeLargeTable(): RouteTable {
+    const routes = Array.from(
+        { length: 2800 },
+        (_value, index) =>
+            makeRoute({
+                name: `r-${index}x${(index * 7919).toString(36)}`,
+                pathPrefix: `/p${(index * 104729).toString(36)}/`,
+            }),
+    );
+    return makeTable(1, routes);
+}
+
+test("guards against an entry that gives a table up while it arrives over a slow link, and asks for it again", async t => {
+    const control = new FakeControl();
+    // A control VM of the version before, which does not compress it.
+    control.table = makeLargeTable();
+    const [host, port] = (await control.start()).split(":");
+    const relay = new TcpRelay(host, Number(port));
+    const address = `127.0.0.1:${await relay.listen()}`;
+    // 2.1 Mbit/s: the table takes about two seconds.
+    relay.throttle(2_100_000 / 8);
+    const watch = makeWatch([address], () => watch.close(), new SystemClock());
+    await watch.run();
+    t.is(control.watchCalls.length, 1);
+    t.is(watch.version, 1);
+    await relay.close();
+    await control.close();
+});
+
+test("guards against an entry without routes as it cannot read compressed ones", async t => {
+    const control = new FakeControl();
+    const address = await control.start();
+    control.packedRoutes = Buffer.from("damaged");
+    control.onWatchCall = ({ canUnpack }) => {
+        if (canUnpack !== true) {
+            control.packedRoutes = undefined;
+        }
+    };
+    const watch = makeWatch([address], () => watch.close());
+    await watch.run();
+    t.deepEqual(control.watchCalls.map(({ canUnpack }) => canUnpack), [true, false]);
+    t.is(watch.version, 1);
+    await control.close();
+});
--- a/src/gateway/directoryWatch.ts
+++ b/src/gateway/directoryWatch.ts
@@ -11,6 +11,7 @@
     type WatchParams,
 } from "../directory/messages.js";
 import { type ControlNode, emptyRouteTable, type RouteTable } from "../directory/model.js";
+import { unpackRoutes } from "../directory/packedRoutes.js";
 import type { EntryLimits } from "../directory/rateLimits.js";
 import { updateRoutes } from "../directory/updateRoutes.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
@@ -117,6 +118,8 @@
     private table: RouteTable = emptyRouteTable;
     /** False after an update that does not fit the applied routes; watch calls then request the full table. */
     private canUpdate = true;
+    /** False after compressed routes that could not be read. */
+    private canUnpack = true;
     private nodes: readonly ControlNode[] = [];
     private client: ChannelClient | undefined;
     private confirmedAt: Instant | undefined;
@@ -334,6 +337,7 @@
                 entry,
                 version,
                 canUpdate,
+                canUnpack: this.canUnpack,
                 limitsVersion,
                 waitMs: Math.min(maxWaitMs, isUrgent ? urgentWaitMs : waitMs),
                 ...quotasField,
@@ -368,6 +372,17 @@
         return isLed && !isStale;
     }
 
+    /** Asks for routes that are not compressed if these cannot be read. */
+    private unpack(delta: DirectoryDelta): DirectoryDelta {
+        try {
+            return unpackRoutes(delta);
+        }
+        catch (error) {
+            this.canUnpack = false;
+            throw error;
+        }
+    }
+
     /**
      * Returns the route table after a delta, or undefined when it has not changed. Throws ControlError `update-unfit`
      * when the update has another base version.
@@ -431,7 +446,8 @@
             this.options.logger.info("received the directory for the first time", { version: delta?.version });
         }
         if (delta !== undefined && delta !== null) {
-            this.applyDelta(delta, this.resolveTable(delta));
+            const unpackedDelta = this.unpack(delta);
+            this.applyDelta(unpackedDelta, this.resolveTable(unpackedDelta));
         }
         if (limits !== undefined && limits !== null) {
             this.options.limits.apply(limits, sentAt);
