Accept at a stopping entry only what is answered before it closes its connections

Cause: the entry took every request for half of the grace period or the lifetime of its address, and closed its connections after nine tenths; neither rule knew how long a request may take. The share had been tuned for one timeout.

Why this works: a stopping entry knows when it closes its connections, and accepts a request only if its own time, the route's timeout or the caller's deadline, ends before that. All others are refused at once with 503, which is true, and a delay of milliseconds, since other entries accept them. The rule applies when the head arrives (no body is read), before each attempt, so that bodies that took long, retries and relayed requests are covered, and at the moment of the stop to all that wait in a queue. A stopping peer declines relayed requests, and the entry that relays tries the next one. What an instance is working on already is completed as before. Requests with a short time are accepted as long as before.

Related paths: the entries of the project's own interface (src/entry) wait for their requests without a limit, and cut none.

--- a/src/gateway/daemon.ts
+++ b/src/gateway/daemon.ts
@@ -23,7 +23,7 @@
 import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
-import { computeShutdownPhases } from "./shutdownPhases.js";
+import { computeShutdownPhases, ShutdownSchedule } from "./shutdownPhases.js";
 import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { MessageKind, UpstreamLimits } from "./upstreamLimits.js";
@@ -193,6 +193,7 @@
             bufferBudget: new BufferBudget(limits.bufferedBytes),
             overloadControl,
             crashSuspects,
+            shutdownSchedule: new ShutdownSchedule(),
             dialect,
             metrics,
             logger,
@@ -244,6 +245,7 @@
         this.isDraining = true;
         this.watch.report();
         const { acceptingMs, closingMs } = computeShutdownPhases(stop);
+        this.requestHandler.beginShutdown(startMs + closingMs);
         await this.waitUntil(startMs + acceptingMs, () => false);
         this.requestHandler.isRefusingAll = true;
         this.server.stopListening();
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -7,7 +7,7 @@
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { QuotaGate } from "../organisations/quotaGate.js";
 import type { EntryRelay } from "../relay/entryRelay.js";
-import { RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
+import { declinedStatus, RelayOutcome, relayRequest } from "../relay/relayedRequest.js";
 import { AttemptFailure, type GeneratedAnswer, type ResponseHead } from "../requests/model.js";
 import { type CrashSuspects, type SuspectableRequest, SuspectTreatment } from "./crashSuspects.js";
 import type { Dialect } from "./dialect.js";
@@ -20,6 +20,7 @@
 import { drawRetryAfterMs, minRejectedAgeMs, RefusalCause, type RefusedRequest } from "./refusals.js";
 import { RequestTimes } from "./requestTimes.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
+import type { ShutdownSchedule } from "./shutdownPhases.js";
 import { UploadBody, UploadProgress } from "./uploadBody.js";
 import { MessageKind, type UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamStatements } from "./upstreamStatements.js";
@@ -32,8 +33,6 @@
 
 /** The deadline sent to the upstream is this long after the request's timeout, but never after the caller's. */
 const upstreamGraceMs = 80;
-/** The entry answers this long after the request's timeout: longer, so that the upstream can answer first. */
-const answerGraceMs = 180;
 /** Maximum wait for a placement on an existing connection while no new ones can be opened: two rounds of load probes. */
 const maxWaitBeforeRelayMs = 100;
 /** A retry starts only if more than this time remains until the timeout. */
@@ -55,6 +54,7 @@
     /** Undefined where the settings do not ask for it. */
     readonly overloadControl?: OverloadControl | undefined;
     readonly crashSuspects: CrashSuspects;
+    readonly shutdownSchedule: ShutdownSchedule;
     readonly dialect: Dialect;
     readonly metrics: GatewayMetrics;
     readonly logger: GatewayLogger;
@@ -93,6 +93,10 @@
     private hasTimedOut = false;
     /** Whether it was refused because instances ended while they ran requests like it. */
     private isCrashSuspect = false;
+    /** Whether it waits for a placement. */
+    private isWaiting = false;
+    /** Whether it was refused because the entry stops. */
+    private isRefusedAtStop = false;
     /** Time until a limited upstream may get a request; undefined unless the request was refused for the limits. */
     private permitDelayMs: number | undefined;
     /** Time until an upstream accepts requests again; undefined unless the request was refused as all back off. */
@@ -105,7 +109,7 @@
 
     /** Runs the request; resolves when it has ended. */
     async run(): Promise<void> {
-        const timer = setTimeout(() => this.onTimeout(), this.times.timeoutAtMs + answerGraceMs - this.nowMs());
+        const timer = setTimeout(() => this.onTimeout(), this.times.latestAnswerAtMs - this.nowMs());
         if (!this.context.exchange.isRelayed) {
             this.dependencies.retryBudget.countRequest(this.context.service.name, this.nowMs());
         }
@@ -156,6 +160,25 @@
         }
     }
 
+    /** Called when the entry begins to stop; refuses the request if it has to wait and cannot be answered in time. */
+    onShutdown(): void {
+        if (this.isWaiting && !this.canBeAnswered) {
+            this.context.exchange.contain(() => this.refuseAtStop());
+        }
+    }
+
+    /** Whether the request gets an answer before the entry closes its connection, however long it takes. */
+    private get canBeAnswered(): boolean {
+        return this.dependencies.shutdownSchedule.canAnswerBy(this.times.latestAnswerAtMs);
+    }
+
+    private refuseAtStop(): void {
+        if (!this.context.exchange.isEnded) {
+            this.isRefusedAtStop = true;
+            this.answerFailure("draining", "The entry stops before the time of the request has passed.");
+        }
+    }
+
     /**
      * Called when the caller has disconnected. Cancels the attempt if it cannot have run, if the route is idempotent or
      * if the upload is still arriving; otherwise lets it complete.
@@ -186,12 +209,18 @@
     /** Places and sends the request once; returns whether another attempt follows. */
     private async runAttempt(): Promise<boolean> {
         const { relay } = this.dependencies;
+        if (!this.canBeAnswered) {
+            this.refuseAtStop();
+            return false;
+        }
         if (relay?.isCutOff === true && relay.hasPeers) {
             if (await this.relayIfPossible()) {
                 return false;
             }
         }
+        this.isWaiting = true;
         const placement = await this.findPlacement();
+        this.isWaiting = false;
         if (this.context.exchange.isEnded) {
             if (placement !== undefined) {
                 placement.connection.release();
@@ -447,7 +476,7 @@
         const { retryBudget, metrics } = this.dependencies;
         const isSafeToRetry = route.isIdempotent || !this.mayHaveRun;
         const isRetryPossible = isSafeToRetry && this.attemptsLeft > 0 && this.canReplayBody() &&
-            this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
+            this.canBeAnswered && this.nowMs() < this.times.timeoutAtMs - minRetryRemainingMs;
         if (!isRetryPossible || this.treatAsSuspect() !== SuspectTreatment.normal || !this.takeQuotaForRetry()) {
             return false;
         }
@@ -477,7 +506,9 @@
             this.lastErrorAttempt.deliver();
             return;
         }
-        this.answer(this.mayHaveRun ? 502 : 503, reason, detail);
+        // The entry that relayed a request which has not run can try another one.
+        const notRunStatus = this.isRefusedAtStop && this.context.exchange.isRelayed ? declinedStatus : 503;
+        this.answer(this.mayHaveRun ? 502 : notRunStatus, reason, detail);
     }
 
     private onTimeout(): void {
@@ -541,6 +572,9 @@
         if (this.isCrashSuspect) {
             return RefusalCause.crashSuspect;
         }
+        if (this.isRefusedAtStop) {
+            return RefusalCause.stopping;
+        }
         if (this.backOffDelayMs !== undefined) {
             return RefusalCause.backingOff;
         }
--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -21,6 +21,7 @@
 import type { GatewayExchange } from "./gatewayExchange.js";
 import { GatewayRequest, type RequestContext, type RequestDependencies } from "./gatewayRequest.js";
 import type { GatewayLogger } from "./options.js";
+import { RequestTimes } from "./requestTimes.js";
 import { RouteLookup } from "./routeLookup.js";
 import { UploadBody } from "./uploadBody.js";
 import { WeightedRoundRobin } from "./weightedRoundRobin.js";
@@ -62,6 +63,8 @@
     private routeLookup = new RouteLookup(emptyRouteTable);
     private services = new Map<string, RoutedService>();
     private readonly roundRobin: WeightedRoundRobin;
+    /** Requests whose body has been received, or is streamed. */
+    private readonly runningRequests = new Set<GatewayRequest>();
     private readonly callerAgeEstimator = new CallerAgeEstimator();
     private readonly admission: OrganisationAdmission;
 
@@ -88,6 +91,15 @@
         this.admission.setTable(table);
     }
 
+    /**
+     * Refuses requests from now on, also those that wait for an upstream, unless they will be answered before connections
+     * are closed at `closesAtMs`.
+     */
+    beginShutdown(closesAtMs: number): void {
+        this.options.dependencies.shutdownSchedule.begin(closesAtMs);
+        this.runningRequests.forEach(request => request.onShutdown());
+    }
+
     /** Handles a request whose head has arrived; resolves when it has ended. */
     async handleRequest(exchange: GatewayExchange): Promise<void> {
         const { dialect, limits } = this.options;
@@ -115,15 +127,30 @@
         if (route !== undefined && !this.isRefusingAll && this.authenticate(exchange, route).kind === "refused") {
             return;
         }
+        if (route !== undefined && !this.isRefusingAll && !this.canBeAnswered(exchange, route, deadlineAtMs)) {
+            this.refuseAtStop(exchange);
+            return;
+        }
         const context = isUpload(route)
             ? this.prepareUpload(exchange, deadlineAtMs)
             : await this.prepareBuffered(exchange, deadlineAtMs);
         if (context !== undefined) {
             request = new GatewayRequest(context, this.options.dependencies);
-            await request.run();
+            this.runningRequests.add(request);
+            await request.run().finally(() => this.runningRequests.delete(request!));
         }
     }
 
+    private canBeAnswered({ receivedAtMs }: GatewayExchange, route: Route, deadlineAtMs: number): boolean {
+        const { latestAnswerAtMs } = new RequestTimes(route, receivedAtMs, 0, deadlineAtMs);
+        return this.options.dependencies.shutdownSchedule.canAnswerBy(latestAnswerAtMs);
+    }
+
+    private refuseAtStop(exchange: GatewayExchange): void {
+        const status = exchange.isRelayed ? declinedStatus : 503;
+        this.refuse(exchange, status, "draining", "The entry stops.", stoppingRetryAfterMs);
+    }
+
     /** A request with an invalid token is handled as the caller's own, but is not relayed, so that no loop can arise. */
     private readRelayToken(exchange: GatewayExchange): void {
         const { dialect, metrics, logger, dependencies: { relay } } = this.options;
@@ -205,8 +232,7 @@
         // The routes may have changed while the body arrived.
         const route = this.findRoute(exchange);
         if (this.isRefusingAll) {
-            const status = exchange.isRelayed ? declinedStatus : 503;
-            this.refuse(exchange, status, "draining", "The entry stops.", stoppingRetryAfterMs);
+            this.refuseAtStop(exchange);
             return undefined;
         }
         if (route === undefined) {
--- a/src/gateway/refusals.ts
+++ b/src/gateway/refusals.ts
@@ -12,6 +12,8 @@
     backingOff: "backing-off",
     /** Instances ended while they ran requests like this one. */
     crashSuspect: "crash-suspect",
+    /** The entry stops before the time of the request has passed; others accept it. */
+    stopping: "stopping",
 } as const;
 
 export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause];
@@ -54,9 +56,9 @@
 export const minRejectedAgeMs = minCapacityRetryAfterMs;
 
 /**
- * Draws the delay in milliseconds after which a refused caller retries. The caller of a shed request retries
- * immediately while the request can be on time, since another upstream may accept it now; others retry later, with
- * jitter, when the load may have dropped or a limited upstream accepts a request again.
+ * Draws the delay in milliseconds after which a refused caller retries. The caller of an entry that stops retries
+ * immediately, as does that of a shed request while the request can be on time, since another upstream may accept it now;
+ * others retry later, with jitter, when the load may have dropped or a limited upstream accepts a request again.
  */
 export function drawRetryAfterMs(request: RefusedRequest, random: RandomSource): number {
     const { cause, untilTargetMs, baselineMs, untilDeadlineMs, permitDelayMs = Infinity, backOffDelayMs = 0 } = request;
@@ -64,7 +66,7 @@
         return suspectRetryAfterMs;
     }
     const canBeOnTime = untilTargetMs > callerRetryTripMs + baselineMs;
-    if (cause === RefusalCause.shed && canBeOnTime) {
+    if (cause === RefusalCause.stopping || (cause === RefusalCause.shed && canBeOnTime)) {
         return immediateRetryAfterMs + random.nextUnit() * immediateJitterMs;
     }
     return Math.max(
--- a/src/gateway/requestTimes.ts
+++ b/src/gateway/requestTimes.ts
@@ -9,6 +9,9 @@
 /** Target latency of a route that defines none. */
 const defaultTargetLatencyMs = 1000;
 
+/** The entry answers this long after the request's timeout: longer than an upstream may take, so that it can answer first. */
+const answerGraceMs = 180;
+
 /** Time limits of a request, in monotonic milliseconds. */
 export class RequestTimes {
     readonly targetLatencyMs: number;
@@ -24,6 +27,11 @@
         this.timeoutAtMs = Math.min(receivedAtMs + (route.timeoutMs ?? Infinity), deadlineAtMs);
     }
 
+    /** When the entry answers a request to which no upstream has answered. */
+    get latestAnswerAtMs(): number {
+        return this.timeoutAtMs + answerGraceMs;
+    }
+
     /** Returns the limits of a wait for a placement that starts at `startMs`. */
     computeWaitLimits(startMs: number, baselineMs: number): Omit<WaitingRequest, "priority"> {
         const { targetAtMs, targetLatencyMs, timeoutAtMs } = this;
--- a/src/gateway/shutdownPhases.ts
+++ b/src/gateway/shutdownPhases.ts
@@ -1,13 +1,13 @@
 import type { ShutdownTimes } from "./options.js";
 
-/**
- * Requests are refused after at most this share of the grace period, so that each accepted one has the other half to
- * complete. With 0.6, a request that was accepted 3.2 s after the stop was cut off 2.2 s later.
- */
+/** All requests are refused after at most this share of the grace period. */
 const acceptingShareOfGrace = 0.5;
 /** Share of the grace period after which the drain ends and connections are closed even if requests are in flight. */
 const closingShareOfGrace = 0.9;
 
+/** An answer that is due later than this before the close may not be sent completely. */
+const answerReserveMs = 100;
+
 /** Phases of a shutdown, in ms since the stop request. */
 export interface ShutdownPhases {
     /** Until when requests are accepted. */
@@ -23,3 +23,18 @@
         closingMs: closingShareOfGrace * graceMs,
     };
 }
+
+/** Which requests an entry that stops can still answer before it closes their connections. */
+export class ShutdownSchedule {
+    private closesAtMs = Infinity;
+
+    /** Begins the shutdown; connections are closed at `closesAtMs`. */
+    begin(closesAtMs: number): void {
+        this.closesAtMs = closesAtMs;
+    }
+
+    /** Returns whether a request that is answered at `answerAtMs` at the latest gets its answer before the close. */
+    canAnswerBy(answerAtMs: number): boolean {
+        return answerAtMs + answerReserveMs <= this.closesAtMs;
+    }
+}
--- a/src/gateway/testing.ts
+++ b/src/gateway/testing.ts
@@ -24,6 +24,7 @@
 import { OverloadControl } from "./overloadControl.js";
 import { Placer } from "./placer.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { ShutdownSchedule } from "./shutdownPhases.js";
 import { UpstreamAffinity } from "./upstreamAffinity.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { UpstreamLimits } from "./upstreamLimits.js";
@@ -340,6 +341,7 @@
                 isPartitionSuspected: () => false,
                 onNews: () => this.suspectNewsCount++,
             }),
+            shutdownSchedule: new ShutdownSchedule(),
             dialect,
             metrics,
             logger,
--- a/test/relaying.test.ts
+++ b/test/relaying.test.ts
@@ -55,6 +55,8 @@
     }
 
     readonly addresses: string[] = [];
+    /** Read by each entry when it stops. */
+    readonly stop = { graceMs: 100, addressLifetimeMs: 50 };
 
     private constructor(readonly usedCount: number, route: Partial<Route>) {
         this.table = makeTable(1, [
@@ -115,7 +117,7 @@
             limits: { ...defaultEntryLimits, connectTimeoutMs: 400 },
             retries: { ratio: 1, slack: 100, windowMs: 10_000 },
             probesPerUpstreamSecond: 1000,
-            stop: { graceMs: 100, addressLifetimeMs: 50 },
+            stop: system.stop,
             canRelay,
             dialect: new TestDialect(),
             logger: { debug: write, info: write, warn: write, error: write },
@@ -413,3 +415,24 @@
     t.is(system.runCount - runsBefore, 2);
     t.is(status, 502);
 });
+
+test("guards against a relayed request that a stopping peer accepts and then cuts off", async t => {
+    const system = await startSystem(t, ["az-1", "az-2", "az-3"]);
+    const [cut, stopping] = system.entries;
+    cut.proxies.forEach(proxy => proxy.cut());
+    await cut.sendUntilServed();
+    // Less than the timeout of the route remains, but the peer listens all the time.
+    Object.assign(system.stop, { graceMs: 2500, addressLifetimeMs: 2000 });
+    const drained = stopping.gateway.drain();
+    const linesBefore = stopping.lines.length;
+    const statuses: number[] = [];
+    for (let count = 0; count < 20; count++) {
+        statuses.push(await cut.send());
+    }
+    t.false(statuses.includes(0), statuses.join());
+    t.true(statuses.filter(status => status === 200).length >= 18, statuses.join());
+    t.false(stopping.lines.slice(linesBefore).some(({ text }) => text === "placed"), "the peer passes none on");
+    t.is(await stopping.send(), 503, "it refuses its own callers as well");
+    await drained;
+    Object.assign(system.stop, { graceMs: 100, addressLifetimeMs: 50 });
+});
