Recognize a streamed body that crashes instances, also after it has begun to be answered

Causes, two in one decision: 1. What one sound request proves about another one. A body that is not buffered had no digest, so that all uploads of a path, and all bodies above 256 KiB on any kind of route, were the same request, and each sound one cleared the losses of the crashing one. 2. An instance counted as lost only if no head of an answer had arrived, so that a request which crashes instances that have begun to answer was never suspected.

Why this works: streamed bodies are told apart by their length and a digest of their first 256 KiB, taken as they pass by. An answer clears only the body that it answers, and none while that is not known. Once an instance was lost with a streamed body on a path, the start of each further body there is read before it is sent and compared, so that a crashing one is refused before it reaches an instance, and others are not. Losses count whatever had arrived of the answer.

Other builds: the fingerprint of buffered bodies is unchanged. What entries of the version before report of streamed bodies does not say which one it was; it makes entries of this version look at the bodies, and is neither used for refusals nor cleared. Old entries go on clearing their own losses, so that the fault ends with the last of them.

--- a/src/entry/requestBody.ts
+++ b/src/entry/requestBody.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from "node:http";
-import { FigwharfError } from "../core/errors.js";
 import type { RequestBody } from "./exchange.js";
 import { parseNonNegativeInteger } from "./headers.js";
 import type { EntryLimits } from "./options.js";
+import { StreamedBody } from "./streamedBody.js";
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -72,36 +72,9 @@
 
 function streamedBody(
     incoming: IncomingMessage,
-    prefix: readonly Buffer[],
+    prefix: Buffer[],
     lengthBytes: number | undefined,
     limits: EntryLimits,
 ): BodyResult {
-    const content = streamChunks(incoming, prefix, limits.bodyBytes);
-    return { kind: "body", body: { buffer: undefined, content: content as never, lengthBytes } };
-}
-
-/** Whether an error of `streamChunks` means that the body exceeds its limit. */
-export function isBodyTooLarge(error: unknown): boolean {
-    return error instanceof FigwharfError && error.code === "body-too-large";
-}
-
-/** Yields `prefix`, then the chunks that arrive. Throws FigwharfError `body-too-large` above the limit. */
-export async function* streamChunks(
-    incoming: IncomingMessage,
-    prefix: readonly Buffer[],
-    limitBytes: number,
-): AsyncGenerator<Buffer> {
-    let sizeBytes = 0;
-    for (const chunk of prefix) {
-        sizeBytes += chunk.length;
-        yield chunk;
-    }
-    // Keeps the connection open when the attempt ends early, so that the caller receives its answer.
-    for await (const chunk of incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > limitBytes) {
-            throw new FigwharfError("body-too-large", { limitBytes });
-        }
-        yield chunk;
-    }
+    return { kind: "body", body: new StreamedBody(incoming, prefix, lengthBytes, limits.bodyBytes) };
 }
--- a/src/gateway/crashSuspects.ts
+++ b/src/gateway/crashSuspects.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Clock } from "../core/clock.js";
+import { BodyIdentity } from "../entry/bodyIdentity.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import { type Fingerprint, fingerprintOf, lossWindowMs, SuspectTable } from "../requests/suspectTable.js";
 import type { EntrySuspects, LossRow, SuspectReport } from "../suspects/suspectMessages.js";
@@ -30,8 +31,8 @@
     readonly service: string;
     readonly method: string;
     readonly path: string;
-    /** Undefined if the body is not buffered. */
-    readonly body: Buffer | undefined;
+    /** A body that is not buffered is recognized once its identity is known; undefined without a body. */
+    readonly body: Buffer | BodyIdentity | undefined;
 }
 
 /** Dependencies of CrashSuspects. */
@@ -88,16 +89,20 @@
         this.sharedAtMs = this.nowMs();
     }
 
+    /**
+     * Returns whether the identity of a body must be known before it is sent, since instances were lost with bodies that were
+     * sent to the same path.
+     */
+    isIdentityNeeded(request: SuspectableRequest): boolean {
+        return request.body instanceof BodyIdentity && this.hasLosses &&
+            (this.countLosses(fingerprintOfPath(request)) > 0 ||
+                this.countLosses(fingerprintOfEarlierVersions(request)) > 0);
+    }
+
     /** Returns how a request is treated. */
     treat(request: SuspectableRequest): SuspectTreatment {
-        if (this.table.size === 0 && this.shared.size === 0) {
-            return SuspectTreatment.normal;
-        }
-        const fingerprint = makeFingerprint(request);
-        const lossCount = Math.max(
-            this.table.countLosses(fingerprint, this.nowMs()),
-            this.nowMs() - this.sharedAtMs < lossWindowMs ? this.shared.get(fingerprint) ?? 0 : 0,
-        );
+        const fingerprint = this.hasLosses ? makeFingerprint(request) : undefined;
+        const lossCount = fingerprint === undefined ? 0 : this.countLosses(fingerprint);
         if (lossCount >= lossesBeforeRefusal) {
             return SuspectTreatment.refused;
         }
@@ -111,23 +116,33 @@
         if (await checkConnection(address, connectTimeoutMs) || isPartitionSuspected()) {
             return;
         }
-        const fingerprint = makeFingerprint(request);
-        const nowMs = clock.monotonicMs();
-        if (this.table.add({ fingerprint, service, upstreamId: id, incarnation: bornAtMs }, nowMs)) {
-            this.recentLosses.push({ value: [fingerprint, id, bornAtMs], atMs: nowMs });
-            metrics.suspectedCrashes.inc({ service });
-            const losses = this.table.countLosses(fingerprint, nowMs);
-            logger.info("an instance was lost with a request", { upstream: id, fingerprint, losses });
-            onNews();
+        const record = (fingerprint: Fingerprint) => {
+            const nowMs = clock.monotonicMs();
+            const isNew = this.table.add({ fingerprint, service, upstreamId: id, incarnation: bornAtMs }, nowMs);
+            if (isNew) {
+                this.recentLosses.push({ value: [fingerprint, id, bornAtMs], atMs: nowMs });
+                const losses = this.table.countLosses(fingerprint, nowMs);
+                logger.info("an instance was lost with a request", { upstream: id, fingerprint, losses });
+                onNews();
+            }
+            return isNew;
+        };
+        const { body } = request;
+        if (!(body instanceof BodyIdentity)) {
+            metrics.suspectedCrashes.inc({ service }, record(fingerprintOfBuffered(request, body)) ? 1 : 0);
+            return;
         }
+        metrics.suspectedCrashes.inc({ service }, record(fingerprintOfPath(request)) ? 1 : 0);
+        // Its caller may still be sending it.
+        record(fingerprintOfStreamed(request, await body.whenKnown));
     }
 
-    /** Records that an instance answered a request, which then is no suspect. */
+    /** Records that an instance answered a request; equal ones, and no others, then are no suspects. */
     recordSurvived(request: SuspectableRequest): void {
-        if (this.table.size === 0 && this.shared.size === 0) {
+        const fingerprint = this.hasLosses ? makeFingerprint(request) : undefined;
+        if (fingerprint === undefined) {
             return;
         }
-        const fingerprint = makeFingerprint(request);
         if (this.table.clear(fingerprint) || this.shared.has(fingerprint)) {
             this.shared = new Map([...this.shared].filter(([other]) => other !== fingerprint));
             this.recentLosses = this.recentLosses.filter(({ value: [other] }) => other !== fingerprint);
@@ -148,14 +163,50 @@
         };
     }
 
+    private get hasLosses(): boolean {
+        return this.table.size > 0 || this.shared.size > 0;
+    }
+
+    /** Returns how many instances were lost with requests of a fingerprint, as this entry or the control VM knows. */
+    private countLosses(fingerprint: Fingerprint): number {
+        const nowMs = this.nowMs();
+        return Math.max(
+            this.table.countLosses(fingerprint, nowMs),
+            nowMs - this.sharedAtMs < lossWindowMs ? this.shared.get(fingerprint) ?? 0 : 0,
+        );
+    }
+
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
 }
 
-function makeFingerprint({ service, method, path, body }: SuspectableRequest): Fingerprint {
+/** Returns undefined for a body whose identity is not known. */
+function makeFingerprint(request: SuspectableRequest): Fingerprint | undefined {
+    const { body } = request;
+    if (!(body instanceof BodyIdentity)) {
+        return fingerprintOfBuffered(request, body);
+    }
+    return body.value === undefined ? undefined : fingerprintOfStreamed(request, body.value);
+}
+
+function fingerprintOfBuffered({ service, method, path }: SuspectableRequest, body: Buffer | undefined): Fingerprint {
     const bodyHash = body === undefined || body.length === 0
         ? undefined
         : createHash("sha256").update(body).digest("base64");
     return fingerprintOf({ service, method, path, bodyHash });
 }
+
+function fingerprintOfStreamed({ service, method, path }: SuspectableRequest, identity: string): Fingerprint {
+    return fingerprintOf({ service, method, path, bodyHash: `streamed ${identity}` });
+}
+
+/** Fingerprint under which the losses with all streamed bodies of a path are counted. */
+function fingerprintOfPath({ service, method, path }: SuspectableRequest): Fingerprint {
+    return fingerprintOf({ service, method, path, bodyHash: "streamed" });
+}
+
+/** Fingerprint that entries of earlier versions give to all streamed bodies of a path. */
+function fingerprintOfEarlierVersions({ service, method, path }: SuspectableRequest): Fingerprint {
+    return fingerprintOf({ service, method, path, bodyHash: undefined });
+}
--- a/src/gateway/gatewayRequest.ts
+++ b/src/gateway/gatewayRequest.ts
@@ -3,7 +3,9 @@
 import type { RandomSource } from "../core/random.js";
 import { Verdict } from "../core/verdict.js";
 import type { Organisation, Route, RoutedService } from "../directory/model.js";
+import { identifiedBytes } from "../entry/bodyIdentity.js";
 import type { BufferBudget } from "../entry/bufferBudget.js";
+import { StreamedBody } from "../entry/streamedBody.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { QuotaGate } from "../organisations/quotaGate.js";
 import type { EntryRelay } from "../relay/entryRelay.js";
@@ -88,6 +90,8 @@
     private mayHaveRun = false;
     /** Whether the unit taken last from the organisation's quota was used by an attempt that may have run. */
     private isQuotaUnitUsed = false;
+    /** Bytes of the body that are held to recognize it. */
+    private heldBodyBytes = 0;
     private attemptCount = 0;
     private attemptSentAtMs = -Infinity;
     private hasTimedOut = false;
@@ -118,17 +122,36 @@
             this.dependencies.upstreamLimits.recordDemand(this.context.service.name);
         }
         try {
-            let shouldContinue = !this.refuseIfSuspect();
+            let shouldContinue = await this.identifyIfNeeded() && !this.refuseIfSuspect();
             while (shouldContinue && !this.context.exchange.isEnded) {
                 shouldContinue = await this.runAttempt();
             }
         }
         finally {
             clearTimeout(timer);
+            this.dependencies.bufferBudget.release(this.heldBodyBytes);
             this.returnUnusedQuota();
         }
     }
 
+    /**
+     * Reads the start of a streamed body if it may be that of a request that has ended instances; returns whether the request
+     * continues.
+     */
+    private async identifyIfNeeded(): Promise<boolean> {
+        const { exchange } = this.context;
+        const { bufferBudget, crashSuspects } = this.dependencies;
+        const { body } = exchange;
+        const isNeeded = body instanceof StreamedBody && crashSuspects.isIdentityNeeded(this.describeForSuspicion());
+        if (!isNeeded || !bufferBudget.canHold(identifiedBytes)) {
+            return true;
+        }
+        this.heldBodyBytes = identifiedBytes;
+        bufferBudget.add(identifiedBytes);
+        const isIdentified = await body.identify();
+        return isIdentified && !exchange.isEnded;
+    }
+
     /** Refuses a request that has ended several instances; returns whether it did. */
     private refuseIfSuspect(): boolean {
         const isRefused = this.treatAsSuspect() === SuspectTreatment.refused;
@@ -149,7 +172,7 @@
             service: service.name,
             method: exchange.incoming.method ?? "GET",
             path: exchange.path,
-            body: exchange.body.buffer,
+            body: exchange.body instanceof StreamedBody ? exchange.body.identity : exchange.body.buffer,
         };
     }
 
@@ -450,13 +473,13 @@
         return false;
     }
 
-    /** An instance that answers has survived the request; one that sent nothing may have been lost with it. */
+    /** An instance that answers completely has survived the request; any other may have been lost with it. */
     private recordForSuspicion(upstreamState: UpstreamState, attemptResult: AttemptResult): void {
         const { crashSuspects } = this.dependencies;
         if (attemptResult.kind === "delivered" || attemptResult.kind === "failed-answer") {
             crashSuspects.recordSurvived(this.describeForSuspicion());
         }
-        else if (attemptResult.kind === "lost" && this.attempt?.responseHead === undefined) {
+        else if (attemptResult.kind === "lost" || attemptResult.kind === "cut-off") {
             const wasReset = attemptResult.failure !== AttemptFailure.cancelled;
             const isUnheard = this.hasTimedOut && upstreamState.loadAskedAtMs < this.attemptSentAtMs;
             if (wasReset || isUnheard) {
--- a/src/gateway/uploadBody.ts
+++ b/src/gateway/uploadBody.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from "node:http";
-import type { RequestBody } from "../entry/exchange.js";
-import { isBodyTooLarge, parseBodyLength, streamChunks } from "../entry/requestBody.js";
+import { parseBodyLength } from "../entry/requestBody.js";
+import { isBodyTooLarge, StreamedBody } from "../entry/streamedBody.js";
 
 /** Progress of an upload's body. */
 export const UploadProgress = {
-    /** Nothing was read from the caller yet. */
+    /** Nothing was sent to an upstream yet. */
     untouched: "untouched",
     arriving: "arriving",
     complete: "complete",
@@ -18,24 +18,15 @@
 
 /**
  * Body that is streamed to the upstream as it arrives. Backpressure from the upstream stops reading from the caller, so
- * an upload uses no more memory than the buffers of its two connections.
+ * an upload uses no more memory than the buffers of its two connections, and its start if that has to be recognized.
  */
-export class UploadBody implements RequestBody {
-    readonly buffer = undefined;
-    readonly content: RequestBody["content"];
-    readonly lengthBytes: number | undefined;
+export class UploadBody extends StreamedBody {
     private currentProgress: UploadProgress = UploadProgress.untouched;
+    private isFirstRead = true;
 
-    /** `onFirstRead` is called when the upstream connection starts to read the body. */
-    constructor(
-        private readonly incoming: IncomingMessage,
-        private readonly limitBytes: number,
-        private readonly onFirstRead: () => void,
-    ) {
-        this.lengthBytes = parseBodyLength(incoming);
-        const content: AsyncIterable<Buffer> = { [Symbol.asyncIterator]: () => this.read() };
-        // undici accepts any iterable, but its types do not.
-        this.content = content as never;
+    /** `onFirstRead` is called before the body is read for the first time. */
+    constructor(incoming: IncomingMessage, limitBytes: number, private readonly onFirstRead: () => void) {
+        super(incoming, [], parseBodyLength(incoming), limitBytes);
     }
 
     get progress(): UploadProgress {
@@ -47,11 +38,16 @@
         return this.currentProgress === UploadProgress.tooLarge || this.currentProgress === UploadProgress.broken;
     }
 
-    private async *read(): AsyncGenerator<Buffer> {
+    override identify(): Promise<boolean> {
+        this.beginReading();
+        return super.identify();
+    }
+
+    protected override async *read(): AsyncGenerator<Buffer> {
         this.currentProgress = UploadProgress.arriving;
-        this.onFirstRead();
+        this.beginReading();
         try {
-            yield* streamChunks(this.incoming, [], this.limitBytes);
+            yield* super.read();
             this.currentProgress = UploadProgress.complete;
         }
         catch (error) {
@@ -63,9 +59,15 @@
                 this.currentProgress = UploadProgress.broken;
             }
             if (this.isUnusable) {
-                // Discards the rest of the body, so that the caller can read its response.
-                this.incoming.resume();
+                this.discard();
             }
         }
     }
+
+    private beginReading(): void {
+        if (this.isFirstRead) {
+            this.isFirstRead = false;
+            this.onFirstRead();
+        }
+    }
 }
