--- a/src/gateway/gatewayRequestHandler.ts
+++ b/src/gateway/gatewayRequestHandler.ts
@@ -89,6 +89,7 @@
         this.routeLookup = new RouteLookup(table);
         this.services = new Map(table.services.map(routedService => [routedService.name, routedService]));
         this.admission.setTable(table);
+        this.roundRobin.keepOnly(table);
     }
 
     /**
