Treat a response without the status of a final one as no response

With 000, 001 or 099 no caller got it, but the request was held until the timeout of its route, since the status passed for an interim response and the final one never came.

Cause: the status was compared with 200 only, whatever the parser let through.

Why this works: HTTP knows 100 to 599. An attempt fails at once as malformed at any other status, as with bytes that are no response: a request that may be repeated gets another instance's answer, others 502; the connection is not used again and the instance's health counts it. The check stands where all attempts of both data planes begin to read a response, so that answers over a relay between entries, responses to HEAD and those after an interim response are covered. Load probes and checks of reachability use no such head either, so that what it states of leaving or limits is not believed. An ended attempt without a head, which had the status 0 in one place, now fails.

One existing case allowed 999 as well as 502 for the status 999; it is replaced by one that allows 502 only.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from "undici";
-import { AttemptFailure, type ResponseHead, type RetainedResponse } from "../requests/model.js";
+import { AttemptFailure, isFinalStatus, type ResponseHead, type RetainedResponse } from "../requests/model.js";
 import type { BufferBudget } from "./bufferBudget.js";
 import { type HeaderField, selectEndToEndFields, toHeaderFields } from "./headers.js";
 
@@ -111,7 +111,11 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-        if (status < 200 || this.hasEnded) {
+        if (this.hasEnded || isInterimStatus(status)) {
+            return;
+        }
+        if (!isFinalStatus(status)) {
+            this.fail(AttemptFailure.malformed);
             return;
         }
         const fields = toHeaderFields((controller.rawHeaders ?? []) as (string | Buffer)[]);
@@ -232,6 +236,10 @@
     }
 }
 
+function isInterimStatus(status: number): boolean {
+    return status >= 100 && status < 200;
+}
+
 const connectTimeoutCodes = new Set(["UND_ERR_CONNECT_TIMEOUT", "ETIMEDOUT"]);
 
 function classifyFailure(error: NodeJS.ErrnoException, hasHead: boolean, hasConnected: boolean): AttemptFailure {
--- a/src/gateway/gatewayAttempt.ts
+++ b/src/gateway/gatewayAttempt.ts
@@ -40,7 +40,8 @@
     private head: ResponseHead | undefined;
     private isSent = false;
     private isForwarded = false;
-    private isNotRun = false;
+    /** Status of a response which states that the request did not run. */
+    private notRunStatus: number | undefined;
     private settle: (attemptResult: AttemptResult) => void = () => undefined;
 
     constructor(private readonly context: AttemptContext, private readonly dialect: Dialect, budget: BufferBudget) {
@@ -70,7 +71,7 @@
 
     /** Whether the upstream may have run the request, even partly. */
     get mayHaveRun(): boolean {
-        return this.isSent && !this.isNotRun;
+        return this.isSent && this.notRunStatus === undefined;
     }
 
     /** Head of the upstream's response, once it has arrived. */
@@ -101,16 +102,16 @@
 
     private onHead(head: ResponseHead): void {
         this.head = head;
-        this.isNotRun = this.dialect.isNotRun(head);
-        const isTrusted = this.isNotRun ? this.isIdentified(head) : this.dialect.isAuthentic(head);
+        const isNotRun = this.dialect.isNotRun(head);
+        const isTrusted = isNotRun ? this.isIdentified(head) : this.dialect.isAuthentic(head);
         if (this.isForAnotherRequest(head) || !isTrusted) {
             // Neither a statement that the request did not run nor later bytes on the connection can be trusted.
-            this.isNotRun = false;
             this.attempt.cancel();
             this.onFailed(AttemptFailure.malformed);
             return;
         }
-        this.context.onHead(head, this.isNotRun);
+        this.notRunStatus = isNotRun ? head.status : undefined;
+        this.context.onHead(head, isNotRun);
     }
 
     /** Returns whether this is a delayed or duplicate response to an earlier request or probe on the connection. */
@@ -129,17 +130,21 @@
     }
 
     private onOverflow(): void {
-        if (!this.isNotRun) {
+        if (this.notRunStatus === undefined) {
             this.deliver();
         }
     }
 
     private onComplete(): void {
-        const status = this.head?.status ?? 0;
+        if (this.head === undefined) {
+            this.onFailed(AttemptFailure.malformed);
+            return;
+        }
+        const { status } = this.head;
         if (this.isForwarded) {
             this.settle({ kind: "delivered", status });
         }
-        else if (this.isNotRun) {
+        else if (this.notRunStatus !== undefined) {
             this.settle({ kind: "not-run", status });
         }
         else if (status >= minServerErrorStatus) {
@@ -155,9 +160,9 @@
         if (this.isForwarded) {
             this.settle({ kind: "cut-off", failure });
         }
-        else if (this.isNotRun) {
+        else if (this.notRunStatus !== undefined) {
             // The head already states that the request did not run; the rest of the response is irrelevant.
-            this.settle({ kind: "not-run", status: this.head?.status ?? 0 });
+            this.settle({ kind: "not-run", status: this.notRunStatus });
         }
         else {
             this.settle({ kind: this.isSent ? "lost" : "not-sent", failure });
--- a/src/gateway/loadProber.ts
+++ b/src/gateway/loadProber.ts
@@ -3,7 +3,7 @@
 import { toHeaderFields } from "../entry/headers.js";
 import type { GatewayMetrics } from "../metrics/gatewayMetrics.js";
 import type { EntryRelay } from "../relay/entryRelay.js";
-import type { ResponseHead } from "../requests/model.js";
+import { isFinalStatus, type ResponseHead } from "../requests/model.js";
 import type { Dialect } from "./dialect.js";
 import type { OverloadControl } from "./overloadControl.js";
 import type { LeasedConnection, UpstreamConnections } from "./upstreamConnections.js";
@@ -257,6 +257,9 @@
                 }
             },
             onResponseStart(requestController, status) {
+                if (!isFinalStatus(status)) {
+                    return;
+                }
                 head = { status, headers: toHeaderFields((requestController.rawHeaders ?? []) as (string | Buffer)[]) };
             },
             onResponseData: () => undefined,
--- a/src/gateway/oddResponseHeads.test.ts
+++ b/src/gateway/oddResponseHeads.test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import net from "node:net";
 import { makeRegistration, makeRoute, makeTable } from "../directory/testing.js";
-import { listenOnLoopback, TestEntry, waitFor } from "./testing.js";
+import { checkInstance } from "../relay/reachabilityCheck.js";
+import { listenOnLoopback, TestEntry, TestUpstream, waitFor } from "./testing.js";
 
 const route = makeRoute({ isIdempotent: false, targetLatencyMs: 100_000, timeoutMs: 3000, maxAttempts: 1 });
 
@@ -14,6 +15,8 @@
     /** Start of what the caller receives; undefined if the connection may also be closed without a response. */
     readonly expected: RegExp | undefined;
     readonly isTrailerForwarded?: boolean;
+    /** Whether the attempt ends at the head, and not at the timeout. */
+    readonly isMalformed?: boolean;
 }
 
 const oddHeads: readonly OddHead[] = [
@@ -45,8 +48,35 @@
         expected: /^HTTP\/1\.1 200[^]*\r\nX-Sum: 1\r\n/,
         isTrailerForwarded: true,
     },
-    { what: "a status below 100", head: "099 Odd\r\nContent-Length: 0", expected: /^HTTP\/1\.1 502/ },
-    { what: "a status above 599", head: "999 Odd\r\nContent-Length: 0", expected: /^HTTP\/1\.1 (999|502)/ },
+    ...["000", "001", "099", "600", "700", "999"].flatMap((status): OddHead[] => [
+        {
+            what: `the status ${status}`,
+            head: `${status} Odd\r\nContent-Length: 4`,
+            body: "odd!",
+            expected: /^HTTP\/1\.1 502/,
+            isMalformed: true,
+        },
+        {
+            what: `the status ${status} without a length`,
+            head: `${status} Odd`,
+            body: "odd!",
+            expected: /^HTTP\/1\.1 502/,
+            isMalformed: true,
+        },
+        {
+            what: `the status ${status} after an interim response`,
+            head: `103 Early Hints\r\n\r\nHTTP/1.1 ${status} Odd\r\nContent-Length: 0`,
+            expected: /^HTTP\/1\.1 502/,
+            isMalformed: true,
+        },
+        {
+            what: `the status ${status} in a response to HEAD`,
+            head: `${status} Odd\r\nContent-Length: 4`,
+            method: "HEAD",
+            expected: /^HTTP\/1\.1 502/,
+            isMalformed: true,
+        },
+    ]),
     {
         what: "a control character in the reason",
         head: "200 \x01\x02\r\nContent-Length: 0",
@@ -115,6 +145,7 @@
                 upstream.stop();
             });
             const { method = "POST", callerVersion = "1.1", expected, isTrailerForwarded = false } = oddHead;
+            const { isMalformed = false } = oddHead;
             // On a busy machine the load probe can time out, and the request is refused.
             let text = "";
             do {
@@ -131,8 +162,55 @@
                 t.regex(text, expected);
             }
             t.is(/^Trailer:/im.test(text), isTrailerForwarded);
+            const hasFailed = entry.lines.some(line =>
+                line.text === "attempt ended" && line.fields.failure === "malformed"
+            );
+            t.is(hasFailed || !isMalformed, true, "no caller is held for it");
             const unknown = await entry.send("/nowhere/", "r-2");
             t.is(unknown.status, 404, "the entry serves other requests");
         });
     }
 }
+
+test("guards against an odd status that is an answer where another instance has a sound one", async t => {
+    for (const status of ["000", "099", "600", "999"]) {
+        const entry = new TestEntry();
+        const odd = new OddUpstream(
+            { what: status, head: `${status} Odd\r\nContent-Length: 0`, expected: undefined },
+            0,
+        );
+        const sound = new TestUpstream("i-2");
+        await entry.start(makeTable(1, [{ ...route, isIdempotent: true, maxAttempts: 2 }]));
+        entry.upstreamTable.set(makeRegistration({ address: await odd.start() }), entry.clock.monotonicMs());
+        await entry.addUpstream(sound);
+        for (let count = 0; count < 5; count++) {
+            t.is((await entry.send("/stock/1", `r-${count}`)).status, 200, status);
+        }
+        entry.close();
+        odd.stop();
+        sound.close();
+    }
+});
+
+test("guards against an odd status that is believed as an answer to a probe or a check", async t => {
+    for (const status of ["000", "099", "600", "999"]) {
+        const probes: string[] = [];
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.on("data", (chunk: Buffer) => {
+                probes.push(chunk.toString("latin1"));
+                socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\nLeaving: 1\r\nLoad: 0,3,1\r\n\r\n`);
+            });
+        });
+        const address = await listenOnLoopback(server);
+        t.is(await checkInstance(address, "/healthz"), undefined, status);
+        const entry = new TestEntry();
+        await entry.start(makeTable(1, [route]));
+        entry.upstreamTable.set(makeRegistration({ address }), entry.clock.monotonicMs());
+        t.is((await entry.send("/stock/1", "r-1")).status, 503, status);
+        t.true(probes.length > 1, "it was probed");
+        t.is(entry.leavingReportCount, 0, status);
+        entry.close();
+        server.close();
+    }
+});
--- a/src/relay/reachabilityCheck.ts
+++ b/src/relay/reachabilityCheck.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from "../core/random.js";
 import type { Registration } from "../directory/model.js";
 import { toHeaderFields } from "../entry/headers.js";
-import type { ResponseHead } from "../requests/model.js";
+import { isFinalStatus, type ResponseHead } from "../requests/model.js";
 
 /** Timeout of a checked instance; an overloaded one answers health checks well within it. */
 const checkTimeoutMs = 500;
@@ -49,10 +49,10 @@
             request.destroy();
         };
         const timer = setTimeout(() => finish(undefined), checkTimeoutMs);
-        request.on(
-            "response",
-            response => finish({ status: response.statusCode ?? 0, headers: toHeaderFields(response.rawHeaders) }),
-        );
+        request.on("response", ({ statusCode, rawHeaders }) => {
+            // Without the status of a final response, it is a missing one.
+            finish(isFinalStatus(statusCode) ? { status: statusCode, headers: toHeaderFields(rawHeaders) } : undefined);
+        });
         // An error is a missing response; one after the response is caused by `destroy`.
         request.on("error", () => finish(undefined));
     });
--- a/src/requests/model.ts
+++ b/src/requests/model.ts
@@ -53,6 +53,14 @@
     readonly incarnation: number;
 }
 
+const minFinalStatus = 200;
+const maxStatus = 599;
+
+/** Returns whether a status is that of a final HTTP response; another one, such as 000 or 999, shows that it is none. */
+export function isFinalStatus(status: number | undefined): status is number {
+    return status !== undefined && status >= minFinalStatus && status <= maxStatus;
+}
+
 /** Head of an upstream's response. */
 export interface ResponseHead {
     readonly status: number;
