Report all known limits of upstreams to a control VM that may know none

Cause: the shares of limits are only in the memory of the control VMs. An entry compared what it knew with the rows of the last control VM that had named some, also after it had turned to another one or to a restarted one, found no difference, and reported nothing. The new leader never learned of a limit and granted no shares; without a share an entry sends nothing and sees no limit again.

Why this works: rows count as those of the control VM in use only once it has sent some. Until then an entry reports every limit that it saw, or knows from the rows, and goes on with each call until it is told. The same holds for warmups (coldUpstreams), where the same comparison stood. Quotas and crash suspects did that already. Messages are unchanged.

--- a/src/gateway/coldUpstreams.ts
+++ b/src/gateway/coldUpstreams.ts
@@ -32,6 +32,8 @@
 export class ColdUpstreams {
     private rates: ReadonlyMap<ServiceName, number> = new Map();
     private rows: ReadonlyMap<UpstreamId, HeldRow> = new Map();
+    /** Whether the rows are those of the control VM in use. */
+    private areRowsCurrent = false;
     private validity: { readonly at: Instant; readonly validMs: number; } | undefined;
     private readonly startedAtMs: number;
 
@@ -114,7 +116,8 @@
         const nowMs = this.nowMs();
         const cold: readonly ColdReport[] = this.options.upstreamTable.list().flatMap(upstreamState => {
             const { cold: { observedUntilMs, registeredUntilMs }, registration: { id, bornAtMs } } = upstreamState;
-            const shownUntilMs = Math.max(nowMs, registeredUntilMs, this.findRow(upstreamState)?.coldUntilMs ?? 0);
+            const row = this.areRowsCurrent ? this.findRow(upstreamState) : undefined;
+            const shownUntilMs = Math.max(nowMs, registeredUntilMs, row?.coldUntilMs ?? 0);
             return observedUntilMs > shownUntilMs + warmupToleranceMs
                 ? [{ id, bornAtMs, warmupMs: observedUntilMs - nowMs }]
                 : [];
@@ -122,12 +125,18 @@
         return cold.length === 0 ? {} : { cold };
     }
 
+    /** Reports all warmups anew; called when the entry turns to another control VM. */
+    resetVersion(): void {
+        this.areRowsCurrent = false;
+    }
+
     /** Applies the shares of the control VM; `sentAt` is when the call was sent whose answer they are. */
     apply({ validMs, rows, cold }: EntryLimits, sentAt: Instant): void {
         const nowMs = this.nowMs();
         this.settleAll();
         this.validity = { at: sentAt, validMs };
         if (rows !== undefined && rows !== null) {
+            this.areRowsCurrent = true;
             this.rows = new Map((cold ?? []).map(row => [row.id, {
                 ...row,
                 coldUntilMs: nowMs + row.warmupMs,
--- a/src/gateway/limitFleet.ts
+++ b/src/gateway/limitFleet.ts
@@ -260,6 +260,19 @@
         });
     }
 
+    /** Restarts all control VMs, which keep what is on their disks and forget the limits. */
+    restartControls(): void {
+        this.controls.forEach(({ log }, index) => {
+            const { isLeader, leaderAddress } = log;
+            this.controls[index] = this.makeControl(index);
+            Object.assign(this.controls[index].log, { isLeader, leaderAddress });
+        });
+        this.entries.forEach(entry => {
+            entry.version = 0;
+            entry.limits.resetVersion();
+        });
+    }
+
     /** Attaches an entry to another control VM. */
     moveEntry(index: number): void {
         const entry = this.entries[index];
--- a/src/gateway/upstreamLimits.test.ts
+++ b/src/gateway/upstreamLimits.test.ts
@@ -67,6 +67,30 @@
     });
 }
 
+/** `recovery` of the users' deployments: requests must be served that long after all control VMs are back. */
+const recoveryMs = 15_000;
+
+for (const scale of scales) {
+    test(`guards against limits that are forgotten when all control VMs restart: ${scale.entryCount}`, async t => {
+        const fleet = new LimitFleet(scale, 1);
+        await fleet.run(2000);
+        // Every instance names one, so that nothing is served, and no limit seen, without a share.
+        nameLimits(fleet, fleet.instances.map(() => 5));
+        await fleet.run(settleMs);
+        const measure = async () => {
+            const sinceMs = fleet.nowMs;
+            await fleet.run(10_000);
+            return fleet.instances.reduce((sum, instance) => sum + fleet.measureRate(instance, sinceMs), 0);
+        };
+        const rateBefore = await measure();
+        fleet.restartControls();
+        await fleet.run(recoveryMs);
+        const rateAfter = await measure();
+        t.true(rateAfter >= usedShare * rateBefore, `${rateAfter} a second after ${rateBefore}`);
+        fleet.instances.forEach(instance => t.true(fleet.findExcess(instance) <= 0, instance.registration.id));
+    });
+}
+
 const changes = [
     "rise",
     "fall",
--- a/src/gateway/upstreamLimits.ts
+++ b/src/gateway/upstreamLimits.ts
@@ -54,6 +54,8 @@
     private readonly validity: GrantValidity;
     private readonly requestedAtMs = new Map<ServiceName, number>();
     private heldVersion = 0;
+    /** Whether the rows are those of the control VM in use, and not of an earlier one, which may be the only one to know them. */
+    private areRowsCurrent = false;
     readonly cold: ColdUpstreams;
 
     constructor(private readonly options: UpstreamLimitsOptions) {
@@ -149,12 +151,14 @@
         return [...this.requestedAtMs].filter(([, atMs]) => nowMs - atMs < demandTtlMs).map(([service]) => service);
     }
 
-    /** Lists the limits that this entry saw and that differ from those of the control VM. */
+    /** Lists the limits that this entry knows and that differ from those of the control VM in use. */
     listUnreported(): readonly LimitReport[] {
         const nowMs = this.nowMs();
         return this.options.upstreamTable.list().flatMap(upstreamState => {
-            const { namedLimit, registration: { id, bornAtMs } } = upstreamState;
-            const row = this.findRow(upstreamState);
+            const { registration: { id, bornAtMs } } = upstreamState;
+            const heldRow = this.findRow(upstreamState);
+            const row = this.areRowsCurrent ? heldRow : undefined;
+            const namedLimit = upstreamState.namedLimit ?? (this.areRowsCurrent ? undefined : heldRow);
             const isCurrent = namedLimit === undefined ||
                 (row === undefined
                     ? namedLimit.perSecond === undefined
@@ -176,6 +180,7 @@
         this.validity.renew(sentAt, validMs);
         if (rows !== undefined && rows !== null) {
             this.heldVersion = version;
+            this.areRowsCurrent = true;
             this.rows = new Map(rows.map(row => [row.id, {
                 ...row,
                 perSecond: row.perSecond ?? undefined,
@@ -193,9 +198,11 @@
         }
     }
 
-    /** Requests all limits anew; called when the entry turns to another control VM. */
+    /** Requests and reports all limits anew; called when the entry turns to another control VM, which may know none. */
     resetVersion(): void {
         this.heldVersion = 0;
+        this.areRowsCurrent = false;
+        this.cold.resetVersion();
     }
 
     /** Records what a response names. `canWithdraw` is false for responses that do not show that a limit has ended. */
