--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -59,7 +59,9 @@
     const renew = () => void announce(other.ready.address, upstreamAddress, { sequence: ++sequence });
     renew();
     const timer = setInterval(renew, renewIntervalMs);
-    await waitUntil(async () => (await fetchEntries(other.ready.address)).length === 2);
+    for (const { ready } of [drained, other]) {
+        await waitUntil(async () => (await fetchEntries(ready.address)).length === 2);
+    }
     await waitUntil(async () => (await fetch(`http://${drained.ready.address}/services/orders/x`)).status === 200);
     return {
         processes,
@@ -104,6 +106,7 @@
 
 test("guards against requests aborted by a graceful shutdown", async t => {
     const system = await startDrainSystem();
+    t.teardown(() => system.close());
     const { address } = system.drained.ready;
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     t.is((await get(address, "/x", agent)).connection, "keep-alive");
@@ -127,5 +130,4 @@
     t.is((await long).text, "begin,end");
     t.is(await system.processes.waitForExit(system.drained), 0);
     agent.destroy();
-    await system.close();
 });
