--- a/src/control/logSize.test.ts
+++ b/src/control/logSize.test.ts
@@ -10,29 +10,12 @@
 import type { ControlEffect, LogRecord } from "./messages.js";
 import { Replica } from "./replica.js";
 import { defaultReplicaLimits, ReplicaState } from "./replicaState.js";
-import { StateMachine } from "./stateMachine.js";
+import { CountingMachine } from "./testing/countingMachine.js";
 
 const recordBytes = 256 * 1024;
 const members = { voters: ["a", "b", "c"].map(id => ({ id, peerAddress: `${id}:1` })), learners: [] };
 const snapshot = { index: 0, term: 0, members, state: new Uint8Array() };
 
-/** Counts the changes, and has a small state however large they are. */
-class CountingMachine extends StateMachine {
-    revision = 0;
-
-    apply(): unknown {
-        return ++this.revision;
-    }
-
-    toBytes(): Uint8Array {
-        return Buffer.from(String(this.revision));
-    }
-
-    restore(bytes: Uint8Array): void {
-        this.revision = Number(Buffer.from(bytes).toString());
-    }
-}
-
 function makeLargeRecord(index: number, term = 1): LogRecord {
     return { index, term, command: { kind: "change", change: { text: String(index).padEnd(recordBytes, "x") } } };
 }
--- a/src/control/testing/openLog.ts
+++ b/src/control/testing/openLog.ts
@@ -3,24 +3,7 @@
 import { ControlStore } from "../../storage/controlStore.js";
 import { FileDisk } from "../../storage/fileDisk.js";
 import { Replica } from "../replica.js";
-import { StateMachine } from "../stateMachine.js";
-
-/** Counts the changes. */
-class CountingMachine extends StateMachine {
-    revision = 0;
-
-    apply(): unknown {
-        return ++this.revision;
-    }
-
-    toBytes(): Uint8Array {
-        return Buffer.from(String(this.revision));
-    }
-
-    restore(bytes: Uint8Array): void {
-        this.revision = Number(Buffer.from(bytes).toString());
-    }
-}
+import { CountingMachine } from "./countingMachine.js";
 
 const persisted = new ControlStore(new FileDisk(process.argv[2])).load();
 const { records } = persisted;
