Let an entry use its part of the burst before its first grant has arrived

Callers see: requests of an organisation far below its rate and its burst are refused with 429 in the first second after a configuration that names it, or after the start of an entry.

Cause: until its first grant an entry has tokens that accrue at its fraction of the rate, from a random phase, and none at first: at 100 a second and three entries one every 30 ms, so that a request that comes 5 ms after another one is refused, whatever the burst.

Why this works: nothing of the burst was used by an entry that never had a grant, so it starts with its equal part of it. What it admits is reported with the first report, as the leader keeps nothing back for an entry of which it has not heard; so far it was not reported. An entry that has lost its grant gets no second part.

--- a/src/quotas/entryQuotas.ts
+++ b/src/quotas/entryQuotas.ts
@@ -232,12 +232,15 @@
             const byDemand = totalDemand > 0 ? Math.min(1, ownDemand.get(nowMs) / totalDemand) : equal;
             const fraction = demandPart * byDemand + (1 - demandPart) * equal;
             const lifetimeMs = fallbackLifetimeMs(quota, bounds);
-            state.fallback = new FallbackTokens(quota, fraction, lifetimeMs, random.nextUnit(), nowMs);
+            // Without a first grant, nothing of the burst has been used by this entry.
+            const startCount = this.hadGrant ? 0 : Math.floor(quota.burst * equal);
+            state.fallback = new FallbackTokens(quota, fraction, lifetimeMs, random.nextUnit(), nowMs, startCount);
         }
         if (!state.fallback.take(nowMs)) {
             return this.refuse(state, QuotaOutcome.fallbackRefused);
         }
-        if (nowMs - this.contactAtMs < missingAfterMs) {
+        // The leader keeps nothing back for an entry that it has not heard of.
+        if (!this.hadGrant || nowMs - this.contactAtMs < missingAfterMs) {
             state.unreported.admitted++;
         }
         onDecision(QuotaOutcome.fallbackAdmitted);
@@ -253,6 +256,10 @@
         return { isAdmitted: false, retryAfterMs: Math.round(meanMs * (0.5 + random.nextUnit())) };
     }
 
+    private get hadGrant(): boolean {
+        return this.contactAtMs > -Infinity;
+    }
+
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
--- a/src/quotas/fallbackTokens.ts
+++ b/src/quotas/fallbackTokens.ts
@@ -13,13 +13,24 @@
     private readonly firstAtMs: number;
     private usedCount = 0;
 
-    /** `phase` is random in [0, 1). */
-    constructor(quota: Quota, fraction: number, private readonly lifetimeMs: number, phase: number, nowMs: number) {
+    /** `phase` is random in [0, 1); `startCount` tokens are available at once and do not expire. */
+    constructor(
+        quota: Quota,
+        fraction: number,
+        private readonly lifetimeMs: number,
+        phase: number,
+        nowMs: number,
+        private startCount = 0,
+    ) {
         this.intervalMs = msPerSecond / (quota.ratePerSecond * fraction);
         this.firstAtMs = nowMs + phase * this.intervalMs;
     }
 
     take(nowMs: number): boolean {
+        if (this.startCount >= 1) {
+            this.startCount--;
+            return true;
+        }
         const accruedCount = this.countUntil(nowMs);
         const nextIndex = Math.max(this.usedCount, this.countUntil(nowMs - this.lifetimeMs));
         if (nextIndex >= accruedCount) {
