--- a/review/lib-3/kit.mjs
+++ b/review/lib-3/kit.mjs
@@ -194,11 +194,11 @@
     }
 
     /** One call to a control machine; resolves with undefined without an answer within a second. */
-    call(coreIndex, query, body, headers = {}, timeoutMs = 1000) {
+    call(coreIndex, query, body, headers = {}, timeoutMs = 1000, text = undefined) {
         return request({
             host: this.cores[coreIndex], port: this.ports.control, method: "POST",
             path: `/figwharf/rpc?call=${query}`, headers: { "Content-Type": "application/json", ...headers },
-            body: body === undefined ? "" : JSON.stringify(body), timeoutMs,
+            body: text ?? (body === undefined ? "" : JSON.stringify(body)), timeoutMs,
         });
     }
 
